Add the decisions of the core, free of input and output

Cause: the project starts; decisions come first so that every fault can be run against them without sockets or sleeps. Ruled out: decisions inside the I/O tasks, which could only be tested with processes and sleeps. Before: nothing.

--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/account/__init__.py
@@ -0,0 +1,8 @@
+"""The account of a request: its deadline and its conserved extra attempts."""
+
+from rattanfork_core.account.account import Account
+from rattanfork_core.account.budget import RetryBudget
+from rattanfork_core.account.context import RunContext
+from rattanfork_core.account.rate import RateLimit
+
+__all__ = ["Account", "RateLimit", "RetryBudget", "RunContext"]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/__init__.py
@@ -0,0 +1,25 @@
+"""Admission at the guard: how many run, who waits, and who is shed."""
+
+from rattanfork_core.admission.controller import AdmissionController
+from rattanfork_core.admission.cut import ShedCut
+from rattanfork_core.admission.decisions import Decision, Refuse, Start
+from rattanfork_core.admission.demand import DemandHistogram
+from rattanfork_core.admission.estimate import ServiceEstimate
+from rattanfork_core.admission.limit import ConcurrencyLimit
+from rattanfork_core.admission.queue import WaitQueue
+from rattanfork_core.admission.settings import AdmissionSettings
+from rattanfork_core.admission.waiter import Waiter
+
+__all__ = [
+    "AdmissionController",
+    "AdmissionSettings",
+    "ConcurrencyLimit",
+    "Decision",
+    "DemandHistogram",
+    "Refuse",
+    "ServiceEstimate",
+    "ShedCut",
+    "Start",
+    "WaitQueue",
+    "Waiter",
+]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -0,0 +1,206 @@
+"""Admission in front of one upstream."""
+
+from math import ceil
+
+from rattanfork_core.admission.cut import ShedCut
+from rattanfork_core.admission.decisions import Decision, Refuse, Start
+from rattanfork_core.admission.estimate import ServiceEstimate
+from rattanfork_core.admission.limit import ConcurrencyLimit
+from rattanfork_core.admission.queue import WaitQueue
+from rattanfork_core.admission.settings import AdmissionSettings
+from rattanfork_core.admission.waiter import Waiter
+from rattanfork_core.clock import Clock
+from rattanfork_core.request.outcome import Reason
+
+
+class AdmissionController:
+    """Decides which requests run, wait and are shed at one guard.
+
+    Explanation
+    ===========
+
+    Important requests are shed last, exactly: the queue holds the waiters of
+    lowest rank, a newcomer displaces the one of highest rank, and a free
+    slot goes to the lowest rank.  A refused waiter is told at once.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    settings : AdmissionSettings
+        Bounds.
+
+    Examples
+    ========
+
+    >>> from rattanfork_core.clock import ManualClock
+    >>> admission = AdmissionController(
+    ...     ManualClock(), AdmissionSettings(slots=1, least_queue=1, warmup=0))
+    >>> admission.offer(Waiter(1, 2.5, "get", 9.0, 0.0))
+    [Start(waiter=Waiter(key=1, rank=2.5, operation='get', deadline=9.0, \
+arrived=0.0, started=0.0))]
+    >>> admission.offer(Waiter(2, 2.5, "get", 9.0, 0.0))
+    []
+    >>> [refusal] = admission.offer(Waiter(3, 0.5, "file", 9.0, 0.0))
+    >>> refusal.waiter.key, refusal.reason
+    (2, <Reason.SHED: 1>)
+    """
+
+    #: Seconds between two calls of :meth:`tick`.
+    TICK = 0.1
+
+    def __init__(self, clock: Clock, settings: AdmissionSettings) -> None:
+        self._clock = clock
+        self._settings = settings
+        self._queue = WaitQueue()
+        self._latest_start: dict[int, float] = {}
+        self._running: dict[int, Waiter] = {}
+        self._limit = ConcurrencyLimit(clock, settings.slots, settings.warmup)
+        self._estimate = ServiceEstimate()
+        self._cut = ShedCut()
+        self._displaced = 0
+        self._leaving = False
+
+    @property
+    def cut(self) -> float:
+        """Requests of this rank or above are shed here."""
+        return self._cut.value
+
+    @property
+    def running(self) -> int:
+        """Requests at the upstream."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Requests in the queue."""
+        return len(self._queue)
+
+    @property
+    def limit(self) -> ConcurrencyLimit:
+        """The concurrency limit."""
+        return self._limit
+
+    @property
+    def service_time(self) -> float:
+        """Mean service time in seconds; 0 while unknown."""
+        return self._estimate.mean
+
+    @property
+    def leaving(self) -> bool:
+        """Whether no new work is taken."""
+        return self._leaving
+
+    def leave(self) -> list[Decision]:
+        """Take no new work; those waiting are refused, those running end."""
+        self._leaving = True
+        waiting = list(self._queue)
+        return [self._refuse_waiting(w, Reason.LEAVING) for w in waiting]
+
+    def offer(self, waiter: Waiter) -> list[Decision]:
+        """Take in an arrival."""
+        self._cut.demand.add(waiter.rank)
+        if self._leaving:
+            return [Refuse(waiter, Reason.LEAVING)]
+        if self._cannot_finish(waiter):
+            return [Refuse(waiter, Reason.TOO_LATE)]
+        if not self._queue and len(self._running) < self._limit.current:
+            return [self._start(waiter)]
+        return self._enqueue(waiter)
+
+    def finish(self, key: int, succeeded: bool = True) -> list[Decision]:
+        """Take note that a run has ended, and start who is next."""
+        waiter = self._running.pop(key, None)
+        if waiter is not None and succeeded:
+            now = self._clock.now()
+            duration = now - waiter.started
+            self._estimate.add(waiter.operation, duration)
+            binding = len(self._queue) > 0
+            self._limit.on_finish(waiter.operation, waiter.started, duration, binding)
+        return self._start_next()
+
+    def on_upstream_shed(self) -> None:
+        """Take note that the upstream itself refused for load."""
+        self._limit.on_shed(len(self._running))
+
+    def withdraw(self, waiter: Waiter) -> bool:
+        """Take a waiter out of the queue; return whether it was there."""
+        self._latest_start.pop(waiter.key, None)
+        return self._queue.remove(waiter)
+
+    def tick(self) -> list[Decision]:
+        """Shed the doomed and adapt the cut; call every :attr:`TICK`."""
+        now = self._clock.now()
+        doomed = self._queue.take_doomed(self._latest_start, now)
+        decisions: list[Decision] = []
+        for waiter in doomed:
+            self._latest_start.pop(waiter.key, None)
+            decisions.append(Refuse(waiter, Reason.TOO_LATE))
+        decisions += self._start_next()
+        limit = self._limit.current
+        mean = self._estimate.mean
+        if mean:
+            self._cut.update(
+                capacity=limit / mean * self.TICK,
+                displaced=self._displaced + len(doomed),
+                queue_share=len(self._queue) / self._queue_bound(),
+                idle=not self._queue and len(self._running) < limit,
+            )
+        self._displaced = 0
+        return decisions
+
+    def _queue_bound(self) -> int:
+        share = ceil(self._limit.current * self._settings.queue_share)
+        return max(self._settings.least_queue, share)
+
+    def _cannot_finish(self, waiter: Waiter, wait: float = 0.0) -> bool:
+        now = self._clock.now()
+        if waiter.deadline <= now:
+            return True
+        if not self._running:
+            # Were an overlong estimate to refuse everything, no run could
+            # ever correct it: the service would stay shut after it recovered.
+            # An idle upstream therefore always takes one.
+            return False
+        needed = wait + self._estimate.shortest(waiter.operation)
+        return now + needed > waiter.deadline
+
+    def _enqueue(self, waiter: Waiter) -> list[Decision]:
+        limit = self._limit.current
+        mean = self._estimate.mean
+        wait = (self._queue.ahead(waiter.rank) + 1) * mean / limit
+        if self._cannot_finish(waiter, max(0.0, wait - mean)):
+            self._displaced += 1
+            return [Refuse(waiter, Reason.TOO_LATE)]
+        shortest = self._estimate.shortest(waiter.operation)
+        self._latest_start[waiter.key] = waiter.deadline - shortest
+        self._queue.push(waiter)
+        if len(self._queue) <= self._queue_bound():
+            return []
+        self._displaced += 1
+        worst = self._queue.pop_worst()
+        self._latest_start.pop(worst.key, None)
+        return [Refuse(worst, Reason.SHED)]
+
+    def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> Refuse:
+        self._queue.remove(waiter)
+        self._latest_start.pop(waiter.key, None)
+        return Refuse(waiter, reason)
+
+    def _start(self, waiter: Waiter) -> Start:
+        waiter.started = self._clock.now()
+        self._running[waiter.key] = waiter
+        return Start(waiter)
+
+    def _start_next(self) -> list[Decision]:
+        decisions: list[Decision] = []
+        while self._queue and len(self._running) < self._limit.current:
+            waiter = self._queue.pop_best()
+            self._latest_start.pop(waiter.key, None)
+            if self._cannot_finish(waiter):
+                self._displaced += 1
+                decisions.append(Refuse(waiter, Reason.TOO_LATE))
+            else:
+                decisions.append(self._start(waiter))
+        return decisions
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/demand.py
@@ -0,0 +1,58 @@
+"""How demand is spread over the order of shedding."""
+
+from rattanfork_core.request.importance import RANKS
+
+_PER_RANK = 32
+_BUCKETS = RANKS * _PER_RANK
+
+
+class DemandHistogram:
+    """Decayed count of arrivals by rank.
+
+    Examples
+    ========
+
+    >>> demand = DemandHistogram(decay=1.0)
+    >>> for i in range(100):
+    ...     demand.add(2 + i / 100)
+    >>> round(demand.rank_at(50), 1)
+    2.5
+    >>> demand.below(2.5)
+    50.0
+    """
+
+    def __init__(self, decay: float = 0.9) -> None:
+        self._decay = decay
+        self._counts = [0.0] * _BUCKETS
+
+    def add(self, rank: float) -> None:
+        """Count one arrival."""
+        self._counts[min(_BUCKETS - 1, int(rank * _PER_RANK))] += 1.0
+
+    def age(self) -> None:
+        """Let older arrivals count for less."""
+        decay = self._decay
+        self._counts = [count * decay for count in self._counts]
+
+    @property
+    def per_tick(self) -> float:
+        """Factor that turns a decayed count into arrivals of one tick."""
+        return 1.0 - self._decay if self._decay < 1 else 1.0
+
+    def below(self, rank: float) -> float:
+        """Return the decayed count of arrivals of lower rank."""
+        place = rank * _PER_RANK
+        whole = min(_BUCKETS, int(place))
+        total = sum(self._counts[:whole])
+        if whole < _BUCKETS:
+            total += self._counts[whole] * (place - whole)
+        return total
+
+    def rank_at(self, count: float) -> float:
+        """Return the rank below which ``count`` arrivals lie."""
+        left = count
+        for bucket, seen in enumerate(self._counts):
+            if seen and left <= seen:
+                return (bucket + max(0.0, left) / seen) / _PER_RANK
+            left -= seen
+        return float(RANKS)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/queue.py
@@ -0,0 +1,72 @@
+"""The queue in front of the upstream."""
+
+from sortedcontainers import SortedKeyList
+
+from rattanfork_core.admission.waiter import Waiter
+
+
+def _order(waiter: Waiter) -> tuple[float, int]:
+    return (waiter.rank, waiter.key)
+
+
+class WaitQueue:
+    """Waiters in the order of their rank.
+
+    Explanation
+    ===========
+
+    The order is importance first and then the request's fate, not arrival:
+    every guard that orders by fate favours the same requests, so the calls
+    of one screen wait or fail together at all services.
+
+    Examples
+    ========
+
+    >>> queue = WaitQueue()
+    >>> queue.push(Waiter(1, 2.5, "get", 1.0, 0.0))
+    >>> queue.push(Waiter(2, 0.5, "file", 1.0, 0.0))
+    >>> queue.ahead(2.0)
+    1
+    >>> queue.pop_best().key, queue.pop_worst().key
+    (2, 1)
+    """
+
+    def __init__(self) -> None:
+        self._waiters: SortedKeyList = SortedKeyList(key=_order)
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def push(self, waiter: Waiter) -> None:
+        """Add a waiter."""
+        self._waiters.add(waiter)
+
+    def ahead(self, rank: float) -> int:
+        """Return how many waiters would go before one of this rank."""
+        return self._waiters.bisect_key_left((rank, 0))
+
+    def pop_best(self) -> Waiter:
+        """Take out the waiter that goes next."""
+        return self._waiters.pop(0)
+
+    def pop_worst(self) -> Waiter:
+        """Take out the waiter that is shed first."""
+        return self._waiters.pop()
+
+    def remove(self, waiter: Waiter) -> bool:
+        """Take out a waiter; return whether it was there."""
+        try:
+            self._waiters.remove(waiter)
+        except ValueError:
+            return False
+        return True
+
+    def take_doomed(self, latest_start: dict[int, float], now: float) -> list[Waiter]:
+        """Take out all that should have started before ``now``."""
+        doomed = [w for w in self._waiters if latest_start[w.key] < now]
+        for waiter in doomed:
+            self._waiters.remove(waiter)
+        return doomed
+
+    def __iter__(self):
+        return iter(self._waiters)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/settings.py
@@ -0,0 +1,29 @@
+"""Settings of admission."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionSettings:
+    """Settings of admission at one guard.
+
+    Parameters
+    ==========
+
+    slots : int
+        Announced slots of the upstream: the limit never exceeds them.
+    queue_share : float
+        Length of the queue as a share of the concurrency limit.
+    least_queue : int
+        Shortest length of the queue.
+    retry_after : float
+        Shortest time a refused caller is told to stay away, in seconds.
+    warmup : float
+        Seconds over which a cold instance's limit rises to full.
+    """
+
+    slots: int = 100
+    queue_share: float = 1.0
+    least_queue: int = 4
+    retry_after: float = 1.0
+    warmup: float = 2.0
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/atmostonce/ticket.py
@@ -0,0 +1,112 @@
+"""Idempotency keys that name the one guard that may run them."""
+
+import hmac
+from base64 import urlsafe_b64decode, urlsafe_b64encode
+from dataclasses import dataclass
+from random import Random
+
+import msgpack
+
+_MAC_BYTES = 12
+_NONCE_BITS = 80
+#: Longest key taken, in characters.
+LONGEST_TICKET = 400
+
+
+class TicketError(ValueError):
+    """The key was not issued by a node of this system."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """An idempotency key bound to one incarnation of one instance.
+
+    Parameters
+    ==========
+
+    service : str
+        The service that the instance belongs to.
+    instance : str
+        The instance whose guard alone may run the key.
+    boot : str
+        The incarnation of that guard: a restarted one has forgotten what it
+        ran, and may not run the key.
+    epoch : int
+        The guard's epoch when the key was issued.
+    nonce : int
+        Makes the key unique.
+    """
+
+    service: str
+    instance: str
+    boot: str
+    epoch: int
+    nonce: int
+
+
+class TicketMint:
+    """Issues and reads tickets.
+
+    Explanation
+    ===========
+
+    A ticket carries a keyed hash, so that a caller cannot make one that
+    names another guard: with two tickets of one nonce, a caller's mistake
+    could run as two.
+
+    Parameters
+    ==========
+
+    key : bytes
+        The secret all nodes share.
+    random : Random
+        Source of nonces; a system source in production.
+
+    Examples
+    ========
+
+    >>> mint = TicketMint(b"secret", Random(1))
+    >>> text = mint.issue("claims", "claims-1", "b1", 4)
+    >>> mint.read(text).instance
+    'claims-1'
+    >>> mint.read("bogus")
+    Traceback (most recent call last):
+    ...
+    rattanfork_core.atmostonce.ticket.TicketError: not a key of this system
+    """
+
+    def __init__(self, key: bytes, random: Random) -> None:
+        self._key = key
+        self._random = random
+
+    def issue(self, service: str, instance: str, boot: str, epoch: int) -> str:
+        """Return a new ticket as text."""
+        nonce = self._random.getrandbits(_NONCE_BITS).to_bytes(10, "big")
+        body = msgpack.packb((service, instance, boot, epoch, nonce))
+        return urlsafe_b64encode(body + self._mac(body)).decode().rstrip("=")
+
+    def read(self, text: str) -> Ticket:
+        """Return the ticket of a text.
+
+        Raises
+        ======
+
+        TicketError
+            If the text is not a ticket of this system.
+        """
+        if len(text) > LONGEST_TICKET:
+            raise TicketError("not a key of this system")
+        try:
+            raw = urlsafe_b64decode(text + "=" * (-len(text) % 4))
+            body, mac = raw[:-_MAC_BYTES], raw[-_MAC_BYTES:]
+            if not hmac.compare_digest(mac, self._mac(body)):
+                raise TicketError("not a key of this system")
+            service, instance, boot, epoch, nonce = msgpack.unpackb(body)
+        except TicketError:
+            raise
+        except Exception as error:
+            raise TicketError("not a key of this system") from error
+        return Ticket(service, instance, boot, epoch, int.from_bytes(nonce, "big"))
+
+    def _mac(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, b"ticket" + body, "sha256")[:_MAC_BYTES]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/hashing/hash64.py
@@ -0,0 +1,17 @@
+"""A 64-bit hash of text."""
+
+from xxhash import xxh3_64_intdigest
+
+
+def hash64(text: str) -> int:
+    """Return a 64-bit hash that every node computes alike.
+
+    Not for secrets: who chooses the text can choose the hash.
+
+    Examples
+    ========
+
+    >>> hash64("a") == hash64("a") != hash64("b")
+    True
+    """
+    return xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/hints/__init__.py
@@ -0,0 +1,5 @@
+"""Thresholds of other guards, heard on replies."""
+
+from rattanfork_core.hints.table import HintTable
+
+__all__ = ["HintTable"]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/hints/table.py
@@ -0,0 +1,74 @@
+"""What this node has heard of other guards' thresholds."""
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.request.importance import RANKS
+
+_OPEN = float(RANKS)
+
+
+class HintTable:
+    """Thresholds by operation and instance, aged.
+
+    Explanation
+    ===========
+
+    A reply carries the lower of its guard's own cut and the cuts of the
+    deeper services that the operation calls.  This node refuses what the
+    instance would refuse, before any work is done.  A hint is believed for
+    a short time and then rises: a guard whose every request is refused early
+    sends no replies, and its last hint would otherwise hold for ever.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    fresh : float
+        Seconds for which a hint is believed as it is.
+    rise : float
+        Ranks by which a stale hint rises each second.
+
+    Examples
+    ========
+
+    >>> from rattanfork_core.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> hints = HintTable(clock)
+    >>> hints.hear("donors/search", "w1", 2.0)
+    >>> hints.cut("donors/search", "w1")
+    2.0
+    >>> clock.advance(60)
+    >>> hints.cut("donors/search", "w1")
+    5.0
+    """
+
+    #: Operations come from URLs and instances come and go.
+    MOST_HINTS = 20_000
+
+    def __init__(self, clock: Clock, fresh: float = 0.3, rise: float = 1.0) -> None:
+        self._clock = clock
+        self._fresh = fresh
+        self._rise = rise
+        self._hints: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._hints)
+
+    def hear(self, operation: str, instance: str, cut: float) -> None:
+        """Take in the cut that came with a reply."""
+        key = (operation, instance)
+        if cut >= _OPEN:
+            self._hints.pop(key, None)
+            return
+        if len(self._hints) >= self.MOST_HINTS and key not in self._hints:
+            self._hints.pop(next(iter(self._hints)))
+        self._hints[key] = (cut, self._clock.now())
+
+    def cut(self, operation: str, instance: str) -> float:
+        """Return the rank from which the instance sheds the operation."""
+        hint = self._hints.get((operation, instance))
+        if hint is None:
+            return _OPEN
+        cut, heard = hint
+        stale = self._clock.now() - heard - self._fresh
+        return cut if stale <= 0 else min(_OPEN, cut + stale * self._rise)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -0,0 +1,33 @@
+"""Who is there: announcements, probes, suspicion and leaving."""
+
+from rattanfork_core.membership.anti_entropy import BucketDigest
+from rattanfork_core.membership.duty import on_duty
+from rattanfork_core.membership.member import Member, MemberStatus
+from rattanfork_core.membership.membership import Membership, MembershipSettings
+from rattanfork_core.membership.messages import (
+    Ack,
+    GossipMessage,
+    Ping,
+    PingRequest,
+    Send,
+    decode_gossip,
+    encode_gossip,
+)
+from rattanfork_core.membership.rumours import RumourQueue
+
+__all__ = [
+    "Ack",
+    "BucketDigest",
+    "GossipMessage",
+    "Member",
+    "MemberStatus",
+    "Membership",
+    "MembershipSettings",
+    "Ping",
+    "PingRequest",
+    "RumourQueue",
+    "Send",
+    "decode_gossip",
+    "encode_gossip",
+    "on_duty",
+]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -0,0 +1,365 @@
+"""The membership protocol, in the manner of SWIM."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import log2
+from random import Random
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.membership.anti_entropy import BucketDigest, bucket_of
+from rattanfork_core.membership.member import Member, MemberStatus
+from rattanfork_core.membership.messages import (
+    Ack,
+    GossipMessage,
+    Ping,
+    PingRequest,
+    Send,
+)
+from rattanfork_core.membership.rumours import RumourQueue
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Settings of the membership protocol.
+
+    Parameters
+    ==========
+
+    period : float
+        Seconds between two probes.
+    ack_timeout : float
+        Seconds after which others are asked to probe.
+    helpers : int
+        How many are asked.
+    suspicion : float
+        Periods a suspect has to answer, times the logarithm of the fleet.
+    rumours : int
+        Most rumours of a datagram.
+    forget_after : float
+        Seconds for which the dead are remembered.
+    """
+
+    period: float = 1.0
+    ack_timeout: float = 0.3
+    helpers: int = 2
+    suspicion: float = 1.5
+    rumours: int = 6
+    forget_after: float = 600.0
+
+
+@dataclass(slots=True)
+class _Probe:
+    target: str
+    number: int
+    sent: float
+    helped: bool = False
+
+
+class Membership:
+    """One node's view of the members, and its part in the protocol.
+
+    Explanation
+    ===========
+
+    Each period one member is probed; if it does not answer, a few others are
+    asked to probe it; if they hear nothing either it is suspected, and dead
+    after a while unless it refutes by raising its incarnation.  All news
+    rides on probes and their answers, a bounded number each, so the cost of
+    a node is constant.
+
+    A node whose own probes fail often takes itself to be slow (Lifeguard's
+    local health) and gives others more time, so that one frozen and woken
+    process does not declare the rest dead.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Seeded source of choices.
+    me : Member
+        This node.
+    settings : MembershipSettings
+        Timing.
+
+    Examples
+    ========
+
+    >>> from rattanfork_core.clock import ManualClock
+    >>> a = Member("a", "x", "s", "dc", "127.0.0.1", 1, 2, 8)
+    >>> b = Member("b", "y", "s", "dc", "127.0.0.1", 3, 4, 8)
+    >>> view = Membership(ManualClock(), Random(1), a)
+    >>> view.merge([b])
+    >>> [send.address for send in view.tick()]
+    [('127.0.0.1', 4)]
+
+    References
+    ==========
+
+    .. [1] Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent
+       Infection-style Process Group Membership Protocol", 2002.
+    .. [2] Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for
+       More Accurate Failure Detection", 2018.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        me: Member,
+        settings: MembershipSettings = MembershipSettings(),  # noqa: B008
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._me = me
+        self._settings = settings
+        self._members: dict[str, Member] = {}
+        self._changed_at: dict[str, float] = {}
+        self._digest = BucketDigest([])
+        self._rumours = RumourQueue()
+        self._order: list[str] = []
+        self._probe: _Probe | None = None
+        self._next_probe = clock.now()
+        self._number = random.getrandbits(30)
+        self._relays: dict[int, tuple[int, tuple[str, int]]] = {}
+        self._health = 0
+        self._version = 0
+        self.revision: Callable[[], int] = lambda: 0
+        self._put(me)
+
+    @property
+    def me(self) -> Member:
+        """The node's own record."""
+        return self._me
+
+    @property
+    def version(self) -> int:
+        """Grows whenever the view changes."""
+        return self._version
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """All records by name, the dead included."""
+        return self._members
+
+    @property
+    def digest(self) -> BucketDigest:
+        """Digest of the view."""
+        return self._digest
+
+    @property
+    def pending_rumours(self) -> int:
+        """Rumours on their way."""
+        return len(self._rumours)
+
+    def present(self) -> list[Member]:
+        """Return the members that are not dead."""
+        return [m for m in self._members.values() if m.status != MemberStatus.DEAD]
+
+    def update_me(self, **changes: object) -> None:
+        """Change this node's own record and tell the others."""
+        incarnation = self._me.incarnation + 1
+        self._me = self._me.replace(incarnation=incarnation, **changes)
+        self._accept(self._me)
+
+    def leave(self) -> list[Send]:
+        """Announce that this node takes no new work.
+
+        The news is pushed at once to a few, and rides on all that follows.
+        """
+        self.update_me(status=MemberStatus.LEAVING)
+        others = [m for m in self.present() if m.name != self._me.name]
+        self._random.shuffle(others)
+        return [self._ping(member) for member in others[: 4 * self._settings.helpers]]
+
+    def merge(self, members: Iterable[Member]) -> None:
+        """Take in records, from rumours or from another's view."""
+        for member in members:
+            if member.name == self._me.name:
+                self._refute(member)
+                continue
+            known = self._members.get(member.name)
+            if known is None or member.overrides(known):
+                self._accept(member)
+
+    def records_in(self, buckets: Iterable[int]) -> list[Member]:
+        """Return the records of some buckets of the digest."""
+        wanted = set(buckets)
+        return [m for m in self._members.values() if bucket_of(m.name) in wanted]
+
+    def tick(self) -> list[Send]:
+        """Carry the protocol on; call several times a period."""
+        now = self._clock.now()
+        sends: list[Send] = []
+        probe = self._probe
+        timeout = self._settings.ack_timeout * (1 + self._health)
+        if probe is not None and not probe.helped and now - probe.sent >= timeout:
+            probe.helped = True
+            sends += self._ask_helpers(probe)
+        if now >= self._next_probe:
+            if probe is not None:
+                self._probe_failed(probe)
+            period = self._settings.period * (1 + 0.5 * self._health)
+            self._next_probe = now + period * self._random.uniform(0.9, 1.1)
+            sends += self._begin_probe(now)
+        self._end_suspicions(now)
+        return sends
+
+    def on_message(self, message: GossipMessage, source: tuple[str, int]) -> list[Send]:
+        """Take in a datagram."""
+        self.merge([message.sender])
+        self.merge(message.rumours)
+        if isinstance(message, Ping):
+            return self._on_ping(message)
+        if isinstance(message, Ack):
+            return self._on_ack(message)
+        return self._on_ping_request(message)
+
+    def _on_ping(self, ping: Ping) -> list[Send]:
+        # A stranger to the target's boot is told who is here instead, so
+        # that a replaced process is not taken for the old one.
+        sender = self._members[ping.sender.name]
+        if sender.status in (MemberStatus.DEAD, MemberStatus.SUSPECT):
+            # The sender does not know that it is thought dead: tell it, so
+            # that it refutes.
+            self._rumours.add(sender, 2)
+        ack = Ack(ping.number, self._me, self._me.name, self.revision(), self._news())
+        return [Send(ping.sender.address, ack)]
+
+    def _on_ack(self, ack: Ack) -> list[Send]:
+        probe = self._probe
+        if probe is not None and ack.number == probe.number:
+            if ack.target == probe.target:
+                self._probe = None
+                self._health = max(0, self._health - 1)
+            else:
+                # Another process answers at that address: the one probed was
+                # replaced and cannot come back.
+                self._declare(probe.target, MemberStatus.DEAD)
+                self._probe = None
+        relay = self._relays.pop(ack.number, None)
+        if relay is None:
+            return []
+        number, address = relay
+        news = self._news()
+        return [Send(address, Ack(number, self._me, ack.target, ack.revision, news))]
+
+    def _on_ping_request(self, request: PingRequest) -> list[Send]:
+        target = self._members.get(request.target)
+        if target is None:
+            return []
+        ping = self._ping(target)
+        if len(self._relays) > 100:
+            self._relays.clear()
+        self._relays[ping.message.number] = (request.number, request.sender.address)
+        return [ping]
+
+    def _begin_probe(self, now: float) -> list[Send]:
+        target = self._next_target()
+        if target is None:
+            return []
+        send = self._ping(target)
+        self._probe = _Probe(target.name, send.message.number, now)
+        sends = [send]
+        dead = [m for m in self._members.values() if m.status == MemberStatus.DEAD]
+        if dead and self._random.random() < 0.1:
+            # After a split has healed, both sides hold the other for dead
+            # and would never speak again.
+            sends.append(self._ping(self._random.choice(dead)))
+        return sends
+
+    def _next_target(self) -> Member | None:
+        for _ in range(len(self._order) + 2):
+            if not self._order:
+                me = self._me.name
+                self._order = [m.name for m in self.present() if m.name != me]
+                self._random.shuffle(self._order)
+                if not self._order:
+                    return None
+            member = self._members.get(self._order.pop())
+            if member is not None and member.status != MemberStatus.DEAD:
+                return member
+        return None
+
+    def _ask_helpers(self, probe: _Probe) -> list[Send]:
+        names = (self._me.name, probe.target)
+        others = [
+            m
+            for m in self._members.values()
+            if m.status == MemberStatus.ALIVE and m.name not in names
+        ]
+        count = min(len(others), self._settings.helpers)
+        helpers = self._random.sample(others, count)
+        news = self._news()
+        request = PingRequest(
+            probe.number, self._me, probe.target, self.revision(), news
+        )
+        return [Send(helper.address, request) for helper in helpers]
+
+    def _probe_failed(self, probe: _Probe) -> None:
+        self._probe = None
+        self._health = min(8, self._health + 1)
+        member = self._members.get(probe.target)
+        if member is None:
+            return
+        if member.status == MemberStatus.ALIVE:
+            self._declare(probe.target, MemberStatus.SUSPECT)
+        elif member.status == MemberStatus.LEAVING:
+            self._declare(probe.target, MemberStatus.DEAD)
+
+    def _end_suspicions(self, now: float) -> None:
+        periods = self._settings.suspicion * log2(len(self._members) + 2)
+        limit = periods * self._settings.period
+        for name, since in list(self._changed_at.items()):
+            member = self._members[name]
+            if member.status == MemberStatus.SUSPECT and now - since > limit:
+                self._declare(name, MemberStatus.DEAD)
+            elif (
+                member.status == MemberStatus.DEAD
+                and now - since > self._settings.forget_after
+            ):
+                self._forget(name)
+
+    def _declare(self, name: str, status: MemberStatus) -> None:
+        member = self._members.get(name)
+        if member is not None and status > member.status:
+            self._accept(member.replace(status=status))
+
+    def _refute(self, rumour: Member) -> None:
+        mine = self._me
+        if rumour.incarnation < mine.incarnation or rumour == mine:
+            return
+        if rumour.overrides(mine) or rumour.incarnation > mine.incarnation:
+            self._me = mine.replace(incarnation=rumour.incarnation + 1)
+            self._accept(self._me)
+
+    def _accept(self, member: Member) -> None:
+        self._put(member)
+        self._rumours.add(member, len(self._members))
+
+    def _put(self, member: Member) -> None:
+        known = self._members.get(member.name)
+        if known is not None:
+            self._digest.toggle(known)
+        self._digest.toggle(member)
+        self._members[member.name] = member
+        if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+            self._changed_at[member.name] = self._clock.now()
+        else:
+            self._changed_at.pop(member.name, None)
+        self._version += 1
+
+    def _forget(self, name: str) -> None:
+        self._digest.toggle(self._members.pop(name))
+        del self._changed_at[name]
+        self._version += 1
+
+    def _news(self) -> tuple[Member, ...]:
+        return self._rumours.take(self._settings.rumours)
+
+    def _ping(self, target: Member) -> Send:
+        self._number += 1
+        news = self._news()
+        ping = Ping(self._number, self._me, target.name, self.revision(), news)
+        return Send(target.address, ping)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -0,0 +1,106 @@
+"""Datagrams of the membership protocol."""
+
+import hmac
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgpack
+
+from rattanfork_core.membership.member import Member
+
+_MAC_BYTES = 12
+#: Longest datagram; below the usual MTU so that none is fragmented.
+LONGEST_DATAGRAM = 1400
+_MOST_RUMOURS = 16
+
+
+class Ping(NamedTuple):
+    """Asks a member whether it is there."""
+
+    number: int
+    sender: Member
+    target: str
+    revision: int
+    rumours: tuple[Member, ...]
+
+
+class Ack(NamedTuple):
+    """The target of a ping is there."""
+
+    number: int
+    sender: Member
+    target: str
+    revision: int
+    rumours: tuple[Member, ...]
+
+
+class PingRequest(NamedTuple):
+    """Please ping that member for me."""
+
+    number: int
+    sender: Member
+    target: str
+    revision: int
+    rumours: tuple[Member, ...]
+
+
+GossipMessage = Ping | Ack | PingRequest
+_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram to send."""
+
+    address: tuple[str, int]
+    message: GossipMessage
+
+
+def encode_gossip(message: GossipMessage, key: bytes) -> bytes:
+    """Return a message as an authenticated datagram."""
+    body = msgpack.packb((_KINDS.index(type(message)), *message))
+    return hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES] + body
+
+
+def decode_gossip(data: bytes, key: bytes) -> GossipMessage:
+    """Return the message of a datagram.
+
+    Raises
+    ======
+
+    ValueError
+        If the datagram was not made with the key or is malformed.
+
+    Examples
+    ========
+
+    >>> me = Member("w1", "b", "claims", "dc1", "127.0.0.1", 1, 2, 8)
+    >>> ping = Ping(1, me, "w2@b", 0, ())
+    >>> decode_gossip(encode_gossip(ping, b"k"), b"k") == ping
+    True
+    >>> decode_gossip(b"x" * 40, b"k")
+    Traceback (most recent call last):
+    ...
+    ValueError: datagram of a stranger
+    """
+    mac, body = data[:_MAC_BYTES], data[_MAC_BYTES:]
+    expected = hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES]
+    if not hmac.compare_digest(mac, expected):
+        raise ValueError("datagram of a stranger")
+    try:
+        fields = msgpack.unpackb(body, use_list=False)
+        kind, number, sender, target, revision, rumours = fields
+        message_type = _KINDS[kind]
+    except Exception as error:
+        raise ValueError("malformed datagram") from error
+    if type(number) is not int or type(revision) is not int:
+        raise ValueError("malformed datagram")
+    if not isinstance(target, str) or not isinstance(rumours, tuple):
+        raise ValueError("malformed datagram")
+    return message_type(
+        number,
+        Member.from_fields(sender),
+        target,
+        revision,
+        tuple(Member.from_fields(rumour) for rumour in rumours[:_MOST_RUMOURS]),
+    )
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/revision/__init__.py
@@ -0,0 +1,23 @@
+"""The accepted rules: committed once, spread, never backwards."""
+
+from rattanfork_core.revision.commit import (
+    CommitMachine,
+    CommitOutcome,
+    CommitStatus,
+    ReadRow,
+    TryCommit,
+)
+from rattanfork_core.revision.reading import ReadSchedule
+from rattanfork_core.revision.record import RulesRecord
+from rattanfork_core.revision.state import RevisionState
+
+__all__ = [
+    "CommitMachine",
+    "CommitOutcome",
+    "CommitStatus",
+    "ReadRow",
+    "ReadSchedule",
+    "RevisionState",
+    "RulesRecord",
+    "TryCommit",
+]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/revision/state.py
@@ -0,0 +1,87 @@
+"""The revision in force at one node."""
+
+from rattanfork_core.revision.record import RulesRecord
+from rattanfork_core.rules import RuleSet, load_rules
+
+
+class RevisionState:
+    """Holds the highest accepted revision that the node has seen.
+
+    Explanation
+    ===========
+
+    Revisions only rise here, whatever order they are heard in.  A fresh node
+    holds none; it is *ready* once it has read the table, or once peers in
+    enough data centres have told it what they hold: one data centre alone
+    may have been cut off when the last change was accepted, and a node that
+    believed it would bring old rules back.
+
+    Parameters
+    ==========
+
+    data_centres_needed : int
+        Data centres whose word replaces the table's.
+
+    Examples
+    ========
+
+    >>> state = RevisionState(data_centres_needed=2)
+    >>> text = "rules: [{name: a, then: {importance: high}}]"
+    >>> state.hear_from_peer("dc1", RulesRecord(2, "op", "ann", "", text))
+    True
+    >>> state.ready
+    False
+    >>> state.hear_from_peer("dc2", None)
+    False
+    >>> state.ready, state.revision
+    (True, 2)
+    >>> state.hear_from_store(RulesRecord(1, "op", "ann", "", "rules: []"))
+    False
+    """
+
+    def __init__(self, data_centres_needed: int = 2) -> None:
+        self._needed = data_centres_needed
+        self._record = RulesRecord(0, "", "", "", "")
+        self._rules = load_rules("rules: []")
+        self._heard: set[str] = set()
+        self._ready = False
+
+    @property
+    def revision(self) -> int:
+        """Number of the revision in force."""
+        return self._record.revision
+
+    @property
+    def record(self) -> RulesRecord:
+        """The revision in force."""
+        return self._record
+
+    @property
+    def rules(self) -> RuleSet:
+        """The rules in force."""
+        return self._rules
+
+    @property
+    def ready(self) -> bool:
+        """Whether the node may take work."""
+        return self._ready
+
+    def hear_from_store(self, record: RulesRecord | None) -> bool:
+        """Take in the table's head; return whether the rules changed."""
+        self._ready = True
+        return self._offer(record)
+
+    def hear_from_peer(self, data_centre: str, record: RulesRecord | None) -> bool:
+        """Take in what a ready peer holds; return whether the rules changed."""
+        changed = self._offer(record)
+        self._heard.add(data_centre)
+        if len(self._heard) >= self._needed:
+            self._ready = True
+        return changed
+
+    def _offer(self, record: RulesRecord | None) -> bool:
+        if record is None or record.revision <= self._record.revision:
+            return False
+        self._rules = load_rules(record.text, f"revision {record.revision}")
+        self._record = record
+        return True
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/routing/__init__.py
@@ -0,0 +1,7 @@
+"""Which instance of a service gets a call."""
+
+from rattanfork_core.routing.instance import InstanceState
+from rattanfork_core.routing.picker import InstancePicker
+from rattanfork_core.routing.subset import choose_subset
+
+__all__ = ["InstancePicker", "InstanceState", "choose_subset"]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/routing/instance.py
@@ -0,0 +1,47 @@
+"""What a node knows of an instance it sends to."""
+
+from dataclasses import dataclass
+
+_WEIGHT = 0.1
+
+
+@dataclass(slots=True)
+class InstanceState:
+    """Load and health of one instance as seen from this node.
+
+    Parameters
+    ==========
+
+    name : str
+        The instance.
+    data_centre : str
+        Where it runs.
+    slots : int
+        Its announced slots.
+    known_since : float
+        When this node first heard of it, in seconds of the clock.
+    """
+
+    name: str
+    data_centre: str
+    slots: int = 1
+    known_since: float = 0.0
+    in_flight: int = 0
+    latency: float = 0.0
+    failures: float = 0.0
+    leaving: bool = False
+    suspect: bool = False
+
+    def on_sent(self) -> None:
+        """Count a call sent."""
+        self.in_flight += 1
+
+    def on_done(self, duration: float, failed: bool) -> None:
+        """Take in how a call ended."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self.failures += _WEIGHT * ((1.0 if failed else 0.0) - self.failures)
+        if not failed:
+            if self.latency:
+                self.latency += _WEIGHT * (duration - self.latency)
+            else:
+                self.latency = duration
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -0,0 +1,131 @@
+"""Choice of an instance for a call."""
+
+from collections.abc import Iterable
+from random import Random
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.routing.instance import InstanceState
+from rattanfork_core.routing.subset import choose_subset
+
+#: Latency assumed of an instance that has not answered yet, in seconds.
+_UNKNOWN_LATENCY = 0.01
+#: An instance of another data centre counts as this much busier.
+_REMOTE_FACTOR = 1.5
+_COLD_SHARE = 0.1
+
+
+class InstancePicker:
+    """Chooses among the instances of one service.
+
+    Explanation
+    ===========
+
+    Of two instances drawn at random the one with the lower score is taken.
+    The score is calls in flight times recent latency, so that a slow
+    instance gets less without any health endpoint being asked; failures make
+    it worse, and so does being in another data centre, by a factor rather
+    than absolutely: the own data centre is preferred until it is the worse
+    choice.  A new instance is drawn rarely at first and more with its age.
+
+    Parameters
+    ==========
+
+    node : str
+        The node that chooses; decides its subset.
+    data_centre : str
+        Where the node is.
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Seeded source of the draws.
+    subset_size : int
+        Most instances that calls are spread over.
+    warmup : float
+        Seconds until a new instance gets its full share.
+
+    Examples
+    ========
+
+    >>> from rattanfork_core.clock import ManualClock
+    >>> picker = InstancePicker("n1", "dc1", ManualClock(9), Random(1))
+    >>> picker.update([InstanceState("a", "dc1"), InstanceState("b", "dc2")])
+    >>> picker.pick(frozenset())
+    'a'
+    >>> picker.pick(frozenset({"a"}))
+    'b'
+    """
+
+    def __init__(
+        self,
+        node: str,
+        data_centre: str,
+        clock: Clock,
+        random: Random,
+        subset_size: int = 16,
+        warmup: float = 5.0,
+    ) -> None:
+        self._node = node
+        self._data_centre = data_centre
+        self._clock = clock
+        self._random = random
+        self._subset_size = subset_size
+        self._warmup = warmup
+        self._states: dict[str, InstanceState] = {}
+        self._subset: list[InstanceState] = []
+
+    @property
+    def states(self) -> dict[str, InstanceState]:
+        """All known instances by name."""
+        return self._states
+
+    @property
+    def subset(self) -> list[InstanceState]:
+        """The instances that calls are spread over."""
+        return self._subset
+
+    def update(self, instances: Iterable[InstanceState]) -> None:
+        """Take in the instances that are alive, keeping what is known."""
+        states: dict[str, InstanceState] = {}
+        for new in instances:
+            known = self._states.get(new.name)
+            if known is not None and known.known_since == new.known_since:
+                known.leaving, known.suspect = new.leaving, new.suspect
+                known.slots = new.slots
+                states[new.name] = known
+            else:
+                states[new.name] = new
+        self._states = states
+        open_names = [s.name for s in states.values() if not s.leaving]
+        names = choose_subset(self._node, open_names, self._subset_size)
+        self._subset = [states[name] for name in names]
+
+    def pick(self, avoid: frozenset[str]) -> str | None:
+        """Return an instance, or None if all are to be avoided."""
+        candidates = self._subset
+        if avoid:
+            candidates = [s for s in candidates if s.name not in avoid]
+        if not candidates:
+            return None
+        healthy = [s for s in candidates if not s.suspect]
+        # If all are suspect the fault is more likely on this side.
+        return self._pick_two(healthy or candidates).name
+
+    def _pick_two(self, candidates: list[InstanceState]) -> InstanceState:
+        count = len(candidates)
+        if count == 1:
+            return candidates[0]
+        first = candidates[int(self._random.random() * count)]
+        second = candidates[int(self._random.random() * (count - 1))]
+        if second is first:
+            second = candidates[-1]
+        return first if self._score(first) <= self._score(second) else second
+
+    def _score(self, state: InstanceState) -> float:
+        latency = state.latency or _UNKNOWN_LATENCY
+        score = (state.in_flight + 1) * latency * (1.0 + 10.0 * state.failures)
+        if state.data_centre != self._data_centre:
+            score *= _REMOTE_FACTOR
+        age = self._clock.now() - state.known_since
+        if age < self._warmup:
+            score /= max(_COLD_SHARE, age / self._warmup)
+        return score / max(1, state.slots)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/rules/__init__.py
@@ -0,0 +1,40 @@
+"""Operators' ordered rules: the first match decides a request's treatment."""
+
+from rattanfork_core.rules.action import Action
+from rattanfork_core.rules.condition import Condition
+from rattanfork_core.rules.document import (
+    ActionModel,
+    ConditionModel,
+    ObjectiveModel,
+    RuleModel,
+    RulesDocument,
+)
+from rattanfork_core.rules.edit import move_rule, retire_rule
+from rattanfork_core.rules.explain import Explanation, explain
+from rattanfork_core.rules.facts import RequestFacts
+from rattanfork_core.rules.finding import Finding, FindingsError
+from rattanfork_core.rules.load import load_rules
+from rattanfork_core.rules.rule import Rule
+from rattanfork_core.rules.ruleset import RuleSet
+from rattanfork_core.rules.yaml_place import load_yaml_model
+
+__all__ = [
+    "Action",
+    "ActionModel",
+    "Condition",
+    "ConditionModel",
+    "Explanation",
+    "Finding",
+    "FindingsError",
+    "ObjectiveModel",
+    "RequestFacts",
+    "Rule",
+    "RuleModel",
+    "RuleSet",
+    "RulesDocument",
+    "explain",
+    "load_rules",
+    "load_yaml_model",
+    "move_rule",
+    "retire_rule",
+]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/rules/condition.py
@@ -0,0 +1,104 @@
+"""When a rule holds."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from fnmatch import translate
+from re import Pattern
+from re import compile as compile_pattern
+
+from rattanfork_core.request.importance import Importance
+from rattanfork_core.rules.document import ConditionModel
+from rattanfork_core.rules.facts import RequestFacts
+
+_WILD = frozenset("*?[")
+
+
+@dataclass(frozen=True, slots=True)
+class NameSet:
+    """Names to match, some with wildcards; an empty set matches all."""
+
+    exact: frozenset[str]
+    patterns: tuple[Pattern[str], ...]
+
+    @classmethod
+    def of(cls, names: list[str]) -> "NameSet":
+        """Return the set of the given names."""
+        wild = [name for name in names if _WILD & set(name)]
+        exact = frozenset(names) - frozenset(wild)
+        return cls(exact, tuple(compile_pattern(translate(name)) for name in wild))
+
+    @property
+    def open(self) -> bool:
+        """Whether everything matches."""
+        return not self.exact and not self.patterns
+
+    def holds(self, name: str) -> bool:
+        """Return whether the name matches."""
+        if name in self.exact or self.open:
+            return True
+        return any(pattern.match(name) for pattern in self.patterns)
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """All parts must hold.
+
+    Examples
+    ========
+
+    >>> condition = Condition.of(ConditionModel(service=["receipts"]))
+    >>> condition.holds(RequestFacts("receipts", "browse"))
+    True
+    >>> list(condition.failures(RequestFacts("claims", "file")))
+    ["service is 'claims'"]
+    """
+
+    service: NameSet
+    operation: NameSet
+    caller: NameSet
+    method: NameSet
+    data_centre: NameSet
+    importance: frozenset[Importance]
+    load_above: float | None
+    load_below: float | None
+    attempt_above: int | None
+
+    @classmethod
+    def of(cls, model: ConditionModel) -> "Condition":
+        """Return the condition a document states."""
+        return cls(
+            NameSet.of(model.service),
+            NameSet.of(model.operation),
+            NameSet.of(model.caller),
+            NameSet.of([method.upper() for method in model.method]),
+            NameSet.of(model.data_centre),
+            frozenset(Importance.parse(name) for name in model.importance),
+            model.load_above,
+            model.load_below,
+            model.attempt_above,
+        )
+
+    def holds(self, facts: RequestFacts) -> bool:
+        """Return whether the condition holds for a request."""
+        return next(self.failures(facts), None) is None
+
+    def failures(self, facts: RequestFacts) -> Iterator[str]:
+        """Yield why the condition does not hold, part by part."""
+        if not self.service.holds(facts.service):
+            yield f"service is {facts.service!r}"
+        if not self.operation.holds(facts.operation):
+            yield f"operation is {facts.operation!r}"
+        if not self.caller.holds(facts.caller):
+            yield f"caller is {facts.caller!r}"
+        if not self.method.holds(facts.method):
+            yield f"method is {facts.method!r}"
+        if not self.data_centre.holds(facts.data_centre):
+            yield f"data centre is {facts.data_centre!r}"
+        if self.importance and facts.importance not in self.importance:
+            yield f"importance is {facts.importance.label!r}"
+        if self.load_above is not None and not facts.load > self.load_above:
+            yield f"load is {facts.load:.2f}, not above {self.load_above:g}"
+        if self.load_below is not None and not facts.load < self.load_below:
+            yield f"load is {facts.load:.2f}, not below {self.load_below:g}"
+        if self.attempt_above is not None and not facts.attempt > self.attempt_above:
+            yield f"attempt is {facts.attempt}, not above {self.attempt_above}"
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/rules/ruleset.py
@@ -0,0 +1,71 @@
+"""Rules in their order, indexed."""
+
+from rattanfork_core.rules.document import ObjectiveModel, RulesDocument
+from rattanfork_core.rules.facts import RequestFacts
+from rattanfork_core.rules.rule import Rule
+
+#: Services and operations come from URLs: the index must stay bounded.
+_MOST_INDEXED = 4096
+
+
+class RuleSet:
+    """An immutable, ordered set of rules.
+
+    Explanation
+    ===========
+
+    Rules whose service and operation cannot match are left out once for each
+    pair of service and operation, so that a request is only compared with
+    the few that may hold.
+
+    Examples
+    ========
+
+    >>> document = RulesDocument.model_validate({"rules": [
+    ...     {"name": "browse", "when": {"service": "receipts"},
+    ...      "then": {"importance": "low"}}]})
+    >>> rules = RuleSet(document)
+    >>> rules.first_match(RequestFacts("receipts", "browse")).name
+    'browse'
+    >>> rules.first_match(RequestFacts("claims", "file")) is None
+    True
+    """
+
+    def __init__(self, document: RulesDocument) -> None:
+        self._document = document
+        self._rules = tuple(Rule.of(model) for model in document.rules)
+        self._index: dict[tuple[str, str], tuple[Rule, ...]] = {}
+
+    @property
+    def rules(self) -> tuple[Rule, ...]:
+        """All rules, in order."""
+        return self._rules
+
+    @property
+    def objectives(self) -> list[ObjectiveModel]:
+        """The service-level objectives."""
+        return self._document.objectives
+
+    def first_match(self, facts: RequestFacts) -> Rule | None:
+        """Return the rule that decides the request, if any."""
+        key = (facts.service, facts.operation)
+        candidates = self._index.get(key)
+        if candidates is None:
+            candidates = self._narrow(key)
+        for rule in candidates:
+            if rule.condition.holds(facts):
+                return rule
+        return None
+
+    def _narrow(self, key: tuple[str, str]) -> tuple[Rule, ...]:
+        service, operation = key
+        candidates = tuple(
+            rule
+            for rule in self._rules
+            if rule.condition.service.holds(service)
+            and rule.condition.operation.holds(operation)
+        )
+        if len(self._index) >= _MOST_INDEXED:
+            self._index.clear()
+        self._index[key] = candidates
+        return candidates
