--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# `make demo` runs the main job, `make test` what CI runs.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core platform node cli testkit
+READY := $(VENV)/.ready
+
+.PHONY: demo test bench matrix slopes lint format fuzz clean
+
+$(READY): requirements.lock $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation \
+	    --no-deps $(foreach p,$(PACKAGES),-e packages/rattanfork-$(p))
+	touch $@
+
+demo: $(READY)
+	$(BIN)/python -m rattanfork_testkit.demo
+
+test: lint
+	$(BIN)/python -m pytest
+
+lint: $(READY)
+	$(BIN)/ruff format --check packages bench
+	$(BIN)/ruff check packages bench
+	$(BIN)/lint-imports
+
+format: $(READY)
+	$(BIN)/ruff format packages bench
+	$(BIN)/ruff check --fix packages bench
+
+bench: $(READY)
+	$(BIN)/python bench/surge.py
+
+speed: $(READY)
+	$(BIN)/python bench/speed.py
+
+slopes: $(READY)
+	$(BIN)/python bench/slopes.py
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/packages/rattanfork-cli/rattanfork_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command ``rattanfork`` for operators."""
--- /dev/null
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of commands."""
--- a/packages/rattanfork-core/rattanfork_core/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/__init__.py
@@ -17,4 +17,5 @@
     "revision",
     "routing",
     "rules",
+    "settings",
 ]
--- a/packages/rattanfork-core/rattanfork_core/atmostonce/ledger.py
+++ b/packages/rattanfork-core/rattanfork_core/atmostonce/ledger.py
@@ -169,6 +169,11 @@
             record.state = RunState.FENCED
         return record.state is RunState.FENCED
 
+    def retract(self, record: RunRecord) -> None:
+        """Take back a hand-over that provably did not take place."""
+        if record.state is RunState.HANDED_OVER:
+            record.state = RunState.FENCED
+
     def answer(self, record: RunRecord, result: CallResult) -> None:
         """Keep the upstream's answer for repeats of the key."""
         record.state = RunState.ANSWERED
--- a/packages/rattanfork-core/rattanfork_core/request/machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/machine.py
@@ -46,6 +46,8 @@
     pinned : str or None
         The only instance that may run the request, for one that carries the
         key of that instance.
+    may_retry : callable
+        Asked last before a retry: the retry budget of the target.
 
     Examples
     ========
@@ -72,11 +74,13 @@
         idempotent: bool,
         pick: Picker,
         pinned: str | None = None,
+        may_retry: Callable[[], bool] = lambda: True,
     ) -> None:
         self._account = account
         self._idempotent = idempotent
         self._pick = pick
         self._pinned = pinned
+        self._may_retry = may_retry
         self._attempts: list[Attempt] = []
         self._avoid: frozenset[str] = frozenset()
         self._finished = False
@@ -118,13 +122,12 @@
         attempt = self._attempts[number - 1]
         if self._finished or attempt.state is not AttemptState.SENT:
             return []
-        attempt.state = AttemptState.FENCING
         if self._idempotent and self._can_retry(attempt):
             # Running a read twice does no harm, so waiting for the guard's
             # word would only cost time.
             attempt.state = AttemptState.MAYBE_RUN
-            lost = CallResult(Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
-            return self._retry_or_finish(attempt, lost)
+            return self._retry(attempt)
+        attempt.state = AttemptState.FENCING
         return [SendFence(number, attempt.instance)]
 
     def on_fence(self, number: int, verdict: FenceVerdict) -> list[Command]:
@@ -176,15 +179,20 @@
         if self._account.attempts < 1:
             return False
         safe = self._idempotent or attempt.state is AttemptState.NOT_RUN
-        return safe and self._pick(self._avoid | {attempt.instance}) is not None
+        if not safe or self._pick(self._avoid | {attempt.instance}) is None:
+            return False
+        return self._may_retry()
 
     def _retry_or_finish(self, attempt: Attempt, result: CallResult) -> list[Command]:
         if result.retry_elsewhere and self._can_retry(attempt):
-            self._avoid = self._avoid | {attempt.instance}
-            self._account.spend()
-            return self._send_next(result)
+            return self._retry(attempt)
         return self._finish(self._judge(result))
 
+    def _retry(self, attempt: Attempt) -> list[Command]:
+        self._avoid = self._avoid | {attempt.instance}
+        self._account.spend()
+        return self._send_next(CallResult(Outcome.UNKNOWN, Reason.NO_INSTANCE))
+
     def _send_next(self, otherwise: CallResult) -> list[Command]:
         instance = self._pinned or self._pick(self._avoid)
         if instance is None:
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/settings/models.py
@@ -0,0 +1,116 @@
+"""The settings document of a node."""
+
+from ipaddress import IPv4Address
+from typing import Annotated, Self
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+Port = Annotated[int, Field(ge=1, le=65535)]
+Name = Annotated[str, Field(min_length=1, max_length=100, pattern=r"^[\w.-]+$")]
+HostPort = Annotated[str, Field(pattern=r"^[\d.]+:\d{1,5}$")]
+Url = Annotated[str, Field(pattern=r"^http://[\d.]+:\d{1,5}$")]
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class UpstreamSettings(_Strict):
+    """The upstream instance beside the node.
+
+    ``slots`` and ``connections`` hold until the upstream announces its own.
+    """
+
+    url: Url
+    slots: int = Field(100, ge=1, le=100_000)
+    connections: int = Field(800, ge=1, le=100_000)
+    announce_timeout: float = Field(5.0, gt=0, le=300)
+    warmup: float = Field(2.0, ge=0, le=600)
+
+    @model_validator(mode="after")
+    def _connections_suffice(self) -> Self:
+        if self.connections < self.slots:
+            raise ValueError("connections must not be fewer than slots")
+        return self
+
+
+class PlatformSettings(_Strict):
+    """The platform's table service and object store."""
+
+    url: Url
+    timeout: float = Field(1.0, gt=0, le=30)
+
+
+class SecuritySettings(_Strict):
+    """The secret by which nodes prove that they belong."""
+
+    key: str = Field(min_length=16, max_length=1000)
+
+
+class LimitSettings(_Strict):
+    """Bounds on what a node takes in."""
+
+    body: int = Field(1 << 20, ge=1024, le=16 << 20)
+    callers: int = Field(2000, ge=1, le=100_000)
+    requests: int = Field(5000, ge=1, le=100_000)
+
+
+class RequestSettings(_Strict):
+    """Defaults where neither the caller nor a rule says otherwise."""
+
+    deadline: float = Field(2.0, gt=0, le=600)
+    longest_deadline: float = Field(60.0, gt=0, le=600)
+    attempts: int = Field(2, ge=0, le=10)
+    retry_after: float = Field(1.0, gt=0, le=600)
+    silence: float = Field(1.0, ge=0.2, le=60)
+
+    @model_validator(mode="after")
+    def _default_fits(self) -> Self:
+        if self.deadline > self.longest_deadline:
+            raise ValueError("deadline must not exceed longest_deadline")
+        return self
+
+
+class RulesSettings(_Strict):
+    """How the accepted rules are learned."""
+
+    data_centres_needed: int = Field(2, ge=1, le=15)
+    readers: int = Field(2, ge=1, le=10)
+    read_interval: float = Field(0.5, gt=0, le=60)
+
+
+class TelemetrySettings(_Strict):
+    """Where metrics and logs go."""
+
+    otlp_endpoint: str | None = None
+    export_interval: float = Field(10.0, gt=0, le=600)
+    log: str = Field("stderr", description="stderr, none, or the path of a file")
+
+
+class NodeSettings(_Strict):
+    """All settings of a node."""
+
+    instance: Name
+    service: Name
+    data_centre: Name
+    host: IPv4Address
+    edge_port: Port
+    peer_port: Port
+    gossip_port: Port
+    admin_port: Port
+    seeds: list[HostPort] = []
+    drain_limit: float = Field(30.0, gt=0, le=3600)
+    security: SecuritySettings
+    upstream: UpstreamSettings | None = None
+    platform: PlatformSettings | None = None
+    limits: LimitSettings = LimitSettings()
+    requests: RequestSettings = RequestSettings()
+    rules: RulesSettings = RulesSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    @model_validator(mode="after")
+    def _ports_differ(self) -> Self:
+        ports = [self.edge_port, self.peer_port, self.admin_port]
+        if len(set(ports)) < len(ports):
+            raise ValueError("edge_port, peer_port and admin_port must differ")
+        return self
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/__init__.py
@@ -0,0 +1,1 @@
+"""The rattanfork node: the process beside each upstream instance."""
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/admin/admin.py
@@ -0,0 +1,144 @@
+"""The admin port of a node."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from pydantic import ValidationError
+from rattanfork_core.request import Importance
+from rattanfork_core.revision import RevisionState
+from rattanfork_core.rules import RequestFacts, explain
+
+from rattanfork_node.admin.announcement import Announcement
+from rattanfork_node.admin.fleet import FleetSource
+from rattanfork_node.telemetry import Metrics
+
+
+class Admin:
+    """HTTP for operators and for the upstream's announcements.
+
+    Parameters
+    ==========
+
+    rules : RevisionState
+        The rules in force.
+    metrics : Metrics
+        The node's metrics.
+    status : callable
+        Returns the state of the node.
+    members : callable
+        Returns the node's view of the members.
+    fleet : FleetSource
+        What other nodes say.
+    on_announcement : callable
+        Takes what the upstream says; may raise ValueError.
+    on_drain : callable
+        Starts the drain.
+    on_news : callable
+        Told that the table has changed.
+    """
+
+    def __init__(
+        self,
+        rules: RevisionState,
+        metrics: Metrics,
+        status: Callable[[], dict],
+        members: Callable[[], list],
+        fleet: FleetSource,
+        on_announcement: Callable[[Announcement], None],
+        on_drain: Callable[[], None],
+        on_news: Callable[[], None],
+    ) -> None:
+        self._rules = rules
+        self._metrics = metrics
+        self._status = status
+        self._members = members
+        self._fleet = fleet
+        self._on_announcement = on_announcement
+        self._on_drain = on_drain
+        self._on_news = on_news
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        app = web.Application(client_max_size=64 << 10)
+        app.router.add_get("/status", self._get_status)
+        app.router.add_get("/members", self._get_members)
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/revisions", self._get_revisions)
+        app.router.add_get("/burn", self._get_burn)
+        app.router.add_get("/explain", self._get_explain)
+        app.router.add_post("/announce", self._post_announce)
+        app.router.add_post("/drain", self._post_drain)
+        app.router.add_post("/news", self._post_news)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port, reuse_address=True).start()
+
+    async def stop(self) -> None:
+        """Close."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def _get_status(self, _: web.Request) -> web.Response:
+        return web.json_response(self._status())
+
+    async def _get_members(self, _: web.Request) -> web.Response:
+        return web.json_response(self._members())
+
+    async def _get_metrics(self, _: web.Request) -> web.Response:
+        return web.Response(
+            text=self._metrics.as_json(), content_type="application/json"
+        )
+
+    async def _get_revisions(self, _: web.Request) -> web.Response:
+        return web.json_response(await self._fleet.revisions())
+
+    async def _get_burn(self, _: web.Request) -> web.Response:
+        return web.json_response(await self._fleet.burn())
+
+    async def _get_explain(self, request: web.Request) -> web.Response:
+        try:
+            facts = _facts(request)
+        except ValueError as error:
+            return web.json_response({"error": str(error)}, status=400)
+        found = explain(self._rules.rules, facts)
+        answer = {
+            "revision": self._rules.revision,
+            "rule": found.rule.name if found.rule else None,
+            "passed_over": [
+                {"rule": name, "because": list(why)} for name, why in found.passed_over
+            ],
+        }
+        return web.json_response(answer)
+
+    async def _post_announce(self, request: web.Request) -> web.Response:
+        try:
+            announcement = Announcement.model_validate_json(await request.read())
+            self._on_announcement(announcement)
+        except (ValidationError, ValueError) as error:
+            return web.json_response({"error": str(error)}, status=400)
+        return web.json_response({"taken": True})
+
+    async def _post_drain(self, _: web.Request) -> web.Response:
+        self._on_drain()
+        return web.json_response({"draining": True}, status=202)
+
+    async def _post_news(self, _: web.Request) -> web.Response:
+        self._on_news()
+        return web.json_response({"reading": True}, status=202)
+
+
+def _facts(request: web.Request) -> RequestFacts:
+    query = request.query
+    if "service" not in query or "operation" not in query:
+        raise ValueError("service and operation are needed")
+    return RequestFacts(
+        query["service"],
+        query["operation"],
+        query.get("caller", ""),
+        query.get("method", "GET").upper(),
+        query.get("data_centre", ""),
+        Importance.parse(query.get("importance", "normal")),
+        float(query.get("load", "0")),
+        int(query.get("attempt", "1")),
+    )
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/app/node.py
@@ -0,0 +1,359 @@
+"""Wires the parts of a node and runs them."""
+
+import asyncio
+import os
+from random import Random, SystemRandom
+
+from rattanfork_core.admission import AdmissionSettings
+from rattanfork_core.atmostonce import TicketMint
+from rattanfork_core.burn import BurnMeter
+from rattanfork_core.clock import MonotonicClock
+from rattanfork_core.hints import HintTable
+from rattanfork_core.membership import Member, Membership, MemberStatus
+from rattanfork_core.revision import RevisionState
+from rattanfork_core.settings import NodeSettings
+from rattanfork_platform import HttpPlatform
+
+from rattanfork_node.admin import Admin
+from rattanfork_node.admin.announcement import Announcement
+from rattanfork_node.app.fleet import FleetView
+from rattanfork_node.app.peers import NodePeerHandler
+from rattanfork_node.config import RulesTask
+from rattanfork_node.edge import Edge
+from rattanfork_node.guard import Guard, UpstreamClient
+from rattanfork_node.ingress import Directory, Dispatcher, Ingress, KeyAssigner
+from rattanfork_node.member import MemberTask
+from rattanfork_node.peer import PeerLink, PeerPool
+from rattanfork_node.telemetry import Counters, Metrics, log_change
+
+_TICK = 0.1
+#: Seconds between the announcement of leaving and the close of the edge.
+_LEAVE_PAUSE = 0.5
+
+
+class Node:
+    """One node: the composition root.
+
+    Parameters
+    ==========
+
+    settings : NodeSettings
+        Validated settings.
+    """
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._random = Random(int.from_bytes(os.urandom(16), "big"))
+        self._counters = Counters()
+        self._draining = asyncio.Event()
+        self._stop_now = asyncio.Event()
+        self._upstream: UpstreamClient | None = None
+        self._upstream_url = ""
+        self._announced = 0.0
+        self._make_parts()
+        self._make_tasks()
+
+    async def run(self) -> int:
+        """Run until drained; return the exit status."""
+        await self._start()
+        log_change("started", **self._identity())
+        ticker = asyncio.ensure_future(self._tick_forever())
+        await self._draining.wait()
+        status = await self._drain()
+        ticker.cancel()
+        await self._stop()
+        log_change("stopped", status=status)
+        return status
+
+    def drain(self) -> None:
+        """Begin to drain; a second call stops at once."""
+        if self._draining.is_set():
+            self._stop_now.set()
+        self._draining.set()
+
+    def _make_parts(self) -> None:
+        settings = self._settings
+        key = settings.security.key.encode()
+        boot = os.urandom(6).hex()
+        upstream = settings.upstream
+        self._key = key
+        self._rules = RevisionState(settings.rules.data_centres_needed)
+        self._mint = TicketMint(key, SystemRandom())
+        me = Member(
+            settings.instance,
+            boot,
+            settings.service,
+            settings.data_centre,
+            str(settings.host),
+            settings.peer_port,
+            settings.gossip_port,
+            upstream.slots if upstream else 0,
+            ready=False,
+        )
+        self._membership = Membership(self._clock, self._random, me)
+        self._membership.revision = lambda: self._rules.revision
+        self._guard = Guard(
+            self._clock,
+            settings.instance,
+            boot,
+            self._mint,
+            AdmissionSettings(
+                slots=upstream.slots if upstream else 1,
+                retry_after=settings.requests.retry_after,
+                warmup=upstream.warmup if upstream else 0.0,
+            ),
+            self._counters,
+            self._random,
+        )
+        self._burn = BurnMeter(self._clock)
+        self._handler = NodePeerHandler(
+            self._clock, self._guard, self._rules, self._burn, self._counters
+        )
+        self._pool = PeerPool(
+            lambda: self._make_link(connecting=True),
+            self._clock,
+            settings.requests.silence,
+        )
+
+    def _make_tasks(self) -> None:
+        settings = self._settings
+        self._platform = None
+        if settings.platform is not None:
+            self._platform = HttpPlatform(
+                settings.platform.url, settings.platform.timeout
+            )
+        seeds = [seed.rsplit(":", 1) for seed in settings.seeds]
+        self._member = MemberTask(
+            self._clock,
+            self._random,
+            self._membership,
+            self._pool,
+            self._key,
+            [(host, int(port)) for host, port in seeds],
+            self._counters,
+        )
+        self._handler.connect(self._member)
+        self._config = RulesTask(
+            self._clock,
+            self._random,
+            self._rules,
+            self._membership,
+            self._pool,
+            self._platform,
+            settings.rules,
+            self._counters,
+            lambda: self._member.newest_revision,
+            lambda: None,
+        )
+        self._metrics = Metrics(
+            settings.instance,
+            settings.service,
+            settings.data_centre,
+            self._counters,
+            self._gauges,
+            settings.telemetry.otlp_endpoint,
+            settings.telemetry.export_interval,
+        )
+        self._make_edge()
+        self._fleet = FleetView(self._membership, self._pool, self._rules, self._burn)
+        self._admin = Admin(
+            self._rules,
+            self._metrics,
+            self._status,
+            self._list_members,
+            self._fleet,
+            self._on_announcement,
+            self.drain,
+            self._config.hasten,
+        )
+
+    def _make_edge(self) -> None:
+        settings = self._settings
+        hints = HintTable(self._clock)
+        directory = Directory(self._clock, self._random, self._membership)
+        dispatcher = Dispatcher(
+            self._clock, self._membership, directory, self._pool, self._guard, hints
+        )
+        self._ingress = Ingress(
+            self._clock,
+            self._random,
+            settings.data_centre,
+            settings.requests,
+            self._rules,
+            directory,
+            dispatcher,
+            self._guard,
+            hints,
+            self._mint,
+            self._counters,
+            self._burn,
+            KeyAssigner(self._platform) if self._platform else None,
+        )
+        self._edge = Edge(
+            self._clock,
+            self._random,
+            self._ingress,
+            settings.limits,
+            self._counters,
+            self._metrics,
+        )
+
+    def _make_link(self, connecting: bool) -> PeerLink:
+        return PeerLink(
+            self._clock,
+            self._key,
+            self._membership.me.name,
+            self._settings.data_centre,
+            self._handler,
+            self._settings.limits.body,
+            connecting,
+        )
+
+    async def _start(self) -> None:
+        settings = self._settings
+        host = str(settings.host)
+        loop = asyncio.get_running_loop()
+        self._peer_listener = await loop.create_server(
+            lambda: self._make_link(connecting=False), host, settings.peer_port
+        )
+        await self._member.start(host, settings.gossip_port)
+        await self._edge.start(host, settings.edge_port)
+        await self._admin.start(host, settings.admin_port)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            self._guard.tick()
+            self._member.tick()
+            self._config.tick()
+            self._pool.heartbeat()
+            self._check_upstream()
+            self._metrics.flush()
+            await asyncio.sleep(_TICK)
+
+    async def _drain(self) -> int:
+        log_change("draining", busy=self._guard.busy)
+        self._member.leave()
+        self._guard.leave()
+        # Others hear of the leaving first; until they have, what they still
+        # send is refused as not run and goes to another instance.
+        await asyncio.sleep(_LEAVE_PAUSE)
+        self._edge.leave()
+        stop = asyncio.ensure_future(self._stop_now.wait())
+        done = asyncio.ensure_future(self._finish_in_flight())
+        limit = self._settings.drain_limit
+        await asyncio.wait(
+            (stop, done), timeout=limit, return_when=asyncio.FIRST_COMPLETED
+        )
+        stop.cancel()
+        if done.done():
+            return 0
+        done.cancel()
+        log_change("cut_off", guard=self._guard.busy, edge=self._edge.in_flight)
+        return 1
+
+    async def _finish_in_flight(self) -> None:
+        while True:
+            await self._guard.drain()
+            if self._edge.in_flight == 0:
+                return
+            await asyncio.sleep(0.02)
+
+    async def _stop(self) -> None:
+        self._config.close()
+        self._member.close()
+        await self._edge.stop()
+        await self._admin.stop()
+        self._peer_listener.close()
+        self._pool.close()
+        for link in list(self._handler.links):
+            link.close("this node stops")
+        if self._upstream is not None:
+            await self._upstream.close()
+        if self._platform is not None:
+            await self._platform.close()
+        self._metrics.close()
+
+    def _on_announcement(self, announcement: Announcement) -> None:
+        me = self._membership.me
+        if announcement.service != me.service:
+            raise ValueError(f"this node serves {me.service!r}")
+        if announcement.leaving:
+            self.drain()
+            return
+        self._announced = self._clock.now()
+        self._guard.admission.limit.announce(announcement.slots)
+        if self._upstream_url != announcement.url or self._upstream is None:
+            self._replace_upstream(announcement)
+        if me.slots != announcement.slots or not me.ready:
+            self._membership.update_me(slots=announcement.slots, ready=True)
+
+    def _replace_upstream(self, announcement: Announcement) -> None:
+        old, self._upstream_url = self._upstream, announcement.url
+        self._upstream = UpstreamClient(
+            announcement.url, announcement.connections, self._settings.limits.body
+        )
+        self._guard.attach(self._upstream)
+        self._guard.admission.limit.restart()
+        log_change("upstream_announced", url=announcement.url)
+        if old is not None:
+            # Requests under way on the old connections still finish.
+            loop = asyncio.get_running_loop()
+            loop.call_later(60, lambda: asyncio.ensure_future(old.close()))
+
+    def _check_upstream(self) -> None:
+        me = self._membership.me
+        if self._settings.upstream is not None and me.ready:
+            quiet = self._clock.now() - self._announced
+            if quiet > self._settings.upstream.announce_timeout:
+                self._membership.update_me(ready=False)
+                log_change("upstream_silent", seconds=round(quiet, 1))
+        epoch = self._guard.ledger.epoch
+        if me.epoch != epoch and me.status == MemberStatus.ALIVE:
+            self._membership.update_me(epoch=epoch)
+
+    def _identity(self) -> dict[str, str]:
+        me = self._membership.me
+        return {"node": me.name, "service": me.service, "data_centre": me.data_centre}
+
+    def _gauges(self) -> dict[str, float]:
+        admission = self._guard.admission
+        return {
+            "admission.running": admission.running,
+            "admission.waiting": admission.waiting,
+            "admission.limit": admission.limit.current,
+            "admission.cut": admission.cut,
+            "admission.slowdown": admission.limit.slowdown,
+            "edge.in_flight": self._edge.in_flight,
+            "keys.remembered": self._guard.ledger.remembered,
+            "members.present": len(self._membership.present()),
+            "peers.connected": self._pool.connected,
+            "peers.silent": self._pool.silent,
+            "rules.revision": self._rules.revision,
+            "gossip.sent_bytes": self._member.sent_bytes,
+        }
+
+    def _status(self) -> dict:
+        return {
+            **self._identity(),
+            "revision": self._rules.revision,
+            "ready": self._rules.ready,
+            "draining": self._draining.is_set(),
+            "upstream": self._upstream_url if self._guard.serving else None,
+            "state": self._gauges(),
+            "counters": self._counters.snapshot(),
+            "platform": dict(self._platform.asked) if self._platform else {},
+        }
+
+    def _list_members(self) -> list[dict]:
+        admin = self._settings.admin_port
+        me = self._membership.me.name
+        return [
+            {
+                **member._asdict(),
+                "name": member.name,
+                "status": MemberStatus(member.status).name.lower(),
+                "admin_port": admin if member.name == me else None,
+            }
+            for member in self._membership.members.values()
+        ]
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/app/peers.py
@@ -0,0 +1,200 @@
+"""What a node does with what other nodes ask."""
+
+import asyncio
+from collections import OrderedDict
+
+from rattanfork_core.atmostonce import ConnectionLedger
+from rattanfork_core.burn import BurnMeter
+from rattanfork_core.clock import Clock
+from rattanfork_core.request import CallResult, FenceVerdict, Importance
+from rattanfork_core.request.importance import RANKS
+from rattanfork_core.revision import RevisionState
+
+from rattanfork_node.guard import Guard, GuardRequest
+from rattanfork_node.member import MemberTask
+from rattanfork_node.peer import (
+    BurnReply,
+    BurnRequest,
+    Call,
+    Fence,
+    FenceKey,
+    FenceReply,
+    FrameError,
+    PeerHandler,
+    PeerLink,
+    Reply,
+    RulesReply,
+    RulesRequest,
+    SyncReply,
+    SyncRequest,
+)
+from rattanfork_node.telemetry import Counters
+
+#: Connections whose calls are remembered after they are closed.
+_MOST_LEDGERS = 2000
+
+
+class NodePeerHandler(PeerHandler):
+    """Answers calls, fences, and questions about rules and members.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    guard : Guard
+        This node's guard.
+    rules : RevisionState
+        The rules in force.
+    burn : BurnMeter
+        What this node has seen of the objectives.
+    counters : Counters
+        What happened.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        guard: Guard,
+        rules: RevisionState,
+        burn: BurnMeter,
+        counters: Counters,
+    ) -> None:
+        self._clock = clock
+        self._guard = guard
+        self._rules = rules
+        self._burn = burn
+        self._counters = counters
+        self._ledgers: OrderedDict[str, ConnectionLedger] = OrderedDict()
+        self._links: set[PeerLink] = set()
+        self._member: MemberTask | None = None
+
+    def connect(self, member: MemberTask) -> None:
+        """Take the member task, which is made after this."""
+        self._member = member
+
+    @property
+    def links(self) -> set[PeerLink]:
+        """Accepted connections."""
+        return self._links
+
+    def on_open(self, link: PeerLink) -> None:
+        """Take note of an authenticated connection."""
+        if link.connection in self._ledgers:
+            raise FrameError("the connection's name is taken")
+        self._links.add(link)
+        self._ledgers[link.connection] = ConnectionLedger()
+        if len(self._ledgers) > _MOST_LEDGERS:
+            # A fence for a connection that is forgotten is answered
+            # "unknown", never "not run".
+            self._ledgers.popitem(last=False)
+
+    def on_call(self, link: PeerLink, call: Call) -> None:
+        """Run a call and reply on the link."""
+        if call.number in link.calls:
+            raise FrameError("a call's number is taken")
+        if not 0 <= call.importance < RANKS or not 0 <= call.rank < RANKS:
+            raise FrameError("importance or rank out of range")
+        task = asyncio.ensure_future(self._run(link, call))
+        link.calls[call.number] = task
+
+    def on_cancel(self, link: PeerLink, number: int) -> None:
+        """Stop a call."""
+        task = link.calls.get(number)
+        if task is not None:
+            task.cancel()
+
+    def on_fence(self, link: PeerLink, fence: Fence | FenceKey) -> None:
+        """Fence and reply."""
+        self._counters.events["fences"] += 1
+        if isinstance(fence, FenceKey):
+            verdicts = [self._guard.fence_key(fence.key)]
+        else:
+            ledger = self._ledgers.get(fence.connection)
+            if ledger is None:
+                verdicts = [FenceVerdict.UNKNOWN] * len(fence.calls)
+            else:
+                verdicts = ledger.fence(fence.calls)
+        link.send(FenceReply(fence.number, [int(verdict) for verdict in verdicts]))
+
+    def on_rules(self, link: PeerLink, request: RulesRequest) -> None:
+        """Reply with the rules held."""
+        record = self._rules.record
+        text = "" if record.revision == request.known else record.text
+        link.send(
+            RulesReply(
+                request.number,
+                self._rules.ready,
+                record.revision,
+                record.operation,
+                record.author,
+                record.comment,
+                text,
+            )
+        )
+
+    def on_sync(self, link: PeerLink, request: SyncRequest) -> None:
+        """Reply with the records that differ."""
+        members = self._member.records_differing(request)
+        link.send(SyncReply(request.number, members))
+
+    def on_burn(self, link: PeerLink, request: BurnRequest) -> None:
+        """Reply with this node's totals."""
+        link.send(BurnReply(request.number, self._burn.totals()))
+
+    def on_closed(self, link: PeerLink) -> None:
+        """Stop the calls of a connection that is gone."""
+        self._links.discard(link)
+        for task in list(link.calls.values()):
+            task.cancel()
+
+    def on_bad_frame(self, reason: str) -> None:
+        """Count a frame that was refused."""
+        self._counters.events["peer.bad-frame"] += 1
+
+    async def _run(self, link: PeerLink, call: Call) -> None:
+        ledger = self._ledgers.get(link.connection)
+
+        def may_hand_over() -> bool:
+            return ledger is not None and ledger.hand_over(call.number)
+
+        request = GuardRequest(
+            call.boot,
+            call.operation,
+            call.method,
+            call.path,
+            call.headers,
+            call.body,
+            call.request_id,
+            call.caller,
+            Importance(call.importance),
+            call.rank,
+            self._clock.now() + call.time_left / 1000,
+            call.attempts,
+            call.key,
+            call.idempotent,
+            may_hand_over,
+        )
+        try:
+            result = await self._guard.run(request)
+            link.send(self._reply(call, result))
+        except asyncio.CancelledError:
+            # The sender has given up, or its connection is gone; nobody
+            # waits for a reply.
+            return
+        finally:
+            link.calls.pop(call.number, None)
+
+    def _reply(self, call: Call, result: CallResult) -> Reply:
+        return Reply(
+            call.number,
+            int(result.outcome),
+            int(result.reason),
+            result.status,
+            result.headers,
+            result.body,
+            result.unused_attempts,
+            result.retry_elsewhere,
+            int(result.retry_after * 1000),
+            self._guard.cut(call.operation),
+        )
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/edge/edge.py
@@ -0,0 +1,188 @@
+"""The HTTP server of a node."""
+
+import asyncio
+import json
+from random import Random
+
+from aiohttp import web
+from rattanfork_core.clock import Clock
+from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_core.settings import LimitSettings
+
+from rattanfork_node.edge import headers as names
+from rattanfork_node.edge.parse import BadRequestError, parse_request
+from rattanfork_node.edge.render import render_result
+from rattanfork_node.ingress import Incoming, Ingress
+from rattanfork_node.telemetry import Counters, Metrics
+
+_KEYS_PATH = "/rattanfork/keys"
+_MOST_KEYS = 100
+_LONGEST_LINE = 16_384
+
+
+class Edge:
+    """Takes HTTP requests and answers them.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Source of request IDs.
+    ingress : Ingress
+        Brings requests to their end.
+    limits : LimitSettings
+        Bounds.
+    counters : Counters
+        What happened.
+    metrics : Metrics
+        Takes durations.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        ingress: Ingress,
+        limits: LimitSettings,
+        counters: Counters,
+        metrics: Metrics,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._ingress = ingress
+        self._limits = limits
+        self._counters = counters
+        self._metrics = metrics
+        self._in_flight = 0
+        self._leaving = False
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Requests being served."""
+        return self._in_flight
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen.
+
+        Raises
+        ======
+
+        OSError
+            If the address cannot be had.
+        """
+        self._server = web.Server(
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            keepalive_timeout=75,
+            max_line_size=_LONGEST_LINE,
+            max_field_size=_LONGEST_LINE,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, port, backlog=1024
+        )
+
+    def leave(self) -> None:
+        """Take no new requests of callers."""
+        self._leaving = True
+        if self._listener is not None:
+            self._listener.close()
+
+    async def stop(self) -> None:
+        """Close what is left."""
+        self.leave()
+        if self._server is not None:
+            await self._server.shutdown(0.5)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if self._in_flight >= self._limits.requests:
+            return self._refuse(Reason.SHED, "")
+        self._in_flight += 1
+        try:
+            return await self._serve(request)
+        except asyncio.CancelledError:
+            self._counters.events["caller.left"] += 1
+            raise
+        finally:
+            self._in_flight -= 1
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        began = self._clock.now()
+        length = request.content_length
+        if length is not None and length > self._limits.body:
+            return self._refuse(Reason.TOO_LARGE, "")
+        if request.path == _KEYS_PATH:
+            return self._issue_keys(request)
+        try:
+            body = await self._read(request) if request.body_exists else b""
+            if body is None:
+                return self._refuse(Reason.TOO_LARGE, "")
+            incoming = parse_request(request, body, self._random)
+        except BadRequestError as error:
+            self._counters.events["bad.http"] += 1
+            return self._bad_request(str(error))
+        if self._leaving and not incoming.context:
+            return self._refuse(Reason.LEAVING, incoming.request_id)
+        result = await self._ingress_serve(incoming)
+        if not incoming.context:
+            took = self._clock.now() - began
+            self._metrics.record_duration(incoming.service, took)
+        response = render_result(result, incoming.request_id)
+        if self._leaving:
+            response.force_close()
+        return response
+
+    async def _ingress_serve(self, incoming: Incoming) -> CallResult:
+        try:
+            return await self._ingress.serve(incoming)
+        except asyncio.CancelledError:
+            if not incoming.context or asyncio.current_task().uncancel() > 0:
+                raise
+            # The run this call belongs to has ended; its connection may live
+            # on, and is owed an answer.
+            return CallResult(Outcome.UNKNOWN, Reason.CANCELLED)
+
+    async def _read(self, request: web.BaseRequest) -> bytes | None:
+        body = b""
+        async for chunk in request.content.iter_any():
+            body += chunk
+            if len(body) > self._limits.body:
+                return None
+        return body
+
+    def _issue_keys(self, request: web.BaseRequest) -> web.Response:
+        service = request.query.get("service", "")
+        count = request.query.get("count", "1")
+        if request.method != "POST" or not service or not count.isdigit():
+            return self._bad_request(f"POST {_KEYS_PATH}?service=NAME&count=N")
+        if not 1 <= int(count) <= _MOST_KEYS:
+            return self._bad_request(f"count: from 1 to {_MOST_KEYS}")
+        keys = self._ingress.issue_keys(service, int(count))
+        if not keys:
+            return self._refuse(Reason.NO_INSTANCE, "")
+        return web.Response(
+            text=json.dumps({"keys": keys}) + "\n", content_type="application/json"
+        )
+
+    def _bad_request(self, message: str) -> web.Response:
+        return web.Response(
+            status=400,
+            text=f"not-run: bad-request: {message}\n",
+            headers={
+                names.OUTCOME: Outcome.NOT_RUN.label,
+                names.REASON: Reason.BAD_REQUEST.label,
+            },
+        )
+
+    def _refuse(self, reason: Reason, request_id: str) -> web.Response:
+        self._counters.events[f"edge.{reason.label}"] += 1
+        result = CallResult(Outcome.NOT_RUN, reason, retry_after=1.0)
+        response = render_result(result, request_id)
+        if reason is Reason.TOO_LARGE or self._leaving:
+            response.force_close()
+        return response
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/edge/render.py
@@ -0,0 +1,45 @@
+"""From a result to an HTTP answer."""
+
+from math import ceil
+
+from aiohttp import web
+from multidict import CIMultiDict
+from rattanfork_core.request import CallResult, Outcome, Reason
+
+from rattanfork_node.edge import headers as names
+
+_STATUS = {
+    Reason.LIMIT: 429,
+    Reason.RETRY_BUDGET: 429,
+    Reason.KEY_MISUSED: 409,
+    Reason.BAD_REQUEST: 400,
+    Reason.TOO_LARGE: 413,
+    Reason.DEADLINE: 504,
+    Reason.ANSWER_DROPPED: 410,
+    Reason.KEY_EXPIRED: 410,
+}
+_UNKNOWN_STATUS = 502
+_NOT_RUN_STATUS = 503
+
+
+def render_result(result: CallResult, request_id: str) -> web.Response:
+    """Return the HTTP answer for a result."""
+    headers: CIMultiDict[str] = CIMultiDict(result.headers)
+    headers[names.OUTCOME] = result.outcome.label
+    headers[names.REQUEST_ID] = request_id
+    if result.outcome is Outcome.ANSWERED:
+        if result.retry_after and result.status >= 500:
+            headers["Retry-After"] = str(ceil(result.retry_after))
+        return web.Response(status=result.status, headers=headers, body=result.body)
+    headers[names.REASON] = result.reason.label
+    # Whole seconds are all that Retry-After can say.
+    headers["Retry-After"] = str(max(1, ceil(result.retry_after)))
+    text = f"{result.outcome.label}: {result.reason.label}\n"
+    return web.Response(status=_status(result), headers=headers, text=text)
+
+
+def _status(result: CallResult) -> int:
+    default = _NOT_RUN_STATUS
+    if result.outcome is Outcome.UNKNOWN:
+        default = _UNKNOWN_STATUS
+    return _STATUS.get(result.reason, default)
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -0,0 +1,340 @@
+"""Where requests enter."""
+
+import asyncio
+from random import Random
+
+from rattanfork_core.account import Account, RunContext
+from rattanfork_core.atmostonce import TicketError, TicketMint
+from rattanfork_core.burn import BurnMeter
+from rattanfork_core.clock import Clock
+from rattanfork_core.hints import HintTable
+from rattanfork_core.membership import Member, MemberStatus
+from rattanfork_core.request import (
+    CallResult,
+    FenceVerdict,
+    Outcome,
+    Reason,
+    RequestMachine,
+    request_rank,
+    spread_retry_after,
+)
+from rattanfork_core.request.importance import RANKS
+from rattanfork_core.revision import RevisionState
+from rattanfork_core.settings import RequestSettings
+from rattanfork_platform import PlatformDownError
+
+from rattanfork_node.guard import Guard
+from rattanfork_node.ingress.callers import CallerBook
+from rattanfork_node.ingress.directory import Directory
+from rattanfork_node.ingress.dispatcher import Dispatcher, Job, blocked_instances
+from rattanfork_node.ingress.incoming import Incoming
+from rattanfork_node.ingress.key_assigner import KeyAssigner
+from rattanfork_node.ingress.treatment import Treatment, treat
+from rattanfork_node.telemetry import Counters
+
+_NOBODY: frozenset[str] = frozenset()
+
+
+class Ingress:
+    """Takes callers' requests and the upstream's own calls to the end.
+
+    Explanation
+    ===========
+
+    A caller's request is classified by the rules, gets its account, and is
+    refused at once if the service it is for, or one deeper down, would shed
+    it.  A call of the upstream inherits all from the run it belongs to.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        data_centre: str,
+        settings: RequestSettings,
+        rules: RevisionState,
+        directory: Directory,
+        dispatcher: Dispatcher,
+        guard: Guard,
+        hints: HintTable,
+        mint: TicketMint,
+        counters: Counters,
+        burn: BurnMeter,
+        key_assigner: KeyAssigner | None,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._data_centre = data_centre
+        self._settings = settings
+        self._rules = rules
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._guard = guard
+        self._hints = hints
+        self._mint = mint
+        self._counters = counters
+        self._burn = burn
+        self._assigner = key_assigner
+        self._book = CallerBook(clock)
+        self._next_child = 0
+
+    def issue_keys(self, service: str, count: int) -> list[str]:
+        """Return new keys for postings, each bound to one live instance."""
+        picker = self._directory.picker(service)
+        keys = []
+        for _ in range(count if picker is not None else 0):
+            name = picker.pick(_NOBODY)
+            member = self._directory.member(name) if name else None
+            if member is not None:
+                keys.append(self._issue_for(member))
+        return keys
+
+    async def serve(self, incoming: Incoming) -> CallResult:
+        """Bring a request to its final answer."""
+        if incoming.context:
+            return await self._serve_child(incoming)
+        began = self._clock.now()
+        result, treatment = await self._serve_root(incoming)
+        importance = treatment.importance
+        counts = self._counters.requests
+        counts[result.outcome.label, importance.label, result.reason.label] += 1
+        good = result.outcome is Outcome.ANSWERED and result.status < 500
+        took = self._clock.now() - began
+        self._burn.add(incoming.service, importance, treatment.rule, good, took)
+        return result
+
+    async def _serve_root(self, incoming: Incoming) -> tuple[CallResult, Treatment]:
+        number = self._book.arrive(incoming.request_id, incoming.caller)
+        incoming.attempt = max(incoming.attempt, number or 1)
+        picker = self._directory.picker(incoming.service)
+        hint_key = f"{incoming.service}/{incoming.operation}"
+        load = 0.0
+        if picker is not None and len(self._hints):
+            _, highest = blocked_instances(picker, self._hints, hint_key, RANKS)
+            load = 1.0 - highest / RANKS
+        treatment = treat(
+            incoming, self._rules.rules, self._data_centre, load, self._settings
+        )
+        rank = request_rank(treatment.importance, incoming.request_id)
+        if number is None:
+            # Another caller's request ID: nothing of it may be shared.
+            refusal = CallResult(Outcome.NOT_RUN, Reason.BAD_REQUEST)
+        else:
+            refusal = self._refuse_by_rule(incoming, treatment, rank)
+        if refusal is not None:
+            return await self._prove_refusal(incoming, refusal), treatment
+        deadline = self._clock.now() + treatment.deadline
+        account = Account(self._clock, deadline, treatment.attempts)
+        job = Job(
+            incoming,
+            account,
+            treatment.importance,
+            rank,
+            treatment.idempotent,
+            "",
+            hint_key,
+        )
+        return await self._dispatch(job), treatment
+
+    def _refuse_by_rule(
+        self, incoming: Incoming, treatment: Treatment, rank: float
+    ) -> CallResult | None:
+        action = treatment.action
+        if not self._rules.ready:
+            return self._refusal(Reason.NOT_READY, rank)
+        if action.refuse_after is not None:
+            after = spread_retry_after(action.refuse_after, rank, self._random)
+            return CallResult(Outcome.NOT_RUN, Reason.RULE, retry_after=after)
+        if action.rate is not None:
+            who = incoming.caller if action.rate_per_caller else ""
+            limit = self._book.limit(treatment.rule, who, action.rate)
+            if not limit.take():
+                base = max(limit.delay, self._settings.retry_after)
+                after = spread_retry_after(base, rank, self._random)
+                return CallResult(Outcome.NOT_RUN, Reason.LIMIT, retry_after=after)
+        budget = self._book.budget(f"caller:{incoming.caller}")
+        if incoming.attempt == 1:
+            budget.earn()
+        elif not budget.spend():
+            return self._refusal(Reason.RETRY_BUDGET, rank)
+        return None
+
+    async def _serve_child(self, incoming: Incoming) -> CallResult:
+        context = self._guard.context(incoming.context)
+        if context is None or context.ended:
+            # The run it belongs to is over: nobody would see the answer.
+            self._counters.events["child.orphaned"] += 1
+            return CallResult(Outcome.NOT_RUN, Reason.CANCELLED)
+        incoming.request_id = context.request_id
+        incoming.caller = context.caller
+        rank = request_rank(context.importance, context.request_id)
+        deadline = context.account.deadline
+        if incoming.timeout is not None:
+            deadline = min(deadline, self._clock.now() + incoming.timeout)
+        lent = context.account.lend()
+        account = Account(self._clock, deadline, lent)
+        job = Job(
+            incoming,
+            account,
+            context.importance,
+            rank,
+            incoming.idempotent,
+            "",
+            f"{incoming.service}/{incoming.operation}",
+        )
+        self._next_child += 1
+        number = self._next_child
+        task = asyncio.current_task()
+        context.cancels[number] = task.cancel
+        try:
+            result = await self._dispatch(job)
+        finally:
+            context.cancels.pop(number, None)
+        context.account.take_back(lent, account.attempts)
+        self._pass_up(context, job, result)
+        return result
+
+    def _pass_up(self, context: RunContext, job: Job, result: CallResult) -> None:
+        picker = self._directory.picker(job.incoming.service)
+        if picker is not None:
+            _, highest = blocked_instances(picker, self._hints, job.hint_key, job.rank)
+            context.hear_cut(highest)
+        if result.outcome is not Outcome.ANSWERED or result.retry_after:
+            context.refused_retry_after = max(
+                context.refused_retry_after, result.retry_after
+            )
+
+    async def _dispatch(self, job: Job) -> CallResult:
+        incoming = job.incoming
+        picker = self._directory.picker(incoming.service)
+        if picker is None:
+            return await self._prove_refusal(
+                incoming, self._refusal(Reason.NO_INSTANCE, job.rank)
+            )
+        if not job.idempotent:
+            return await self._dispatch_keyed(job)
+        blocked = _NOBODY
+        if len(self._hints):
+            blocked, highest = blocked_instances(
+                picker, self._hints, job.hint_key, job.rank
+            )
+            if job.rank >= highest and picker.subset:
+                return self._refusal(Reason.SHED_EARLY, job.rank)
+        budget = self._book.budget(f"target:{incoming.service}")
+        budget.earn()
+
+        def pick(avoid: frozenset[str]) -> str | None:
+            return picker.pick(avoid | blocked) or (
+                None if avoid else picker.pick(_NOBODY)
+            )
+
+        machine = RequestMachine(job.account, True, pick, may_retry=budget.spend)
+        return self._finish(job, await self._dispatcher.run(job, machine))
+
+    async def _dispatch_keyed(self, job: Job) -> CallResult:
+        incoming = job.incoming
+        if incoming.key:
+            found = await self._ticket(incoming, job.rank)
+            if isinstance(found, CallResult):
+                return found
+            job.key = found
+            return await self._run_ticket(job)
+        # Without a key of the caller's, each attempt gets a key of its own:
+        # another is made only once the last is proved not run.
+        result = CallResult(Outcome.NOT_RUN, Reason.NO_INSTANCE)
+        avoid = _NOBODY
+        while not job.account.expired:
+            member = self._pick_member(incoming.service, avoid)
+            if member is None:
+                break
+            job.key = self._issue_for(member)
+            result = await self._run_ticket(job)
+            again = result.outcome is Outcome.NOT_RUN and result.retry_elsewhere
+            if not again or not job.account.spend():
+                break
+            avoid = avoid | {member.name}
+        return self._finish(job, result)
+
+    async def _ticket(self, incoming: Incoming, rank: float) -> str | CallResult:
+        try:
+            self._mint.read(incoming.key)
+        except TicketError:
+            return await self._assigned(incoming, rank)
+        return incoming.key
+
+    async def _assigned(self, incoming: Incoming, rank: float) -> str | CallResult:
+        if self._assigner is None:
+            return CallResult(Outcome.NOT_RUN, Reason.BAD_REQUEST)
+        member = self._pick_member(incoming.service, _NOBODY)
+        if member is None:
+            return CallResult(Outcome.UNKNOWN, Reason.NO_INSTANCE)
+        try:
+            return await self._assigner.assign(
+                incoming.service,
+                incoming.key,
+                incoming.caller,
+                self._issue_for(member),
+            )
+        except PermissionError:
+            return CallResult(Outcome.NOT_RUN, Reason.KEY_MISUSED)
+        except PlatformDownError:
+            # This copy is not run.  Another copy of the same key may be on
+            # its way at another node and run later, so "not run" would not
+            # be true of the key.
+            result = self._refusal(Reason.STORE_DOWN, rank)
+            result.outcome = Outcome.UNKNOWN
+            return result
+
+    async def _run_ticket(self, job: Job) -> CallResult:
+        ticket = self._mint.read(job.key)
+        if ticket.service != job.incoming.service:
+            return CallResult(Outcome.NOT_RUN, Reason.KEY_MISUSED)
+        name = f"{ticket.instance}@{ticket.boot}"
+        machine = RequestMachine(job.account, False, _nobody, pinned=name)
+        result = await self._dispatcher.run(job, machine)
+        return self._finish(job, result)
+
+    async def _prove_refusal(
+        self, incoming: Incoming, result: CallResult
+    ) -> CallResult:
+        """Turn a refusal here into one that holds for the key as well."""
+        if not incoming.key or result.reason is Reason.BAD_REQUEST:
+            return result
+        try:
+            ticket = self._mint.read(incoming.key)
+        except TicketError:
+            result.outcome = Outcome.UNKNOWN
+            return result
+        member = self._directory.member(f"{ticket.instance}@{ticket.boot}")
+        verdict = await self._dispatcher.fence_key(member, incoming.key)
+        if verdict is not FenceVerdict.NOT_RUN:
+            result.outcome = Outcome.UNKNOWN
+        return result
+
+    def _pick_member(self, service: str, avoid: frozenset[str]) -> Member | None:
+        picker = self._directory.picker(service)
+        name = picker.pick(avoid) if picker is not None else None
+        member = self._directory.member(name) if name else None
+        if member is None or member.status == MemberStatus.DEAD:
+            return None
+        return member
+
+    def _issue_for(self, member: Member) -> str:
+        return self._mint.issue(
+            member.service, member.instance, member.boot, member.epoch
+        )
+
+    def _finish(self, job: Job, result: CallResult) -> CallResult:
+        if result.outcome is not Outcome.ANSWERED and not result.retry_after:
+            base = self._settings.retry_after
+            result.retry_after = spread_retry_after(base, job.rank, self._random)
+        return result
+
+    def _refusal(self, reason: Reason, rank: float) -> CallResult:
+        base = self._settings.retry_after
+        after = spread_retry_after(base, rank, self._random)
+        return CallResult(Outcome.NOT_RUN, reason, retry_after=after)
+
+
+def _nobody(avoid: frozenset[str]) -> str | None:
+    return None
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/ingress/treatment.py
@@ -0,0 +1,72 @@
+"""How the rules have a request treated."""
+
+from dataclasses import dataclass
+
+from rattanfork_core.request import Importance
+from rattanfork_core.rules import Action, RequestFacts, RuleSet
+from rattanfork_core.settings import RequestSettings
+
+from rattanfork_node.ingress.incoming import Incoming
+
+_NO_ACTION = Action()
+
+
+@dataclass(frozen=True, slots=True)
+class Treatment:
+    """How a request is treated.
+
+    Parameters
+    ==========
+
+    rule : str
+        The rule that decided, or "" for the defaults.
+    deadline : float
+        Seconds until the answer must be out.
+    attempts : int
+        Extra attempts granted to the whole tree of calls.
+    """
+
+    rule: str
+    action: Action
+    importance: Importance
+    deadline: float
+    attempts: int
+    idempotent: bool
+
+
+def treat(
+    incoming: Incoming,
+    rules: RuleSet,
+    data_centre: str,
+    load: float,
+    defaults: RequestSettings,
+) -> Treatment:
+    """Return how the first rule that matches has a caller's request treated."""
+    importance = incoming.importance
+    facts = RequestFacts(
+        incoming.service,
+        incoming.operation,
+        incoming.caller,
+        incoming.method,
+        data_centre,
+        Importance.NORMAL if importance is None else importance,
+        load,
+        incoming.attempt,
+    )
+    rule = rules.first_match(facts)
+    action = _NO_ACTION if rule is None else rule.action
+    deadline = incoming.timeout or defaults.deadline
+    if action.deadline is not None:
+        deadline = min(deadline, action.deadline)
+    attempts = defaults.attempts if action.attempts is None else action.attempts
+    idempotent = action.idempotent
+    return Treatment(
+        rule.name if rule is not None else "",
+        action,
+        facts.importance if action.importance is None else action.importance,
+        min(deadline, defaults.longest_deadline),
+        # The grant is given once, with the caller's first attempt: retries
+        # by caller and system would otherwise multiply.
+        attempts if incoming.attempt == 1 else 0,
+        incoming.idempotent if idempotent is None else idempotent,
+    )
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -0,0 +1,157 @@
+"""Carries the membership protocol over UDP and the peers' streams."""
+
+import asyncio
+from collections.abc import Iterable
+from random import Random
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.membership import (
+    Member,
+    Membership,
+    Send,
+    decode_gossip,
+    encode_gossip,
+)
+
+from rattanfork_node.peer import LinkLostError, PeerPool, SyncRequest
+from rattanfork_node.telemetry import Counters, log_change
+
+#: Seconds between two comparisons of whole views.
+_SYNC_INTERVAL = 10.0
+#: Records of one answer; the next comparison brings the rest.
+MOST_RECORDS = 2000
+
+
+class MemberTask(asyncio.DatagramProtocol):
+    """Carries the membership protocol.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Source of choices and jitter.
+    membership : Membership
+        The decisions.
+    pool : PeerPool
+        Connections to other nodes.
+    key : bytes
+        The secret all nodes share.
+    seeds : list of pairs
+        Addresses of peer ports through which to join.
+    counters : Counters
+        What happened.
+    """
+
+    TICK = 0.1
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        membership: Membership,
+        pool: PeerPool,
+        key: bytes,
+        seeds: list[tuple[str, int]],
+        counters: Counters,
+    ) -> None:
+        self._clock = clock
+        self._random = random
+        self._membership = membership
+        self._pool = pool
+        self._key = key
+        self._seeds = seeds
+        self._counters = counters
+        self._transport: asyncio.DatagramTransport | None = None
+        self._next_sync = clock.now()
+        self._syncing = False
+        self._background: set[asyncio.Task] = set()
+        self._sent_bytes = 0
+        self.newest_revision = 0
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of datagrams sent."""
+        return self._sent_bytes
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen for datagrams."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, port)
+        )
+
+    def tick(self) -> None:
+        """Carry the protocol on; call every :attr:`TICK`."""
+        self._send_all(self._membership.tick())
+        if self._clock.now() >= self._next_sync and not self._syncing:
+            task = asyncio.ensure_future(self._sync())
+            self._background.add(task)
+            task.add_done_callback(self._background.discard)
+
+    def leave(self) -> None:
+        """Tell the others that this node takes no new work."""
+        self._send_all(self._membership.leave())
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in a datagram."""
+        try:
+            message = decode_gossip(data, self._key)
+        except ValueError:
+            self._counters.events["gossip.refused"] += 1
+            return
+        self.newest_revision = max(self.newest_revision, message.revision)
+        self._send_all(self._membership.on_message(message, addr))
+
+    def records_differing(self, request: SyncRequest) -> list[Member]:
+        """Return the records in which another's view differs from this one."""
+        buckets = self._membership.digest.differing(request.digest)
+        return self._membership.records_in(buckets)[:MOST_RECORDS]
+
+    def close(self) -> None:
+        """Stop."""
+        if self._transport is not None:
+            self._transport.close()
+        for task in self._background:
+            task.cancel()
+
+    def _send_all(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            data = encode_gossip(send.message, self._key)
+            self._sent_bytes += len(data)
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.sendto(data, send.address)
+
+    def _sync_address(self) -> tuple[str, int] | None:
+        me = self._membership.me
+        others = [m for m in self._membership.present() if m.name != me.name]
+        if others and self._random.random() < 0.9:
+            member = self._random.choice(others)
+            return (member.host, member.peer_port)
+        mine = (me.host, me.peer_port)
+        seeds = [seed for seed in self._seeds if seed != mine]
+        if seeds:
+            # Also once in a while when all is well: the only way two groups
+            # that have forgotten each other can meet again.
+            return self._random.choice(seeds)
+        return None
+
+    async def _sync(self) -> None:
+        self._syncing = True
+        alone = len(self._membership.members) < 2
+        try:
+            address = self._sync_address()
+            if address is not None:
+                digest = self._membership.digest.values
+                reply = await self._pool.sync(address, digest)
+                self._membership.merge(Member.from_fields(m) for m in reply.members)
+        except (LinkLostError, ValueError):
+            self._counters.events["sync.failed"] += 1
+        finally:
+            self._syncing = False
+        if alone and len(self._membership.members) > 1:
+            log_change("joined", members=len(self._membership.members))
+        pause = 0.3 if len(self._membership.members) < 2 else _SYNC_INTERVAL
+        jitter = self._random.uniform(0.7, 1.3)
+        self._next_sync = self._clock.now() + pause * jitter
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/telemetry/counters.py
@@ -0,0 +1,36 @@
+"""Plain counters for the hot path."""
+
+from collections import Counter
+
+
+class Counters:
+    """Counts that tasks raise and metrics read.
+
+    Explanation
+    ===========
+
+    A metrics instrument builds a set of labels for each call, which costs
+    more than the decision it counts.  Tasks raise plain numbers instead, and
+    the instruments read them when they are collected.
+
+    Examples
+    ========
+
+    >>> counters = Counters()
+    >>> counters.requests["answered", "high", "none"] += 1
+    >>> counters.snapshot()["requests"]
+    {'answered/high/none': 1}
+    """
+
+    def __init__(self) -> None:
+        self.requests: Counter[tuple[str, str, str]] = Counter()
+        self.calls: Counter[tuple[str, str]] = Counter()
+        self.events: Counter[str] = Counter()
+
+    def snapshot(self) -> dict[str, dict[str, int]]:
+        """Return all counts with flat names."""
+        return {
+            "requests": {"/".join(key): n for key, n in self.requests.items()},
+            "calls": {"/".join(key): n for key, n in self.calls.items()},
+            "events": dict(self.events),
+        }
--- /dev/null
+++ b/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
@@ -0,0 +1,262 @@
+"""Starts and stops stand-ins and nodes as processes on loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from pathlib import Path
+from time import monotonic
+
+import aiohttp
+import yaml
+
+from rattanfork_testkit.deployments import Deployment, ServiceSpec
+
+_KEY = "a key for tests on loopback only"
+
+
+class FreePorts:
+    """Ports that nobody listens on now."""
+
+    def __init__(self) -> None:
+        self._given: set[int] = set()
+
+    def take(self) -> int:
+        """Return a port not given out before."""
+        while True:
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                port = probe.getsockname()[1]
+            if port not in self._given:
+                self._given.add(port)
+                return port
+
+
+@dataclass(slots=True)
+class NodeHandle:
+    """A node process and the upstream beside it."""
+
+    instance: str
+    service: str
+    data_centre: str
+    edge_port: int
+    peer_port: int
+    admin_port: int
+    upstream_port: int
+    settings: Path
+    process: subprocess.Popen | None = None
+    upstream: subprocess.Popen | None = None
+
+    @property
+    def edge(self) -> str:
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.edge_port}"
+
+    @property
+    def admin(self) -> str:
+        """Base URL for operators."""
+        return f"http://127.0.0.1:{self.admin_port}"
+
+    @property
+    def upstream_url(self) -> str:
+        """Base URL of the upstream."""
+        return f"http://127.0.0.1:{self.upstream_port}"
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Stand-ins and nodes of some deployments.
+
+    Examples
+    ========
+
+    ``async with Cluster() as cluster:`` stops what it started at the end.
+    """
+
+    seed: int = 1
+    silence: float = 1.0
+    platform_port: int = 0
+    nodes: list[NodeHandle] = field(default_factory=list)
+    node_settings: dict = field(default_factory=dict)
+    _ports: FreePorts = field(default_factory=FreePorts)
+    _folder: tempfile.TemporaryDirectory | None = None
+    _processes: list[subprocess.Popen] = field(default_factory=list)
+    _session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> "Cluster":
+        """Start the platform."""
+        self._folder = tempfile.TemporaryDirectory(prefix="rattanfork-")
+        self._session = aiohttp.ClientSession()
+        self.platform_port = self._ports.take()
+        self.spawn_stand_ins([{"kind": "platform", "port": self.platform_port}])
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stop everything this started, by its process ID."""
+        await self._session.close()
+        for process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self._processes:
+            process.wait(10)
+        self._folder.cleanup()
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the platform."""
+        return f"http://127.0.0.1:{self.platform_port}"
+
+    def free_port(self) -> int:
+        """Return a free port."""
+        return self._ports.take()
+
+    def spawn_stand_ins(self, parts: list[dict]) -> subprocess.Popen:
+        """Start one process with some stand-ins; wait until it listens."""
+        command = [
+            sys.executable,
+            "-m",
+            "rattanfork_testkit.processes",
+            json.dumps(parts),
+        ]
+        process = subprocess.Popen(command, stdout=subprocess.PIPE)
+        self._processes.append(process)
+        process.stdout.readline()
+        return process
+
+    def add_deployment(self, deployment: Deployment, workers: int = 0) -> None:
+        """Start all services of a deployment."""
+        for name, spec in deployment.services.items():
+            for i in range(workers or spec.workers):
+                centre = deployment.data_centres[i % len(deployment.data_centres)]
+                self.add_instance(name, spec, centre, i + 1)
+
+    def add_instance(
+        self,
+        service: str,
+        spec: ServiceSpec,
+        data_centre: str,
+        number: int,
+        **more: object,
+    ) -> NodeHandle:
+        """Start one upstream and its node."""
+        node = NodeHandle(
+            f"{service}-{number}",
+            service,
+            data_centre,
+            *(self._ports.take() for _ in range(4)),
+            settings=Path(self._folder.name) / f"{service}-{number}.yaml",
+        )
+        self._write_settings(node, spec)
+        self.start_upstream(node, spec, number, **more)
+        self.start_node(node)
+        self.nodes.append(node)
+        return node
+
+    def start_upstream(
+        self, node: NodeHandle, spec: ServiceSpec, seed: int, **more: object
+    ) -> None:
+        """Start the upstream beside a node."""
+        part = {
+            "kind": "upstream",
+            "service": node.service,
+            "port": node.upstream_port,
+            "edge": node.edge,
+            "admin": node.admin,
+            "slots": spec.slots,
+            "connections": spec.connections,
+            "service_time": spec.service_time,
+            "children": {op: list(calls) for op, calls in spec.children.items()},
+            "seed": self.seed * 1000 + seed,
+            **more,
+        }
+        node.upstream = self.spawn_stand_ins([part])
+
+    def start_node(self, node: NodeHandle) -> None:
+        """Start a node from its settings."""
+        command = [
+            sys.executable,
+            "-m",
+            "rattanfork_node.main",
+            "--settings",
+            str(node.settings),
+        ]
+        log = open(node.settings.with_suffix(".err"), "ab")  # noqa: SIM115
+        node.process = subprocess.Popen(command, stderr=log)
+        log.close()
+        self._processes.append(node.process)
+
+    def errors(self, node: NodeHandle) -> str:
+        """Return what a node wrote to standard error."""
+        return node.settings.with_suffix(".err").read_text()
+
+    async def get(self, url: str) -> dict:
+        """Return JSON from a stand-in or an admin port."""
+        async with self._session.get(url) as response:
+            return await response.json()
+
+    async def control(self, base: str, **change: object) -> None:
+        """Change the behaviour of a stand-in."""
+        async with self._session.post(f"{base}/-/control", json=change) as response:
+            response.raise_for_status()
+
+    async def wait_ready(self, timeout: float = 20.0) -> None:
+        """Wait until every node knows the rules and all instances.
+
+        Raises
+        ======
+
+        TimeoutError
+            If that takes too long.
+        """
+        end = monotonic() + timeout
+        live = [n for n in self.nodes if n.process.poll() is None]
+        while monotonic() < end:
+            if all([await self._is_ready(node, len(live)) for node in live]):
+                return
+            await asyncio.sleep(0.1)
+        raise TimeoutError("the nodes did not get ready")
+
+    async def _is_ready(self, node: NodeHandle, count: int) -> bool:
+        try:
+            status = await self.get(f"{node.admin}/status")
+            members = await self.get(f"{node.admin}/members")
+        except (aiohttp.ClientError, OSError):
+            return False
+        serving = [m for m in members if m["ready"] and m["status"] != "dead"]
+        return status["ready"] and len(serving) >= count
+
+    def _write_settings(self, node: NodeHandle, spec: ServiceSpec) -> None:
+        seeds = [f"127.0.0.1:{n.peer_port}" for n in self.nodes[:3]]
+        settings = {
+            "instance": node.instance,
+            "service": node.service,
+            "data_centre": node.data_centre,
+            "host": "127.0.0.1",
+            "edge_port": node.edge_port,
+            "peer_port": node.peer_port,
+            "gossip_port": node.peer_port,
+            "admin_port": node.admin_port,
+            "seeds": seeds,
+            "security": {"key": _KEY},
+            "upstream": {
+                "url": node.upstream_url,
+                "slots": spec.slots,
+                "connections": spec.connections,
+                "warmup": 0,
+            },
+            "platform": {"url": self.platform_url},
+            "requests": {"silence": self.silence},
+        }
+        for section, values in self.node_settings.items():
+            if isinstance(values, dict):
+                settings[section] = {**settings.get(section, {}), **values}
+            else:
+                settings[section] = values
+        node.settings.write_text(yaml.safe_dump(settings))
+        os.chmod(node.settings, 0o600)
--- /dev/null
+++ b/packages/rattanfork-testkit/rattanfork_testkit/upstream.py
@@ -0,0 +1,228 @@
+"""Stand-in for an upstream instance."""
+
+import asyncio
+import json
+from dataclasses import dataclass, field
+from random import Random
+from time import monotonic
+
+import aiohttp
+from aiohttp import web
+
+_NOT_RUN = {"Rattanfork-Not-Run": "1"}
+_CONTEXT_HEADERS = ("Rattanfork-Context",)
+#: Headers that the children of a request keep without a node in between.
+_PLAIN_HEADERS = ("Rattanfork-Request-Id", "Rattanfork-Importance")
+
+
+@dataclass(slots=True)
+class UpstreamSpec:
+    """How a stand-in behaves.
+
+    Parameters
+    ==========
+
+    edge : str
+        Base URL through which it calls deeper services.
+    admin : str
+        Base URL to which it announces itself, or "".
+    queue : int
+        Requests that may wait for a slot inside the upstream.
+    sheds : bool
+        Whether it refuses beyond that, rather than waiting.
+    deviation : float
+        Spread of service times, as a share of the mean.
+    cold_seconds, cold_factor : float
+        How long and by how much it is slow after its start.
+    announced_slots : int or None
+        Slots it claims to have, if not the truth.
+    """
+
+    service: str
+    port: int
+    edge: str
+    admin: str = ""
+    slots: int = 10
+    connections: int = 800
+    service_time: float = 0.01
+    deviation: float = 0.2
+    children: dict[str, list[str]] = field(default_factory=dict)
+    queue: int = 1000
+    sheds: bool = True
+    cold_seconds: float = 0.0
+    cold_factor: float = 1.0
+    announced_slots: int | None = None
+    seed: int = 1
+
+
+class UpstreamStandIn:
+    """An upstream with slots, a ledger, and faults that can be switched on.
+
+    Explanation
+    ===========
+
+    The ledger lists everything that truly ran, in order, and is the truth
+    that tests judge by.  ``POST /-/control`` changes the behaviour while it
+    runs: ``slow`` multiplies service times, ``load_lie`` what the load
+    endpoint reports, ``load_lag`` delays it, ``leaving`` announces leaving.
+    """
+
+    def __init__(self, spec: UpstreamSpec) -> None:
+        self._spec = spec
+        self._random = Random(spec.seed)
+        self._slots = asyncio.Semaphore(spec.slots)
+        self._waiting = 0
+        self._running = 0
+        self._born = monotonic()
+        self._slow = 1.0
+        self._load_lie = 1.0
+        self._load_lag = 0.0
+        self._silent = False
+        self._load_log: list[tuple[float, float]] = []
+        self._ledger: list[dict] = []
+        self._counts = {"arrived": 0, "shed": 0, "abandoned": 0, "completed": 0}
+        self._session: aiohttp.ClientSession | None = None
+
+    @property
+    def ledger(self) -> list[dict]:
+        """Everything that ran, in order."""
+        return self._ledger
+
+    async def start(self) -> None:
+        """Listen, and announce again and again."""
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(connector=connector)
+        server = web.Server(self._handle, access_log=None, handler_cancellation=True)
+        loop = asyncio.get_running_loop()
+        await loop.create_server(server, "127.0.0.1", self._spec.port, backlog=1024)
+        if self._spec.admin:
+            self._announcer = asyncio.ensure_future(self._announce_forever())
+
+    async def _announce_forever(self) -> None:
+        while True:
+            if not self._silent:
+                await self._announce(leaving=False)
+            await asyncio.sleep(1.0 if self._silent or self._announced else 0.1)
+
+    _announced = False
+
+    async def _announce(self, leaving: bool) -> None:
+        spec = self._spec
+        body = {
+            "service": spec.service,
+            "url": f"http://127.0.0.1:{spec.port}",
+            "slots": spec.announced_slots or spec.slots,
+            "connections": spec.connections,
+            "leaving": leaving,
+        }
+        try:
+            async with self._session.post(
+                f"{spec.admin}/announce", json=body
+            ) as response:
+                self._announced = response.status == 200
+        except aiohttp.ClientError:
+            self._announced = False
+
+    async def _handle(self, request: web.BaseRequest) -> web.Response:
+        if request.path.startswith("/-/"):
+            return await self._control(request)
+        self._counts["arrived"] += 1
+        if self._spec.sheds and self._waiting >= self._spec.queue:
+            self._counts["shed"] += 1
+            return web.Response(status=503, headers=_NOT_RUN)
+        body = await request.read()
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        self._running += 1
+        try:
+            return await self._run(request, body)
+        except asyncio.CancelledError:
+            self._counts["abandoned"] += 1
+            raise
+        finally:
+            self._running -= 1
+            self._slots.release()
+
+    async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
+        operation = request.path.split("/")[1]
+        entry = {
+            "request_id": request.headers.get("Rattanfork-Request-Id", ""),
+            "caller": request.headers.get("Rattanfork-Caller", ""),
+            "method": request.method,
+            "path": request.path_qs,
+            "body": body.decode("latin-1")[:200],
+            "at": monotonic(),
+            "done": False,
+        }
+        self._ledger.append(entry)
+        await asyncio.sleep(self._work_time())
+        parts = []
+        for child in self._spec.children.get(operation, ()):
+            answer = await self._call_child(request, child)
+            if answer is None:
+                return web.Response(status=503, text="a deeper call failed")
+            parts.append(answer)
+        entry["done"] = True
+        self._counts["completed"] += 1
+        whole = {
+            "service": self._spec.service,
+            "operation": operation,
+            "request_id": entry["request_id"],
+            "echo": request.query.get("echo", ""),
+            "parts": parts,
+            "complete": True,
+        }
+        return web.Response(text=json.dumps(whole), content_type="application/json")
+
+    def _work_time(self) -> float:
+        spec = self._spec
+        low, high = 1 - spec.deviation, 1 + spec.deviation
+        time = spec.service_time * self._random.uniform(low, high) * self._slow
+        if monotonic() - self._born < spec.cold_seconds:
+            time *= spec.cold_factor
+        return time
+
+    async def _call_child(self, request: web.BaseRequest, child: str) -> dict | None:
+        names = _CONTEXT_HEADERS
+        if names[0] not in request.headers:
+            names = _PLAIN_HEADERS
+        headers = {n: request.headers[n] for n in names if n in request.headers}
+        try:
+            async with self._session.get(
+                f"{self._spec.edge}/{child}", headers=headers
+            ) as response:
+                if response.status != 200:
+                    return None
+                return await response.json()
+        except (aiohttp.ClientError, ValueError):
+            return None
+
+    async def _control(self, request: web.BaseRequest) -> web.Response:
+        if request.path == "/-/ledger":
+            return web.json_response({"ledger": self._ledger, "counts": self._counts})
+        if request.path == "/-/health":
+            return web.json_response({"healthy": True})
+        if request.path == "/-/load":
+            return web.json_response({"load": self._reported_load()})
+        change = await request.json()
+        self._slow = change.get("slow", self._slow)
+        self._load_lie = change.get("load_lie", self._load_lie)
+        self._load_lag = change.get("load_lag", self._load_lag)
+        self._silent = change.get("silent", self._silent)
+        if change.get("forget"):
+            self._ledger.clear()
+            self._counts = dict.fromkeys(self._counts, 0)
+        if change.get("leaving"):
+            self._silent = True
+            await self._announce(leaving=True)
+        return web.json_response({"done": True})
+
+    def _reported_load(self) -> float:
+        now = monotonic()
+        load = (self._running + self._waiting) / self._spec.slots * self._load_lie
+        self._load_log.append((now, load))
+        old = [seen for at, seen in self._load_log if at <= now - self._load_lag]
+        return old[-1] if old else 0.0
