--- a/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
@@ -112,6 +112,11 @@
         """Base URL of the platform."""
         return f"http://127.0.0.1:{self.platform_port}"
 
+    @property
+    def folder(self) -> Path:
+        """A folder that is removed at the end."""
+        return Path(self._folder.name)
+
     def free_port(self) -> int:
         """Return a free port."""
         return self._ports.take()
