--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -151,8 +151,12 @@
         return decisions
 
     def _queue_bound(self) -> int:
-        share = ceil(self._limit.current * self._settings.queue_share)
-        return max(self._settings.least_queue, share)
+        limit, settings = self._limit.current, self._settings
+        bound = max(settings.least_queue, ceil(limit * settings.queue_share))
+        mean = self._estimate.mean
+        if not mean:
+            return bound
+        return max(bound, int(limit / mean * settings.queue_seconds))
 
     def _cannot_finish(self, waiter: Waiter, wait: float = 0.0) -> bool:
         now = self._clock.now()
--- a/packages/rattanfork-core/rattanfork_core/admission/limit.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/limit.py
@@ -11,6 +11,9 @@
 #: Runs that make up one side of a test.
 _SAMPLES = 30
 _WEIGHT = 0.1
+#: Shortest base, in seconds.  Runs shorter than this vary by more than
+#: themselves with the turns of an event loop, and no caller feels it.
+_LEAST_BASE = 0.04
 _MOST_OPERATIONS = 256
 
 
@@ -103,7 +106,7 @@
         binding : bool
             Whether the limit held anyone back during the run.
         """
-        ratio = duration / self._base(operation, duration)
+        ratio = duration / max(_LEAST_BASE, self._base(operation, duration))
         self._slowdown += _WEIGHT * (ratio - self._slowdown)
         self._seen += 1
         if self._test is not None:
@@ -163,5 +166,8 @@
         if slowdown > _CONFIRM * old_slowdown:
             # Each run is slower by itself: fewer at a time would not help.
             self._limit = min(self._slots, old_limit)
-            self._bases = {op: base * slowdown for op, base in self._bases.items()}
+            self._bases = {
+                op: max(base, _LEAST_BASE) * slowdown
+                for op, base in self._bases.items()
+            }
             self._slowdown = 1.0
--- a/packages/rattanfork-core/rattanfork_core/admission/settings.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/settings.py
@@ -14,6 +14,8 @@
         Announced slots of the upstream: the limit never exceeds them.
     queue_share : float
         Length of the queue as a share of the concurrency limit.
+    queue_seconds : float
+        Length of the queue as the time it takes to serve it, if that is more.
     least_queue : int
         Shortest length of the queue.
     retry_after : float
@@ -24,6 +26,7 @@
 
     slots: int = 100
     queue_share: float = 1.0
+    queue_seconds: float = 0.12
     least_queue: int = 4
     retry_after: float = 1.0
     warmup: float = 2.0
--- a/packages/rattanfork-node/rattanfork_node/main.py
+++ b/packages/rattanfork-node/rattanfork_node/main.py
@@ -1,6 +1,7 @@
 """The command ``rattanfork-node``."""
 
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -52,8 +53,17 @@
     raise typer.Exit(status)
 
 
+#: Allocations between two collections of the youngest objects.
+_GC_THRESHOLD = 50_000
+
+
 async def _run(settings: NodeSettings) -> int:
     node = Node(settings)
+    # A full collection walks all that the libraries loaded and holds up every
+    # request meanwhile; what is there at the start stays, so it is set aside.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD, 20, 100)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, node.drain)
