--- a/packages/rattanfork-core/rattanfork_core/atmostonce/connection.py
+++ b/packages/rattanfork-core/rattanfork_core/atmostonce/connection.py
@@ -13,9 +13,10 @@
     ===========
 
     Calls without a key are identified by their connection and their number
-    on it.  When the sender loses the connection it asks, over another one,
-    to fence the old: from then on nothing that still arrives on it is handed
-    over, so "not run" stays true for calls that sit in a buffer.
+    on it, which only rises: a copy of a call is told by its number and does
+    not run a second time.  When the sender loses the connection it asks, over
+    another one, to fence the old: from then on nothing that still arrives on
+    it is handed over, so "not run" stays true for calls in a buffer.
 
     Parameters
     ==========
@@ -27,6 +28,8 @@
     ========
 
     >>> ledger = ConnectionLedger()
+    >>> ledger.arrive(1), ledger.arrive(1)
+    (True, False)
     >>> ledger.hand_over(1)
     True
     >>> ledger.fence([1, 2])
@@ -40,12 +43,20 @@
         self._handed: OrderedDict[int, None] = OrderedDict()
         self._forgotten_up_to = 0
         self._fenced = False
+        self._last = 0
 
     @property
     def fenced(self) -> bool:
         """Whether calls of this connection are refused."""
         return self._fenced
 
+    def arrive(self, number: int) -> bool:
+        """Take in a call; False for a copy of one that was taken before."""
+        if number <= self._last:
+            return False
+        self._last = number
+        return True
+
     def hand_over(self, number: int) -> bool:
         """Mark a call as handed to the upstream; False forbids it."""
         if self._fenced:
--- a/packages/rattanfork-core/rattanfork_core/hints/table.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/table.py
@@ -18,6 +18,10 @@
     a short time and then rises: a guard whose every request is refused early
     sends no replies, and its last hint would otherwise hold for ever.
 
+    After a surge few requests pass, so few replies tell that the guard has
+    opened.  A request that would be refused may therefore pass as a probe,
+    once in a while for each hint; the guard refuses it before it costs work.
+
     Parameters
     ==========
 
@@ -27,6 +31,8 @@
         Seconds for which a hint is believed as it is.
     rise : float
         Ranks by which a stale hint rises each second.
+    probe_after : float
+        Seconds without news or probe after which a probe may pass.
 
     Examples
     ========
@@ -45,10 +51,18 @@
     #: Operations come from URLs and instances come and go.
     MOST_HINTS = 20_000
 
-    def __init__(self, clock: Clock, fresh: float = 1.0, rise: float = 0.5) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        fresh: float = 1.0,
+        rise: float = 0.5,
+        probe_after: float = 0.2,
+    ) -> None:
         self._clock = clock
         self._fresh = fresh
         self._rise = rise
+        self._probe_after = probe_after
+        self._probed: dict[tuple[str, str], float] = {}
         self._hints: dict[tuple[str, str], tuple[float, float]] = {}
 
     def __len__(self) -> int:
@@ -59,9 +73,12 @@
         key = (operation, instance)
         if cut >= _OPEN:
             self._hints.pop(key, None)
+            self._probed.pop(key, None)
             return
         if len(self._hints) >= self.MOST_HINTS and key not in self._hints:
-            self._hints.pop(next(iter(self._hints)))
+            oldest = next(iter(self._hints))
+            del self._hints[oldest]
+            self._probed.pop(oldest, None)
         self._hints[key] = (cut, self._clock.now())
 
     def cut(self, operation: str, instance: str) -> float:
@@ -72,3 +89,15 @@
         cut, heard = hint
         stale = self._clock.now() - heard - self._fresh
         return cut if stale <= 0 else min(_OPEN, cut + stale * self._rise)
+
+    def may_probe(self, operation: str, instance: str) -> bool:
+        """Return whether a request that would be refused may pass now."""
+        key = (operation, instance)
+        hint = self._hints.get(key)
+        if hint is None:
+            return True
+        now = self._clock.now()
+        if now - max(hint[1], self._probed.get(key, 0.0)) < self._probe_after:
+            return False
+        self._probed[key] = now
+        return True
--- a/packages/rattanfork-node/rattanfork_node/app/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/app/peers.py
@@ -91,7 +91,8 @@
 
     def on_call(self, link: PeerLink, call: Call) -> None:
         """Run a call and reply on the link."""
-        if call.number in link.calls:
+        ledger = self._ledgers.get(link.connection)
+        if ledger is None or not ledger.arrive(call.number):
             raise FrameError("a call's number is taken")
         if not 0 <= call.importance < RANKS or not 0 <= call.rank < RANKS:
             raise FrameError("importance or rank out of range")
--- a/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -20,6 +20,7 @@
 )
 from rattanfork_core.request.importance import RANKS
 from rattanfork_core.revision import RevisionState
+from rattanfork_core.routing import InstancePicker
 from rattanfork_core.settings import RequestSettings
 from rattanfork_platform import PlatformDownError
 
@@ -219,7 +220,10 @@
                 picker, self._hints, job.hint_key, job.rank
             )
             if job.rank >= highest and picker.subset:
-                return self._refusal(Reason.SHED_EARLY, job.rank)
+                probed = self._probe(picker, job.hint_key)
+                if probed is None:
+                    return self._refusal(Reason.SHED_EARLY, job.rank)
+                blocked = blocked - {probed}
         budget = self._book.budget(f"target:{incoming.service}")
         budget.earn()
 
@@ -231,6 +235,12 @@
         machine = RequestMachine(job.account, True, pick, may_retry=budget.spend)
         return self._finish(job, await self._dispatcher.run(job, machine))
 
+    def _probe(self, picker: InstancePicker, hint_key: str) -> str | None:
+        for state in picker.subset:
+            if self._hints.may_probe(hint_key, state.name):
+                return state.name
+        return None
+
     async def _dispatch_keyed(self, job: Job) -> CallResult:
         incoming = job.incoming
         if incoming.key:
