Push fresh news, probe closed guards, and forget the cut of a dead one

Cause: news rode on one probe a second, so nine nodes took seconds to hear that an upstream was gone or back; a dead instance's last threshold (open) kept early refusal off; after a surge too few replies told that a guard had opened. A rule's data_centre was checked and then ignored.

--- a/packages/rattanfork-core/rattanfork_core/hints/table.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/table.py
@@ -4,6 +4,8 @@
 from rattanfork_core.request.importance import RANKS
 
 _OPEN = float(RANKS)
+#: How far above the cut, in ranks, a probe may be.
+_PROBE_REACH = 0.2
 
 
 class HintTable:
@@ -19,8 +21,8 @@
     sends no replies, and its last hint would otherwise hold for ever.
 
     After a surge few requests pass, so few replies tell that the guard has
-    opened.  A request that would be refused may therefore pass as a probe,
-    once in a while for each hint; the guard refuses it before it costs work.
+    opened.  A request just above the cut may therefore pass as a probe, once
+    in a while for each hint.
 
     Parameters
     ==========
@@ -56,7 +58,7 @@
         clock: Clock,
         fresh: float = 1.0,
         rise: float = 0.5,
-        probe_after: float = 0.2,
+        probe_after: float = 0.4,
     ) -> None:
         self._clock = clock
         self._fresh = fresh
@@ -90,14 +92,16 @@
         stale = self._clock.now() - heard - self._fresh
         return cut if stale <= 0 else min(_OPEN, cut + stale * self._rise)
 
-    def may_probe(self, operation: str, instance: str) -> bool:
+    def may_probe(self, operation: str, instance: str, rank: float) -> bool:
         """Return whether a request that would be refused may pass now."""
         key = (operation, instance)
         hint = self._hints.get(key)
         if hint is None:
             return True
+        cut, heard = hint
         now = self._clock.now()
-        if now - max(hint[1], self._probed.get(key, 0.0)) < self._probe_after:
+        quiet = now - max(heard, self._probed.get(key, 0.0))
+        if quiet < self._probe_after or rank > cut + _PROBE_REACH:
             return False
         self._probed[key] = now
         return True
--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -35,6 +35,10 @@
         Periods a suspect has to answer, times the logarithm of the fleet.
     rumours : int
         Most rumours of a datagram.
+    push_interval : float
+        Least seconds between two pushes of fresh news.
+    pushes : int
+        How many others fresh news is pushed to.
     forget_after : float
         Seconds for which the dead are remembered.
     """
@@ -44,6 +48,8 @@
     helpers: int = 2
     suspicion: float = 1.5
     rumours: int = 6
+    push_interval: float = 0.2
+    pushes: int = 2
     forget_after: float = 600.0
 
 
@@ -91,8 +97,8 @@
     >>> b = Member("b", "y", "s", "dc", "127.0.0.1", 3, 4, 8)
     >>> view = Membership(ManualClock(), Random(1), a)
     >>> view.merge([b])
-    >>> [send.address for send in view.tick()]
-    [('127.0.0.1', 4)]
+    >>> {send.address for send in view.tick()}
+    {('127.0.0.1', 4)}
 
     References
     ==========
@@ -125,6 +131,8 @@
         self._relays: dict[int, tuple[int, tuple[str, int]]] = {}
         self._health = 0
         self._version = 0
+        self._has_news = False
+        self._next_push = clock.now()
         self.revision: Callable[[], int] = lambda: 0
         self._put(me)
 
@@ -166,12 +174,14 @@
     def leave(self) -> list[Send]:
         """Announce that this node takes no new work.
 
-        The news is pushed at once to a few, and rides on all that follows.
+        The news is pushed at once to more than other news is.
         """
         self.update_me(status=MemberStatus.LEAVING)
-        others = [m for m in self.present() if m.name != self._me.name]
-        self._random.shuffle(others)
-        return [self._ping(member) for member in others[: 4 * self._settings.helpers]]
+        return self._push(4 * self._settings.pushes)
+
+    def hasten(self) -> None:
+        """Push soon: there is news, such as another revision of the rules."""
+        self._has_news = True
 
     def merge(self, members: Iterable[Member]) -> None:
         """Take in records, from rumours or from another's view."""
@@ -203,6 +213,10 @@
             period = self._settings.period * (1 + 0.5 * self._health)
             self._next_probe = now + period * self._random.uniform(0.9, 1.1)
             sends += self._begin_probe(now)
+        if self._has_news and now >= self._next_push:
+            self._has_news = False
+            self._next_push = now + self._settings.push_interval
+            sends += self._push(self._settings.pushes)
         self._end_suspicions(now)
         return sends
 
@@ -337,6 +351,13 @@
     def _accept(self, member: Member) -> None:
         self._put(member)
         self._rumours.add(member, len(self._members))
+        self._has_news = True
+
+    def _push(self, count: int) -> list[Send]:
+        me = self._me.name
+        others = [m for m in self.present() if m.name != me]
+        chosen = self._random.sample(others, min(count, len(others)))
+        return [self._ping(member) for member in chosen]
 
     def _put(self, member: Member) -> None:
         known = self._members.get(member.name)
--- a/packages/rattanfork-core/rattanfork_core/routing/instance.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/instance.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 _WEIGHT = 0.1
+#: Failures count for more: two in a row make an instance a bad choice.
+_FAILURE_WEIGHT = 0.3
 
 
 @dataclass(slots=True)
@@ -39,7 +41,7 @@
     def on_done(self, duration: float, failed: bool) -> None:
         """Take in how a call ended."""
         self.in_flight = max(0, self.in_flight - 1)
-        self.failures += _WEIGHT * ((1.0 if failed else 0.0) - self.failures)
+        self.failures += _FAILURE_WEIGHT * ((1.0 if failed else 0.0) - self.failures)
         if not failed:
             if self.latency:
                 self.latency += _WEIGHT * (duration - self.latency)
--- a/packages/rattanfork-node/rattanfork_node/app/node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/node.py
@@ -146,7 +146,7 @@
             settings.rules,
             self._counters,
             lambda: self._member.newest_revision,
-            lambda: None,
+            self._membership.hasten,
         )
         self._metrics = Metrics(
             settings.instance,
--- a/packages/rattanfork-node/rattanfork_node/ingress/dispatcher.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/dispatcher.py
@@ -28,6 +28,7 @@
 from rattanfork_node.peer import Call, Cancel, LinkLostError, PeerLink, PeerPool
 
 _FENCE_TIMEOUT = 1.0
+_MOSTLY_FAILING = 0.5
 
 
 @dataclass(slots=True, eq=False)
@@ -49,6 +50,7 @@
     idempotent: bool
     key: str
     hint_key: str
+    data_centre: str | None = None
 
 
 class Dispatcher:
@@ -268,6 +270,9 @@
     highest = 0.0
     blocked = []
     for state in picker.subset:
+        if state.failures > _MOSTLY_FAILING:
+            # What it last said of its threshold died with it.
+            continue
         cut = hints.cut(hint_key, state.name)
         highest = max(highest, cut)
         if rank >= cut:
--- a/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -134,6 +134,7 @@
             treatment.idempotent,
             "",
             hint_key,
+            treatment.action.data_centre,
         )
         return await self._dispatch(job), treatment
 
@@ -214,13 +215,15 @@
             )
         if not job.idempotent:
             return await self._dispatch_keyed(job)
-        blocked = _NOBODY
+        outside = _outside(picker, job.data_centre)
+        blocked = outside
         if len(self._hints):
             blocked, highest = blocked_instances(
                 picker, self._hints, job.hint_key, job.rank
             )
+            blocked |= outside
             if job.rank >= highest and picker.subset:
-                probed = self._probe(picker, job.hint_key)
+                probed = self._probe(picker, job.hint_key, job.rank)
                 if probed is None:
                     return self._refusal(Reason.SHED_EARLY, job.rank)
                 blocked = blocked - {probed}
@@ -229,15 +232,15 @@
 
         def pick(avoid: frozenset[str]) -> str | None:
             return picker.pick(avoid | blocked) or (
-                None if avoid else picker.pick(_NOBODY)
+                None if avoid else picker.pick(outside)
             )
 
         machine = RequestMachine(job.account, True, pick, may_retry=budget.spend)
         return self._finish(job, await self._dispatcher.run(job, machine))
 
-    def _probe(self, picker: InstancePicker, hint_key: str) -> str | None:
+    def _probe(self, picker: InstancePicker, hint_key: str, rank: float) -> str | None:
         for state in picker.subset:
-            if self._hints.may_probe(hint_key, state.name):
+            if self._hints.may_probe(hint_key, state.name, rank):
                 return state.name
         return None
 
@@ -252,7 +255,8 @@
         # Without a key of the caller's, each attempt gets a key of its own:
         # another is made only once the last is proved not run.
         result = CallResult(Outcome.NOT_RUN, Reason.NO_INSTANCE)
-        avoid = _NOBODY
+        picker = self._directory.picker(incoming.service)
+        avoid = _outside(picker, job.data_centre)
         while not job.account.expired:
             member = self._pick_member(incoming.service, avoid)
             if member is None:
@@ -346,5 +350,12 @@
         return CallResult(Outcome.NOT_RUN, reason, retry_after=after)
 
 
+def _outside(picker: InstancePicker, data_centre: str | None) -> frozenset[str]:
+    """Return the instances that a rule rules out by their data centre."""
+    if data_centre is None:
+        return _NOBODY
+    return frozenset(s.name for s in picker.subset if s.data_centre != data_centre)
+
+
 def _nobody(avoid: frozenset[str]) -> str | None:
     return None
