Prove the promises on real processes; spread issued keys over instances

Cause: two new tests could not get a key of a given instance: keys were issued by the choice for a call that goes out now, which names one idle instance of the own data centre, so all keys taken ahead were bound to it.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -191,7 +191,10 @@
         shortest = self._estimate.shortest(waiter.operation)
         self._latest_start[waiter.key] = waiter.deadline - shortest
         self._queue.push(waiter)
-        if len(self._queue) <= self._queue_bound():
+        bound = self._queue_bound()
+        if len(self._queue) <= bound:
+            if 2 * len(self._queue) > bound and mean:
+                self._cut.on_pressure(self._clock.now(), limit / mean)
             return []
         worst = self._queue.pop_worst()
         self._on_displaced(worst)
--- a/packages/rattanfork-core/rattanfork_core/admission/cut.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/cut.py
@@ -19,7 +19,7 @@
 _QUEUE_LOW = 0.25
 _QUEUE_HIGH = 0.75
 #: Arrivals looked at for a surge, and how much faster than served they come.
-_RECENT = 12
+_RECENT = 8
 _SURGE = 3.0
 #: The cut stays above this, so that there are always replies to learn from.
 _LEAST_CUT = 0.02
@@ -97,15 +97,23 @@
             Requests the upstream can finish in a second.
         """
         self._rise = _FIRST_RISE
-        target = min(self._value, rank)
+        self._value = min(self._value, rank)
+        self.on_pressure(now, capacity)
+
+    def on_pressure(self, now: float, capacity: float) -> None:
+        """Take note that the queue is filling.
+
+        Moves the cut half the way to the rank below which the last arrivals
+        fit, if they come much faster than the upstream can serve.
+        """
         recent = self._recent
         if len(recent) == _RECENT:
             span = max(1e-3, now - recent[0][0])
             fitting = int(capacity * span)
             if fitting < _RECENT / _SURGE:
-                ranks = sorted(r for _, r in recent)
-                target = min(target, (target + ranks[fitting]) / 2)
-        self._value = max(_LEAST_CUT, target)
+                ranks = sorted(rank for _, rank in recent)
+                self._value = min(self._value, (self._value + ranks[fitting]) / 2)
+        self._value = max(_LEAST_CUT, self._value)
 
     def update(self, capacity: float, queue_share: float, utilisation: float) -> None:
         """Adapt the cut; called once each tick.
--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -110,6 +110,19 @@
         # If all are suspect the fault is more likely on this side.
         return self._pick_two(healthy or candidates).name
 
+    def spread(self, count: int) -> list[str]:
+        """Return instances for work to be sent later, spread by slots.
+
+        What is in flight now says nothing about later, and keys issued
+        together must not all end at the instance that is idle at the moment.
+        """
+        healthy = [s for s in self._subset if not s.suspect] or self._subset
+        if not healthy:
+            return []
+        weights = [max(1, state.slots) for state in healthy]
+        chosen = self._random.choices(healthy, weights, k=count)
+        return [state.name for state in chosen]
+
     def _pick_two(self, candidates: list[InstanceState]) -> InstanceState:
         count = len(candidates)
         if count == 1:
--- a/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -82,13 +82,9 @@
     def issue_keys(self, service: str, count: int) -> list[str]:
         """Return new keys for postings, each bound to one live instance."""
         picker = self._directory.picker(service)
-        keys = []
-        for _ in range(count if picker is not None else 0):
-            name = picker.pick(_NOBODY)
-            member = self._directory.member(name) if name else None
-            if member is not None:
-                keys.append(self._issue_for(member))
-        return keys
+        names = picker.spread(count) if picker is not None else []
+        members = [self._directory.member(name) for name in names]
+        return [self._issue_for(m) for m in members if m is not None]
 
     async def serve(self, incoming: Incoming) -> CallResult:
         """Bring a request to its final answer."""
--- /dev/null
+++ b/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
@@ -0,0 +1,343 @@
+"""Real processes: killed, frozen, cut off from the platform, drained."""
+
+import asyncio
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+import pytest
+import uvloop
+from rattanfork_testkit import Cluster, ServiceSpec
+
+CLAIMS = ServiceSpec(2, 20, 100, 0.02)
+SLOW = ServiceSpec(2, 20, 100, 0.5)
+
+
+def play(scenario: Callable[[Cluster], Awaitable[None]]) -> None:
+    """Run a scenario on a cluster of its own."""
+
+    async def run() -> None:
+        async with Cluster() as cluster:
+            await scenario(cluster)
+
+    uvloop.run(run())
+
+
+async def start(cluster: Cluster, spec: ServiceSpec = CLAIMS) -> None:
+    cluster.add_instance("claims", spec, "dc1", 1)
+    cluster.add_instance("claims", spec, "dc2", 2)
+    cluster.add_instance("portal", CLAIMS, "dc1", 1)
+    await cluster.wait_ready()
+
+
+async def ask(method: str, url: str, **more: object) -> tuple[int, str, str]:
+    """Return status, outcome and body of one request."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.request(method, url, **more) as response,
+    ):
+        outcome = response.headers.get("Rattanfork-Outcome", "")
+        return response.status, outcome, await response.text()
+
+
+async def get_key(cluster: Cluster, instance: str = "") -> str:
+    """Return a key, for one instance if named."""
+    for _ in range(50):
+        edge = cluster.nodes[-1].edge
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"{edge}/rattanfork/keys?service=claims") as response,
+        ):
+            [key] = (await response.json())["keys"]
+        if not instance or _names(key, instance):
+            return key
+    raise AssertionError("no key for that instance")
+
+
+def _names(key: str, instance: str) -> bool:
+    from base64 import urlsafe_b64decode
+
+    raw = urlsafe_b64decode(key + "=" * (-len(key) % 4))
+    return instance.encode() in raw
+
+
+async def posted(cluster: Cluster) -> Counter:
+    """Return how often each body was run."""
+    runs: Counter = Counter()
+    for node in cluster.nodes:
+        answer = await cluster.get(f"{node.upstream_url}/-/ledger")
+        runs.update(e["body"] for e in answer["ledger"] if e["method"] == "POST")
+    return runs
+
+
+def test_a_repeated_key_runs_once_and_gets_the_first_answer():
+    # A clerk's connection breaks after the claim was filed, and the claim is
+    # sent again, at once and through every other node.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        headers = {"Idempotency-Key": await get_key(cluster)}
+        tries = [
+            ask("POST", f"{n.edge}/claims/file", headers=headers, data="claim 1")
+            for n in cluster.nodes * 4
+        ]
+        answers = await asyncio.gather(*tries)
+        assert {outcome for _, outcome, _ in answers} == {"answered"}
+        assert len({body for _, _, body in answers}) == 1
+        assert await posted(cluster) == {"claim 1": 1}
+
+    play(scenario)
+
+
+def test_a_key_is_refused_to_another_caller():
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        edge = cluster.nodes[0].edge
+        headers = {"Idempotency-Key": await get_key(cluster)}
+        mine = {**headers, "Rattanfork-Caller": "clerk"}
+        theirs = {**headers, "Rattanfork-Caller": "other"}
+        await ask("POST", f"{edge}/claims/file", headers=mine, data="c")
+        status, outcome, _ = await ask(
+            "POST", f"{edge}/claims/file", headers=theirs, data="c"
+        )
+        assert (status, outcome) == (409, "not-run")
+
+    play(scenario)
+
+
+def test_a_guard_killed_in_the_run_leaves_it_unknown_and_never_runs_it_again():
+    # The caller sees 502 "unknown", and again when it repeats the key: the
+    # guard that alone may run it is gone, so nobody can run it twice.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster, SLOW)
+        portal, victim = cluster.nodes[2], cluster.nodes[0]
+        headers = {"Idempotency-Key": await get_key(cluster, "claims-1")}
+        url = f"{portal.edge}/claims/file"
+        first = asyncio.ensure_future(ask("POST", url, headers=headers, data="c"))
+        while not (await posted(cluster))["c"]:
+            await asyncio.sleep(0.02)
+        victim.process.kill()
+        _, outcome, _ = await first
+        assert outcome == "unknown"
+        cluster.start_node(victim)
+        await asyncio.sleep(1.0)
+        _, again, _ = await ask("POST", url, headers=headers, data="c")
+        assert again == "unknown"
+        assert await posted(cluster) == {"c": 1}
+
+    play(scenario)
+
+
+def test_a_posting_at_a_frozen_guard_is_settled_and_does_not_run_when_it_wakes():
+    # The guard is stopped, a posting is sent to it, and its caller is told
+    # something final.  Then it wakes, with the posting in its socket.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        portal, victim = cluster.nodes[2], cluster.nodes[0]
+        await ask("POST", f"{portal.edge}/claims/file", data="warm up 1")
+        key = await get_key(cluster, "claims-1")
+        victim.process.send_signal(signal.SIGSTOP)
+        headers = {"Idempotency-Key": key, "Rattanfork-Timeout-Ms": "1500"}
+        _, outcome, _ = await ask(
+            "POST", f"{portal.edge}/claims/file", headers=headers, data="late"
+        )
+        assert outcome == "unknown"
+        victim.process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        runs = await posted(cluster)
+        assert runs["late"] <= 1
+        _, again, _ = await ask(
+            "POST", f"{portal.edge}/claims/file", headers=headers, data="late"
+        )
+        assert again != "not-run" or runs["late"] == 0
+        assert (await posted(cluster))["late"] <= 1
+
+    play(scenario)
+
+
+def test_reads_pass_a_frozen_instance_by():
+    # Connections to it stay open and take bytes, and no answer comes.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        portal = cluster.nodes[2]
+        for _ in range(10):
+            await ask("GET", f"{portal.edge}/claims/view")
+        cluster.nodes[0].process.send_signal(signal.SIGSTOP)
+        answers = await asyncio.gather(
+            *(ask("GET", f"{portal.edge}/claims/view") for _ in range(8))
+        )
+        cluster.nodes[0].process.send_signal(signal.SIGCONT)
+        assert {status for status, _, _ in answers} == {200}
+
+    play(scenario)
+
+
+def test_draining_cuts_nothing_off_and_takes_nothing_new():
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster, SLOW)
+        portal, leaver = cluster.nodes[2], cluster.nodes[0]
+        url = f"{portal.edge}/claims/file"
+        before = [
+            asyncio.ensure_future(ask("POST", url, data=f"before {i}"))
+            for i in range(12)
+        ]
+        await asyncio.sleep(0.2)
+        leaver.process.terminate()
+        await asyncio.sleep(0.1)
+        after = [
+            asyncio.ensure_future(ask("POST", url, data=f"after {i}"))
+            for i in range(12)
+        ]
+        answers = await asyncio.gather(*before, *after)
+        assert {status for status, _, _ in answers} == {200}
+        assert await asyncio.to_thread(leaver.process.wait, 10) == 0
+        counts = await posted(cluster)
+        assert set(counts.values()) == {1}
+        ledger = (await cluster.get(f"{leaver.upstream_url}/-/ledger"))["ledger"]
+        assert not any(e["body"].startswith("after") for e in ledger)
+
+    play(scenario)
+
+
+def test_postings_go_on_while_the_platform_is_down():
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        await cluster.control(cluster.platform_url, mode="down")
+        edge = cluster.nodes[2].edge
+        for i in range(5):
+            headers = {"Idempotency-Key": await get_key(cluster)}
+            status, _, _ = await ask(
+                "POST", f"{edge}/claims/file", headers=headers, data=f"c{i}"
+            )
+            assert status == 200
+        own = {"Idempotency-Key": "of my own making"}
+        _, outcome, text = await ask(
+            "POST", f"{edge}/claims/file", headers=own, data="own"
+        )
+        assert (outcome, "store-down" in text) == ("unknown", True)
+        assert (await posted(cluster))["own"] == 0
+
+    play(scenario)
+
+
+def test_a_callers_own_key_is_bound_once_though_the_answer_is_lost():
+    # The table takes the write and its answer is lost; the caller asks again
+    # through another node.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        headers = {"Idempotency-Key": "my key"}
+        await cluster.control(cluster.platform_url, mode="lose")
+        first = await ask(
+            "POST", f"{cluster.nodes[0].edge}/claims/file", headers=headers, data="c"
+        )
+        assert first[1] == "unknown"
+        await cluster.control(cluster.platform_url, mode="up")
+        for node in cluster.nodes:
+            status, _, _ = await ask(
+                "POST", f"{node.edge}/claims/file", headers=headers, data="c"
+            )
+            assert status == 200
+        assert await posted(cluster) == {"c": 1}
+
+    play(scenario)
+
+
+def test_a_fresh_node_with_the_table_down_waits_for_two_data_centres():
+    # A replaced instance must not serve by rules it only believes to be in
+    # force; with the table up before, peers in two data centres know them.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        rules = cluster.folder / "r.yaml"
+        rules.write_text("rules: [{name: a, then: {importance: high}}]")
+        await cluster.rattanfork(
+            "rules", "apply", str(rules), "--platform", cluster.platform_url
+        )
+        await _until_revision(cluster, 1)
+        await cluster.control(cluster.platform_url, mode="down")
+        cluster.add_instance("claims", CLAIMS, "dc1", 3)
+        await cluster.wait_ready()
+        status = await cluster.get(f"{cluster.nodes[-1].admin}/status")
+        assert status["revision"] == 1
+
+    play(scenario)
+
+
+async def _until_revision(cluster: Cluster, revision: int) -> None:
+    async with asyncio.timeout(10):
+        while True:
+            answer = await cluster.get(f"{cluster.nodes[0].admin}/revisions")
+            if {n["revision"] for n in answer["nodes"]} == {revision}:
+                return
+            await asyncio.sleep(0.1)
+
+
+def test_two_operators_at_once_get_one_winner_and_one_conflict():
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        texts = []
+        for name in ("a", "b"):
+            path = cluster.folder / f"{name}.yaml"
+            path.write_text(f"rules: [{{name: {name}, then: {{importance: high}}}}]")
+            texts.append(
+                cluster.rattanfork(
+                    "rules", "apply", str(path), "--expected", "0",
+                    "--platform", cluster.platform_url,
+                )
+            )  # fmt: skip
+        answers = await asyncio.gather(*texts, return_exceptions=True)
+        failed = [a for a in answers if isinstance(a, RuntimeError)]
+        assert len(failed) == 1
+        assert "conflict: revision 1" in str(failed[0])
+        await _until_revision(cluster, 1)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"\x00" * 64,
+        b"\xc1",
+        b"\x94\x01\x01\xa1x\xa1y",
+        b"\xdd\xff\xff\xff\xff",
+        b"GET / HTTP/1.1\r\n\r\n" + b"x" * 8000,
+    ],
+)
+def test_strangers_at_the_peer_port_are_dropped_and_harm_nobody(sent):
+    async def scenario(cluster: Cluster) -> None:
+        cluster.add_instance("claims", CLAIMS, "dc1", 1)
+        await cluster.wait_ready()
+        node = cluster.nodes[0]
+        reader, writer = await asyncio.open_connection("127.0.0.1", node.peer_port)
+        writer.write(sent)
+        async with asyncio.timeout(5):
+            while await reader.read(4096):
+                pass
+        writer.close()
+        status = await cluster.get(f"{node.admin}/status")
+        assert status["counters"]["events"]["peer.bad-frame"] == 1
+        assert (await ask("GET", f"{node.edge}/claims/view"))[0] == 200
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("headers", "says"),
+    [
+        ({"Rattanfork-Timeout-Ms": "-5"}, "Rattanfork-Timeout-Ms"),
+        ({"Rattanfork-Timeout-Ms": "soon"}, "Rattanfork-Timeout-Ms"),
+        ({"Rattanfork-Importance": "vital"}, "unknown importance"),
+        ({"Rattanfork-Request-Id": "x" * 200}, "at most 128"),
+        ({"Rattanfork-Attempt": "0"}, "Rattanfork-Attempt"),
+    ],
+)
+def test_bad_headers_get_a_clear_error(headers, says):
+    async def scenario(cluster: Cluster) -> None:
+        cluster.add_instance("claims", CLAIMS, "dc1", 1)
+        await cluster.wait_ready()
+        edge = cluster.nodes[0].edge
+        status, outcome, text = await ask("GET", f"{edge}/claims/view", headers=headers)
+        assert (status, outcome) == (400, "not-run")
+        assert says in text
+
+    play(scenario)
