--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -15,8 +15,12 @@
     PingRequest,
     Send,
 )
+from rattanfork_core.membership.pool import RandomPool
 from rattanfork_core.membership.rumours import RumourQueue
 
+#: Share of the probes that also go to one of the dead.
+_DEAD_SHARE = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class MembershipSettings:
@@ -124,7 +128,10 @@
         self._changed_at: dict[str, float] = {}
         self._digest = BucketDigest([])
         self._rumours = RumourQueue()
+        self._living = RandomPool()
+        self._dead = RandomPool()
         self._order: list[str] = []
+        self._next_check = clock.now()
         self._probe: _Probe | None = None
         self._next_probe = clock.now()
         self._number = random.getrandbits(30)
@@ -217,7 +224,10 @@
             self._has_news = False
             self._next_push = now + self._settings.push_interval
             sends += self._push(self._settings.pushes)
-        self._end_suspicions(now)
+        if now >= self._next_check:
+            # Not each tick: while a region is cut off, thousands are suspect.
+            self._next_check = now + self._settings.period
+            self._end_suspicions(now)
         return sends
 
     def on_message(self, message: GossipMessage, source: tuple[str, int]) -> list[Send]:
@@ -276,11 +286,11 @@
         send = self._ping(target)
         self._probe = _Probe(target.name, send.message.number, now)
         sends = [send]
-        dead = [m for m in self._members.values() if m.status == MemberStatus.DEAD]
-        if dead and self._random.random() < 0.1:
+        if self._dead and self._random.random() < _DEAD_SHARE:
             # After a split has healed, both sides hold the other for dead
             # and would never speak again.
-            sends.append(self._ping(self._random.choice(dead)))
+            [name] = self._dead.sample(self._random, 1)
+            sends.append(self._ping(self._members[name]))
         return sends
 
     def _next_target(self) -> Member | None:
@@ -298,13 +308,9 @@
 
     def _ask_helpers(self, probe: _Probe) -> list[Send]:
         names = (self._me.name, probe.target)
-        others = [
-            m
-            for m in self._members.values()
-            if m.status == MemberStatus.ALIVE and m.name not in names
-        ]
-        count = min(len(others), self._settings.helpers)
-        helpers = self._random.sample(others, count)
+        count = self._settings.helpers
+        drawn = self._living.sample(self._random, count + len(names))
+        helpers = [self._members[n] for n in drawn if n not in names][:count]
         news = self._news()
         request = PingRequest(
             probe.number, self._me, probe.target, self.revision(), news
@@ -354,10 +360,9 @@
         self._has_news = True
 
     def _push(self, count: int) -> list[Send]:
-        me = self._me.name
-        others = [m for m in self.present() if m.name != me]
-        chosen = self._random.sample(others, min(count, len(others)))
-        return [self._ping(member) for member in chosen]
+        drawn = self._living.sample(self._random, count + 1)
+        chosen = [name for name in drawn if name != self._me.name][:count]
+        return [self._ping(self._members[name]) for name in chosen]
 
     def _put(self, member: Member) -> None:
         known = self._members.get(member.name)
@@ -365,6 +370,9 @@
             self._digest.toggle(known)
         self._digest.toggle(member)
         self._members[member.name] = member
+        dead = member.status == MemberStatus.DEAD
+        (self._dead if dead else self._living).add(member.name)
+        (self._living if dead else self._dead).discard(member.name)
         if member.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
             self._changed_at[member.name] = self._clock.now()
         else:
@@ -374,6 +382,7 @@
     def _forget(self, name: str) -> None:
         self._digest.toggle(self._members.pop(name))
         del self._changed_at[name]
+        self._dead.discard(name)
         self._version += 1
 
     def _news(self) -> tuple[Member, ...]:
--- a/packages/rattanfork-core/rattanfork_core/membership/rumours.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/rumours.py
@@ -1,9 +1,13 @@
 """News on its way to other members."""
 
+from itertools import islice
 from math import ceil, log2
 
 from rattanfork_core.membership.member import Member, MemberStatus
 
+#: Rumours at the head of the queue among which the most urgent are chosen.
+_SORTED = 64
+
 
 class RumourQueue:
     """Rumours, each told a number of times that grows with the logarithm.
@@ -46,7 +50,7 @@
             return ()
         # Only the head of a long queue is sorted: after a split heals there
         # may be thousands of rumours, and this runs for every datagram.
-        entries = list(self._rumours.items())[:64]
+        entries = list(islice(self._rumours.items(), _SORTED))
         entries.sort(key=_urgency)
         taken = entries[:most]
         for name, entry in taken:
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -36,6 +36,8 @@
 
 #: Bytes taken from a peer that has not proved that it belongs.
 _STRANGER_BYTES = 2048
+#: First size of a connection's buffer; by default it would be the largest.
+_READ_BYTES = 16 << 10
 #: Room in a frame beside the body.
 _FRAME_ROOM = 256 << 10
 _ANSWERS = (Reply, FenceReply, RulesReply, SyncReply, BurnReply)
@@ -246,6 +248,7 @@
             raw=False,
             use_list=True,
             strict_map_key=True,
+            read_size=min(size, _READ_BYTES),
             max_buffer_size=size,
             max_str_len=size,
             max_bin_len=size,
