--- a/packages/rattanfork-core/rattanfork_core/rules/condition.py
+++ b/packages/rattanfork-core/rattanfork_core/rules/condition.py
@@ -82,6 +82,17 @@
         """Return whether the condition holds for a request."""
         return next(self.failures(facts), None) is None
 
+    def may_hold(self, facts: RequestFacts) -> bool:
+        """Return whether it holds at some load and attempt."""
+        return (
+            self.service.holds(facts.service)
+            and self.operation.holds(facts.operation)
+            and self.caller.holds(facts.caller)
+            and self.method.holds(facts.method)
+            and self.data_centre.holds(facts.data_centre)
+            and (not self.importance or facts.importance in self.importance)
+        )
+
     def failures(self, facts: RequestFacts) -> Iterator[str]:
         """Yield why the condition does not hold, part by part."""
         if not self.service.holds(facts.service):
--- a/packages/rattanfork-core/rattanfork_core/rules/ruleset.py
+++ b/packages/rattanfork-core/rattanfork_core/rules/ruleset.py
@@ -6,6 +6,8 @@
 
 #: Services and operations come from URLs: the index must stay bounded.
 _MOST_INDEXED = 4096
+#: Rules that are compared one by one without narrowing them further.
+_FEW = 4
 
 
 class RuleSet:
@@ -35,6 +37,7 @@
         self._document = document
         self._rules = tuple(Rule.of(model) for model in document.rules)
         self._index: dict[tuple[str, str], tuple[Rule, ...]] = {}
+        self._fine_index: dict[tuple, tuple[Rule, ...]] = {}
 
     @property
     def rules(self) -> tuple[Rule, ...]:
@@ -52,6 +55,8 @@
         candidates = self._index.get(key)
         if candidates is None:
             candidates = self._narrow(key)
+        if len(candidates) > _FEW:
+            candidates = self._narrow_further(facts, candidates)
         for rule in candidates:
             if rule.condition.holds(facts):
                 return rule
@@ -69,3 +74,22 @@
             self._index.clear()
         self._index[key] = candidates
         return candidates
+
+    def _narrow_further(
+        self, facts: RequestFacts, candidates: tuple[Rule, ...]
+    ) -> tuple[Rule, ...]:
+        key = (
+            facts.service,
+            facts.operation,
+            facts.caller,
+            facts.method,
+            facts.data_centre,
+            facts.importance,
+        )
+        narrow = self._fine_index.get(key)
+        if narrow is None:
+            narrow = tuple(r for r in candidates if r.condition.may_hold(facts))
+            if len(self._fine_index) >= _MOST_INDEXED:
+                self._fine_index.clear()
+            self._fine_index[key] = narrow
+        return narrow
