--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := core platform node cli testkit
 READY := $(VENV)/.ready
 
-.PHONY: demo test bench matrix slopes lint format fuzz clean
+.PHONY: demo test bench speed shared matrix slopes lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -20,6 +20,7 @@
 test: lint
 	$(BIN)/python -m pytest
 
+# The formatter, the linter and the import layers.
 lint: $(READY)
 	$(BIN)/ruff format --check packages bench
 	$(BIN)/ruff check packages bench
@@ -35,6 +36,16 @@
 speed: $(READY)
 	$(BIN)/python bench/speed.py
 
+shared: $(READY)
+	$(BIN)/python bench/shared.py
+
+matrix: $(READY)
+	$(BIN)/python -m rattanfork_testkit.matrix
+
+fuzz: $(READY)
+	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest packages/rattanfork-core \
+	    packages/rattanfork-node
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -26,7 +26,7 @@
 )
 from rattanfork_core.request import CallResult, Importance, Outcome
 from rattanfork_core.routing import InstancePicker, InstanceState
-from rattanfork_core.rules import RequestFacts, RulesDocument, RuleSet
+from rattanfork_core.rules import RequestFacts, RulesDocument, RuleSet, load_rules
 from rattanfork_node.peer import Call, PeerLink, Reply, decode_message, encode_message
 
 RESULTS = Path(__file__).parent.parent / "docs" / "measurements" / "slopes.json"
@@ -162,6 +162,7 @@
                 ),
                 "build_us": microseconds(lambda d=document: RuleSet(d), 3),
                 "text_bytes": len(text),
+                "load_ms": microseconds(lambda t=text: load_rules(t), 2) / 1000,
             }
         )
     worst = RulesDocument.model_validate(
