--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/burn/tests/test_burn.py
@@ -0,0 +1,43 @@
+"""Burn of objectives over windows, by rule."""
+
+from rattanfork_core.burn import BurnMeter, burn_report
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.request import Importance
+from rattanfork_core.rules import ObjectiveModel
+
+
+def test_old_failures_leave_the_short_window_first():
+    clock = ManualClock(1000.0)
+    meter = BurnMeter(clock)
+    for _ in range(50):
+        meter.add("claims", Importance.HIGH, "r", False, 0.1)
+    clock.advance(600)
+    for _ in range(50):
+        meter.add("claims", Importance.HIGH, "r", True, 0.1)
+    [line] = burn_report([ObjectiveModel(service="claims", target=0.9)], meter.totals())
+    assert line.burn[0] == 0
+    assert round(line.burn[1], 6) == 5.0
+
+
+def test_totals_of_many_nodes_add_up():
+    seen = ("claims", "high", "r", ((9, 1), (9, 1), (9, 1)))
+    objective = ObjectiveModel(service="claims", target=0.9)
+    [line] = burn_report([objective], [seen, seen])
+    assert line.requests == 20
+    assert line.spenders == (("r", 2),)
+    assert round(line.budget_left, 6) == 0
+
+
+def test_an_objective_of_one_importance_leaves_the_others_out():
+    seen = [
+        ("claims", "high", "a", ((1, 0),) * 3),
+        ("claims", "low", "b", ((0, 9),) * 3),
+    ]
+    objective = ObjectiveModel(service="claims", importance="high", target=0.9)
+    [line] = burn_report([objective], seen)
+    assert (line.requests, line.burn[2]) == (1, 0)
+
+
+def test_nothing_seen_burns_nothing():
+    [line] = burn_report([ObjectiveModel(service="claims", target=0.9)], [])
+    assert (line.requests, line.exhausted_in) == (0, None)
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
@@ -0,0 +1,73 @@
+"""Calls go to instances that are near, fast, warm and not failing."""
+
+from collections import Counter
+from random import Random
+
+from hypothesis import given
+from hypothesis import strategies as st
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.routing import InstancePicker, InstanceState, choose_subset
+
+NONE: frozenset[str] = frozenset()
+
+
+def picker(*states: InstanceState) -> InstancePicker:
+    made = InstancePicker("n1", "dc1", ManualClock(100.0), Random(1))
+    made.update(states)
+    return made
+
+
+def share(made: InstancePicker, name: str) -> float:
+    return Counter(made.pick(NONE) for _ in range(1000))[name] / 1000
+
+
+def state(name: str, data_centre: str = "dc1", **more: object) -> InstanceState:
+    return InstanceState(name, data_centre, **more)
+
+
+def test_the_own_data_centre_is_preferred_until_it_is_the_worse_choice():
+    near, far = state("near"), state("far", "dc2")
+    made = picker(near, far)
+    assert share(made, "near") == 1.0
+    near.latency, far.latency = 0.2, 0.02
+    assert share(made, "far") == 1.0
+
+
+def test_an_instance_that_fails_fast_does_not_attract_calls():
+    # It refuses at once, so it always looks idle and quick.
+    bad, good = state("bad", latency=0.001), state("good", latency=0.005)
+    made = picker(bad, good)
+    for _ in range(5):
+        bad.on_sent()
+        bad.on_done(0.001, failed=True)
+    assert share(made, "good") == 1.0
+
+
+def test_a_cold_instance_gets_less():
+    made = picker(state("warm"), state("cold", known_since=99.5), state("third"))
+    assert share(made, "cold") < 0.1
+
+
+def test_a_retry_avoids_the_instance_that_failed():
+    made = picker(state("a"), state("b"))
+    assert {made.pick(frozenset({"a"})) for _ in range(20)} == {"b"}
+    assert made.pick(frozenset({"a", "b"})) is None
+
+
+def test_the_leaving_get_nothing_and_the_suspect_only_if_all_are():
+    made = picker(state("leaving", leaving=True), state("suspect", suspect=True))
+    assert share(made, "suspect") == 1.0
+
+
+def test_keys_issued_together_are_spread_by_slots():
+    made = picker(state("big", "dc2", slots=30), state("small", slots=10))
+    counts = Counter(made.spread(4000))
+    assert 2.5 < counts["big"] / counts["small"] < 3.5
+
+
+@given(st.sets(st.text(min_size=1, max_size=4), min_size=2, max_size=30))
+def test_one_instance_gone_changes_the_subset_by_one(names):
+    before = set(choose_subset("n", names, 5))
+    gone = min(before)
+    after = set(choose_subset("n", names - {gone}, 5))
+    assert len(after - before) <= 1
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/edge/tests/test_render.py
@@ -0,0 +1,44 @@
+"""What callers are told: outcome, status, and when to come back."""
+
+import pytest
+from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_node.edge import render_result
+
+
+@pytest.mark.parametrize(
+    ("outcome", "reason", "status"),
+    [
+        (Outcome.NOT_RUN, Reason.SHED, 503),
+        (Outcome.NOT_RUN, Reason.LIMIT, 429),
+        (Outcome.NOT_RUN, Reason.KEY_MISUSED, 409),
+        (Outcome.NOT_RUN, Reason.BAD_REQUEST, 400),
+        (Outcome.UNKNOWN, Reason.DEADLINE, 504),
+        (Outcome.UNKNOWN, Reason.CONNECTION, 502),
+        (Outcome.UNKNOWN, Reason.KEY_EXPIRED, 410),
+    ],
+)
+def test_each_outcome_has_its_status_and_time_to_come_back(outcome, reason, status):
+    response = render_result(CallResult(outcome, reason, retry_after=2.2), "r1")
+    assert response.status == status
+    assert response.headers["Retry-After"] == "3"
+    assert response.headers["Rattanfork-Outcome"] == outcome.label
+
+
+def test_a_time_to_come_back_is_never_zero():
+    response = render_result(CallResult(Outcome.NOT_RUN, Reason.SHED), "r1")
+    assert response.headers["Retry-After"] == "1"
+
+
+def test_an_answer_is_passed_on_whole():
+    result = CallResult(
+        Outcome.ANSWERED, status=201, headers=[("X-Ledger", "7")], body=b"whole"
+    )
+    response = render_result(result, "r1")
+    assert (response.status, response.body) == (201, b"whole")
+    assert response.headers["X-Ledger"] == "7"
+    assert "Retry-After" not in response.headers
+
+
+def test_a_refusal_deeper_down_says_when_to_come_back():
+    result = CallResult(Outcome.ANSWERED, status=503, retry_after=1.5)
+    assert render_result(result, "r1").headers["Retry-After"] == "2"
