--- a/packages/rattanfork-node/rattanfork_node/edge/edge.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/edge.py
@@ -13,7 +13,7 @@
 from rattanfork_node.edge.parse import BadRequestError, parse_request
 from rattanfork_node.edge.render import render_result
 from rattanfork_node.ingress import Incoming, Ingress
-from rattanfork_node.telemetry import Counters, Metrics
+from rattanfork_node.telemetry import Counters, Metrics, counting_logger
 
 _KEYS_PATH = "/rattanfork/keys"
 _MOST_KEYS = 100
@@ -77,6 +77,7 @@
         self._server = web.Server(
             self._handle,
             access_log=None,
+            logger=counting_logger(self._counters),
             handler_cancellation=True,
             keepalive_timeout=75,
             max_line_size=_LONGEST_LINE,
--- a/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
@@ -341,3 +341,33 @@
         assert says in text
 
     play(scenario)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"BROKEN\r\n\r\n",
+        b"GET /claims/view HTTP/1.1\r\nX: " + b"x" * 40_000 + b"\r\n\r\n",
+        b"POST /claims/file HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+        b"POST /claims/file HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+    ],
+    ids=["request line", "header", "negative length", "length"],
+)
+def test_broken_http_is_answered_and_counted_and_harms_nobody(sent):
+    async def scenario(cluster: Cluster) -> None:
+        cluster.add_instance("claims", CLAIMS, "dc1", 1)
+        await cluster.wait_ready()
+        node = cluster.nodes[0]
+        reader, writer = await asyncio.open_connection("127.0.0.1", node.edge_port)
+        writer.write(sent)
+        async with asyncio.timeout(5):
+            line = await reader.readline()
+        writer.close()
+        assert line.split()[1] in (b"400", b"413")
+        status = await cluster.get(f"{node.admin}/status")
+        events = status["counters"]["events"]
+        assert events.get("bad.http", 0) + events.get("edge.too-large", 0) >= 1
+        assert (await ask("GET", f"{node.edge}/claims/view"))[0] == 200
+        assert await posted(cluster) == {}
+
+    play(scenario)
