--- a/packages/rattanfork-core/rattanfork_core/hints/table.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/table.py
@@ -7,9 +7,6 @@
 #: How far above the cut, in ranks, a probe may be.
 _PROBE_REACH = 0.2
 
-#: Seconds for which a stale hint rises steadily.
-_STEADY = 0.3
-
 
 class HintTable:
     """Thresholds by operation and instance, aged.
@@ -35,8 +32,7 @@
     fresh : float
         Seconds for which a hint is believed as it is.
     rise : float
-        Ranks by which a stale hint rises in its first second; later it rises
-        faster, with the square of the time.
+        Ranks by which a stale hint rises each second.
     probe_after : float
         Seconds without news or probe after which a probe may pass.
 
@@ -60,8 +56,8 @@
     def __init__(
         self,
         clock: Clock,
-        fresh: float = 0.8,
-        rise: float = 1.5,
+        fresh: float = 1.0,
+        rise: float = 0.5,
         probe_after: float = 0.4,
     ) -> None:
         self._clock = clock
@@ -94,12 +90,7 @@
             return _OPEN
         cut, heard = hint
         stale = self._clock.now() - heard - self._fresh
-        if stale <= 0:
-            return cut
-        # A class far above the cut sends no probes and gets no replies; while
-        # it waits for a steady rise, slots idle for seconds after a surge.
-        # The first reply that says "closed" takes the hint back.
-        return min(_OPEN, cut + self._rise * stale * max(stale, _STEADY))
+        return cut if stale <= 0 else min(_OPEN, cut + stale * self._rise)
 
     def may_probe(self, operation: str, instance: str, rank: float) -> bool:
         """Return whether a request that would be refused may pass now."""
--- a/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
@@ -105,6 +105,44 @@
     play(scenario)
 
 
+def test_a_request_id_of_another_caller_is_refused():
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster)
+        url = f"{cluster.nodes[0].edge}/claims/view"
+        answers = [
+            await ask(
+                "GET",
+                url,
+                headers={"Rattanfork-Request-Id": "r1", "Rattanfork-Caller": caller},
+            )
+            for caller in ("ann", "ann", "bob")
+        ]
+        assert [status for status, _, _ in answers] == [200, 200, 400]
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_stops_the_work_below():
+    # The clerk hung up: a search that nobody waits for must not hold a slot.
+    async def scenario(cluster: Cluster) -> None:
+        await start(cluster, SLOW)
+        url = f"{cluster.nodes[2].edge}/claims/view"
+        task = asyncio.ensure_future(ask("GET", url))
+        while not sum([await _counted(cluster, n, "arrived") for n in (0, 1)]):
+            await asyncio.sleep(0.02)
+        task.cancel()
+        while not sum([await _counted(cluster, n, "abandoned") for n in (0, 1)]):
+            await asyncio.sleep(0.02)
+        assert sum([await _counted(cluster, n, "completed") for n in (0, 1)]) == 0
+
+    play(scenario)
+
+
+async def _counted(cluster: Cluster, number: int, name: str) -> int:
+    answer = await cluster.get(f"{cluster.nodes[number].upstream_url}/-/ledger")
+    return answer["counts"][name]
+
+
 def test_a_guard_killed_in_the_run_leaves_it_unknown_and_never_runs_it_again():
     # The caller sees 502 "unknown", and again when it repeats the key: the
     # guard that alone may run it is gone, so nobody can run it twice.
