--- a/packages/rattanfork-cli/rattanfork_cli/commands/rules.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/rules.py
@@ -192,8 +192,8 @@
 @app.command()
 def explain(
     node: Node,
-    service: str,
-    operation: str,
+    service: Annotated[str, typer.Option(help="The service called.")],
+    operation: Annotated[str, typer.Option(help="The operation called.")],
     caller: str = "",
     importance: str = "normal",
     method: str = "GET",
--- a/packages/rattanfork-cli/rattanfork_cli/tests/test_main.py
+++ b/packages/rattanfork-cli/rattanfork_cli/tests/test_main.py
@@ -94,3 +94,13 @@
     )
     result = run("rules", "status", "--node", "x", "--json")
     assert json.loads(result.stdout) == answer
+
+
+def test_explain_takes_the_options_that_its_example_shows(monkeypatch):
+    # The example in help and pages was refused: both were arguments.
+    answer = {"rule": "a", "revision": 3, "passed_over": []}
+    monkeypatch.setattr(
+        "rattanfork_cli.commands.rules.ask_node", lambda *a, **k: answer
+    )
+    options = ("--node", "x", "--service", "claims", "--operation", "file")
+    assert run("rules", "explain", *options).stdout == "revision 3: a\n"
