Judge the frozen instance by what happened, not by how fast

Ruled out: none seen failing; all runs of it so far passed. Before: 8 answers within 2 s. Waits for start-up and spread end at 60 s. Conclusion: as strict in what it says, and one verdict on any machine.

--- a/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
@@ -265,7 +265,7 @@
         async with self._session.post(f"{base}/-/control", json=change) as response:
             response.raise_for_status()
 
-    async def wait_ready(self, timeout: float = 20.0) -> None:
+    async def wait_ready(self, timeout: float = 60.0) -> None:
         """Wait until every node knows the rules and all instances.
 
         Raises
--- a/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/tests/test_processes.py
@@ -169,11 +169,19 @@
         for _ in range(10):
             await ask("GET", f"{portal.edge}/claims/view")
         cluster.nodes[0].process.send_signal(signal.SIGSTOP)
+        # Longer than any machine needs: the frozen instance never answers, so
+        # an answer shows that it was passed by, however slow the machine is.
+        patient = {"Rattanfork-Timeout-Ms": "20000"}
         answers = await asyncio.gather(
-            *(ask("GET", f"{portal.edge}/claims/view") for _ in range(8))
+            *(
+                ask("GET", f"{portal.edge}/claims/view", headers=patient)
+                for _ in range(8)
+            )
         )
         cluster.nodes[0].process.send_signal(signal.SIGCONT)
         assert {status for status, _, _ in answers} == {200}
+        status = await cluster.get(f"{portal.admin}/status")
+        assert status["state"]["peers.silent"] >= 1
 
     play(scenario)
 
@@ -269,7 +277,7 @@
 
 
 async def _until_revision(cluster: Cluster, revision: int) -> None:
-    async with asyncio.timeout(10):
+    async with asyncio.timeout(60):
         while True:
             answer = await cluster.get(f"{cluster.nodes[0].admin}/revisions")
             if {n["revision"] for n in answer["nodes"]} == {revision}:
