Say 'not run' of a caller's key only on its own guard's word

The sender took 'another process answers there, so this attempt was not sent' for a proof about the key. The guard also refused for want of an upstream or for another incarnation before it asked its ledger.

--- a/packages/rattanfork-node/rattanfork_node/guard/guard.py
+++ b/packages/rattanfork-node/rattanfork_node/guard/guard.py
@@ -169,12 +169,12 @@
 
     async def run(self, request: GuardRequest) -> CallResult:
         """Run a request, and return its answer or why there is none."""
-        if request.boot != self._boot:
-            result = self._refusal(request, Reason.STALE_INSTANCE)
-        elif self._upstream is None:
-            result = self._refusal(request, Reason.NO_INSTANCE)
-        elif request.key:
+        if request.key:
+            # What is said of a key is said of all its copies, so nothing is
+            # refused here before the ledger has been asked.
             result = await self._run_keyed(request)
+        elif request.boot != self._boot:
+            result = self._refusal(request, Reason.STALE_INSTANCE)
         else:
             result = await self._admit_and_run(request, None)
         self._counters.calls[result.outcome.label, result.reason.label] += 1
@@ -244,6 +244,8 @@
     async def _admit_and_run(
         self, request: GuardRequest, record: RunRecord | None
     ) -> CallResult:
+        if self._upstream is None:
+            return self._refusal(request, Reason.NO_INSTANCE, record)
         if request.rank >= self._deep_cuts.cut(request.operation, ""):
             return self._refusal(request, Reason.SHED_EARLY, record)
         self._next_key += 1
--- a/packages/rattanfork-node/rattanfork_node/ingress/dispatcher.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/dispatcher.py
@@ -52,6 +52,7 @@
     key: str
     hint_key: str
     data_centre: str | None = None
+    key_is_new: bool = False
 
 
 class Dispatcher:
@@ -166,14 +167,7 @@
         if link is None:
             link = await self._pool.open((member.host, member.peer_port))
             if link.peer != member.name:
-                # The process the member record speaks of is gone; the one at
-                # its address has not seen this attempt.
-                return CallResult(
-                    Outcome.NOT_RUN,
-                    Reason.STALE_INSTANCE,
-                    unused_attempts=command.lent_attempts,
-                    retry_elsewhere=True,
-                )
+                return _gone(job, command)
         number = link.next_number()
         sent[command.attempt] = _Sent(link, number)
         reply = await link.ask(self._call(job, command, member, number))
@@ -269,6 +263,23 @@
         return result
 
 
+def _gone(job: Job, command: SendCall) -> CallResult:
+    """Return what is known when another process answers at the address.
+
+    The process that was meant is gone, and has not seen this attempt.  But a
+    key may have been sent to it before, and have run: of a key that a caller
+    brought, "not run" would be a guess.
+    """
+    if job.key and not job.key_is_new:
+        return CallResult(Outcome.UNKNOWN, Reason.KEY_EXPIRED)
+    return CallResult(
+        Outcome.NOT_RUN,
+        Reason.STALE_INSTANCE,
+        unused_attempts=command.lent_attempts,
+        retry_elsewhere=True,
+    )
+
+
 def blocked_instances(
     picker: InstancePicker, hints: HintTable, hint_key: str, rank: float
 ) -> tuple[frozenset[str], float]:
--- a/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -261,7 +261,7 @@
             key = await self._issuer.issue(member)
             if key is None:
                 continue
-            job.key = key
+            job.key, job.key_is_new = key, True
             result = await self._run_ticket(job)
             again = result.outcome is Outcome.NOT_RUN and result.retry_elsewhere
             if not again or not job.account.spend():
