Refuse what waited for an upstream that has gone

Cause: found on reading the change again: a request that waited for a slot started though the upstream had gone meanwhile; a read then died without any reply, so that its caller waited until its deadline, and a key that had not run was called unknown. Ruled out: refusing all waiters when the upstream goes; it may be back before their deadlines, and a second check at the hand-over is needed anyway. Before: 2 new tests failed (AttributeError, and unknown in place of not run). After: both pass, with the other tests of the node in one run.

--- a/packages/rattanfork-node/rattanfork_node/guard/guard.py
+++ b/packages/rattanfork-node/rattanfork_node/guard/guard.py
@@ -259,6 +259,10 @@
         reason = await self._admit(waiter)
         if reason is not Reason.NONE:
             return self._refusal(request, reason, record)
+        if self._upstream is None:
+            # It went away while this waited.
+            self._apply(self._admission.finish(waiter.key, succeeded=False))
+            return self._refusal(request, Reason.NO_INSTANCE, record)
         allowed = request.may_hand_over()
         if allowed and record is not None:
             allowed = self._ledger.hand_over(record)
@@ -269,7 +273,6 @@
 
     async def _admit(self, waiter: Waiter) -> Reason:
         decisions = self._admission.offer(waiter)
-        future = None
         for decision in decisions:
             if decision.waiter is waiter:
                 if isinstance(decision, Start):
