Prefer the own data centre while it has room; take what is too late elsewhere

Cause: instances of all data centres were compared by time and load alone, so two answers in three crossed; bytes were the largest price that can be saved.

Change: an instance at hand is taken without comparison while its load, which rides on replies, is below 0.6 of its slots, unless it is much slower than the fastest, fails or is new. A request that one gate can't serve in time may go to another.

--- a/packages/rattanfork-core/rattanfork_core/routing/instance.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/instance.py
@@ -33,6 +33,16 @@
     failures: float = 0.0
     leaving: bool = False
     suspect: bool = False
+    busy: int = 0
+
+    @property
+    def load(self) -> float:
+        """Requests at the instance for each of its slots, as last heard.
+
+        What this node has in flight there counts if it is more: it was sent
+        after the last reply.
+        """
+        return max(self.busy, self.in_flight) / max(1, self.slots)
 
     def on_sent(self) -> None:
         """Count a call sent."""
--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -12,6 +12,13 @@
 #: An instance of another data centre counts as this much busier.
 _REMOTE_FACTOR = 1.5
 _COLD_SHARE = 0.1
+#: Latency, as a multiple of the fastest instance's, from which an instance is
+#: taken to be in trouble.  Instances of one service differ by a factor of two
+#: and a half when all is well.
+_MUCH_SLOWER = 3.5
+#: Recent share of failures from which an instance is compared with all; one
+#: failure among answers stays below it after four more of them.
+_SOME_FAILURES = 0.08
 
 
 class InstancePicker:
@@ -42,6 +49,9 @@
         Most instances that calls are spread over.
     warmup : float
         Seconds until a new instance gets its full share.
+    local_load : float
+        Load up to which an instance of the own data centre is taken without
+        being compared with others; 0 compares always.
 
     Examples
     ========
@@ -63,6 +73,7 @@
         random: Random,
         subset_size: int = 16,
         warmup: float = 5.0,
+        local_load: float = 0.0,
     ) -> None:
         self._node = node
         self._data_centre = data_centre
@@ -70,6 +81,7 @@
         self._random = random
         self._subset_size = subset_size
         self._warmup = warmup
+        self._local_load = local_load
         self._states: dict[str, InstanceState] = {}
         self._subset: list[InstanceState] = []
 
@@ -108,7 +120,31 @@
             return None
         healthy = [s for s in candidates if not s.suspect]
         # If all are suspect the fault is more likely on this side.
-        return self._pick_two(healthy or candidates).name
+        candidates = healthy or candidates
+        if self._local_load:
+            candidates = self._local(candidates) or candidates
+        return self._pick_two(candidates).name
+
+    def _local(self, candidates: list[InstanceState]) -> list[InstanceState]:
+        """Return the instances of the own data centre that have room.
+
+        An answer that crosses data centres is paid for in bytes and time, and
+        an instance with free slots serves no faster for being less busy.  One
+        that is much slower than the others, that fails or that is new is
+        compared with all.
+        """
+        now = self._clock.now()
+        fastest = min((s.latency for s in candidates if s.latency), default=0.0)
+        slow = _MUCH_SLOWER * fastest
+        return [
+            s
+            for s in candidates
+            if s.data_centre == self._data_centre
+            and s.load < self._local_load
+            and s.failures < _SOME_FAILURES
+            and (not slow or s.latency <= slow)
+            and now - s.known_since >= self._warmup
+        ]
 
     def spread(self, count: int) -> list[str]:
         """Return instances for work to be sent later, spread by slots.
--- a/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
@@ -71,3 +71,40 @@
     gone = min(before)
     after = set(choose_subset("n", names - {gone}, 5))
     assert len(after - before) <= 1
+
+
+def _local_picker(*states):
+    picker = InstancePicker(
+        "n", "dc1", ManualClock(100), Random(1), warmup=5.0, local_load=0.7
+    )
+    picker.update(states)
+    return picker
+
+
+def _chosen(picker):
+    return {picker.pick(frozenset()) for _ in range(50)}
+
+
+def test_an_instance_at_hand_with_room_is_taken_although_it_is_slower():
+    near = InstanceState("near", "dc1", 10, latency=0.2, in_flight=3)
+    far = InstanceState("far", "dc2", 10, latency=0.1)
+    assert _chosen(_local_picker(near, far)) == {"near"}
+
+
+def test_an_instance_at_hand_without_room_is_compared_with_all():
+    near = InstanceState("near", "dc1", 10, latency=0.2, busy=9)
+    far = InstanceState("far", "dc2", 10, latency=0.1)
+    near.in_flight = 5
+    assert "far" in _chosen(_local_picker(near, far))
+
+
+def test_an_instance_at_hand_in_trouble_is_compared_with_all():
+    """The instance at hand turns slow, or fails, while it has free slots.
+
+    Callers beside it would otherwise keep to it until its slots are full.
+    """
+    far = InstanceState("far", "dc2", 10, latency=0.1)
+    slow = InstanceState("near", "dc1", 10, latency=1.0)
+    assert _chosen(_local_picker(slow, far)) == {"far"}
+    failing = InstanceState("near", "dc1", 10, latency=0.1, failures=0.5)
+    assert _chosen(_local_picker(failing, far)) == {"far"}
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -48,6 +48,10 @@
 _PROBE_PAUSE = 0.4
 #: Most bytes of a body between nodes.
 _BODY_LIMIT = 64 << 20
+#: Requests at an instance of the own data centre, for each of its slots, up to
+#: which it is taken without looking further: below it nothing waits there, and
+#: the slots left are for what comes before the next reply tells.
+_LOCAL_LOAD = 0.6
 #: News is pushed to this many members at once.  In a small fleet that is
 #: most of them, so a change is known within a tenth of a second.
 _PUSHES = 8
@@ -201,7 +205,7 @@
             settings.relay,
             settings.names,
             self._configuration,
-            Directory(self._clock, self._random, self._membership),
+            Directory(self._clock, self._random, self._membership, _LOCAL_LOAD),
             self._membership,
             self._pool,
             self._gate,
--- a/packages/rattanfork-node/rattanfork_node/member/directory.py
+++ b/packages/rattanfork-node/rattanfork_node/member/directory.py
@@ -19,12 +19,21 @@
         Source of the pickers' draws.
     membership : Membership
         The view.
+    local_load : float
+        Load up to which instances of the own data centre go first.
     """
 
-    def __init__(self, clock: Clock, random: Random, membership: Membership) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        membership: Membership,
+        local_load: float = 0.0,
+    ) -> None:
         self._clock = clock
         self._random = random
         self._membership = membership
+        self._local_load = local_load
         self._version = -1
         self._pickers: dict[str, InstancePicker] = {}
         self._first_seen: dict[str, float] = {}
@@ -75,7 +84,11 @@
             if picker is None:
                 me = self._membership.me
                 picker = InstancePicker(
-                    me.name, me.data_centre, self._clock, self._random
+                    me.name,
+                    me.data_centre,
+                    self._clock,
+                    self._random,
+                    local_load=self._local_load,
                 )
                 self._pickers[service] = picker
             picker.update(states)
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -201,6 +201,8 @@
         exchange = self._exchange
         attempt = self._attempt
         self._link = None
+        if self._state is not None:
+            self._state.busy = self._relay.gate.busy
         self._job = Job(
             member.boot,
             self._operation,
@@ -275,6 +277,8 @@
             self._carry_out(self._machine.on_link_lost(attempt))
             return
         self._relay.hints.hear(self._operation, name, reply.cut)
+        if self._state is not None:
+            self._state.busy = reply.busy
         result = CallResult(
             Outcome(reply.outcome),
             Reason(reply.reason),
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -44,6 +44,7 @@
         Reason.LEAVING,
         Reason.STALE_INSTANCE,
         Reason.SHED,
+        Reason.TOO_LATE,
         Reason.UPSTREAM_DOWN,
         Reason.UPSTREAM_SHED,
         Reason.NO_INSTANCE,
