Hold the threshold for refused calls while they are refused

Cause: behind a service that refuses every second call the threshold of a route rose by a rank a second, so half of the runs were begun that the budget of repeats could not carry.

--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/admission/refusals.py
@@ -0,0 +1,93 @@
+"""The threshold for runs whose deeper calls are refused."""
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.request.importance import RANKS
+
+#: Weight of one attempt in the share of those refused.
+_WEIGHT = 0.02
+#: Share from which the deeper service counts as refusing.  Repeats within
+#: their budget make good for less.
+_REFUSING = 0.15
+#: Seconds in which the share halves while nothing is attempted: if nothing
+#: passes the threshold, nothing tells of an end of the refusals.
+_HALF_LIFE = 1.0
+#: Ranks by which the threshold rises in a second, while the deeper service
+#: refuses and when it no longer does.
+_RISE_REFUSING = 0.1
+_RISE = 2.0
+#: Some requests must pass, or nobody would notice that there is room again.
+_LEAST_CUT = 0.05
+
+
+class RefusalCut:
+    """The rank from which runs of one operation are shed for refused calls.
+
+    Explanation
+    ===========
+
+    The pattern: every instance of a deep service refuses half of what it is
+    sent although it has room.  A run that makes four calls gets through one
+    time in 25, and all its work is lost otherwise.  The budget of repeats
+    would do for a part of the runs if it were not spent on all of them.
+
+    When a call fails because nobody may repeat it, the threshold falls to
+    the rank of its run, so that only as many are begun as the budget can
+    carry, the most important first.  It stays there as long as attempts are
+    refused, and opens within a second when they are taken again.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+
+    Examples
+    ========
+
+    >>> from rattanfork_core.clock import ManualClock
+    >>> clock = ManualClock()
+    >>> cut = RefusalCut(clock)
+    >>> for _ in range(50):
+    ...     cut.on_attempt(refused=True)
+    >>> cut.on_failed(2.25)
+    >>> cut.value
+    2.25
+    >>> clock.advance(0.5)
+    >>> round(cut.value, 2)
+    2.3
+    """
+
+    __slots__ = ("_clock", "_share", "_then", "_value")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._value = float(RANKS)
+        self._share = 0.0
+        self._then = clock.now()
+
+    @property
+    def value(self) -> float:
+        """Runs of this rank or above are shed."""
+        if self._value < RANKS:
+            self._move()
+        return self._value
+
+    def on_attempt(self, refused: bool) -> None:
+        """Count one attempt at a deeper call."""
+        self._move()
+        self._share += _WEIGHT * ((1.0 if refused else 0.0) - self._share)
+
+    def on_failed(self, rank: float) -> None:
+        """Take note that a run of a rank fails for a refused call."""
+        self._move()
+        self._value = max(_LEAST_CUT, min(self._value, rank))
+
+    def _move(self) -> None:
+        now = self._clock.now()
+        passed, self._then = now - self._then, now
+        if passed <= 0:
+            return
+        rise = _RISE_REFUSING if self._share > _REFUSING else _RISE
+        self._value = min(float(RANKS), self._value + rise * passed)
+        if passed > 0.1:
+            self._share *= 0.5 ** (passed / _HALF_LIFE)
--- a/packages/rattanfork-node/rattanfork_node/relay/arrivals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/arrivals.py
@@ -11,7 +11,7 @@
 #: Part of the budget that is open to requests by their importance.  Claims
 #: and searches fail for one refused call as much as what is browsed does, and
 #: there are fewer of them.
-_OPEN_TO = (1.0, 1.0, 0.6, 0.4, 0.3)
+_OPEN_TO = (1.0, 1.0, 0.35, 0.25, 0.25)
 
 
 class ArrivalBudgets:
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -295,6 +295,9 @@
             return
         self._settle(failed=result.reason in _FAILED)
         self._last_reason = result.reason
+        if self._parent is not None:
+            refused = result.reason is Reason.UPSTREAM_SHED
+            self._relay.gate.refusals(self._parent.operation).on_attempt(refused)
         if result.reason is Reason.UPSTREAM_FAILED:
             # A failure that another instance may do better; should none be
             # asked, the upstream's own answer is what the caller gets.
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -7,6 +7,7 @@
     AdmissionController,
     AdmissionSettings,
     Decision,
+    RefusalCut,
     Start,
     Waiter,
 )
@@ -29,13 +30,8 @@
 #: more work with one slot in twenty left free, and one that doesn't loses a
 #: twentieth at most.
 _USED_SLOTS = 0.945
-#: Seconds for which a threshold holds after runs have failed for refused
-#: calls: some of their own running time, so that those begun before count.
-_DENIAL_FRESH = 0.3
-#: Ranks by which it rises in a second after that.
-_DENIAL_RISE = 1.0
-#: Some requests must pass, or nobody would notice that there is room again.
-_LEAST_CUT = 0.05
+#: Operations whose refusals are counted; there are as many as routes.
+_MOST_OPERATIONS = 10_000
 #: Misdirected Request: another incarnation listens at the address.
 _MISDIRECTED = 421
 #: Reasons for which another instance may do better.
@@ -115,7 +111,7 @@
             clock, AdmissionSettings(slots=1, warmup=0.0, adaptive=False)
         )
         self._deep_cuts = HintTable(clock)
-        self._denials = HintTable(clock, fresh=_DENIAL_FRESH, rise=_DENIAL_RISE)
+        self._refusal_cuts: dict[str, RefusalCut] = {}
         self._jobs: dict[int, Job] = {}
         self._running: dict[bytes, Job] = {}
         self._next_key = 0
@@ -176,20 +172,18 @@
 
     def cut(self, operation: str) -> float:
         """Return the threshold to announce: the gate's or a deeper one."""
-        return min(
-            self._admission.cut,
-            self._deep_cuts.cut(operation, ""),
-            self._denials.cut(operation, ""),
-        )
-
-    def deny(self, operation: str, rank: float) -> None:
-        """Take note that runs of a rank fail for refused calls.
-
-        The threshold falls to the rank; it rises again by itself, as nothing
-        tells when the deeper service takes all calls again.
-        """
-        if rank < self._denials.cut(operation, ""):
-            self._denials.hear(operation, "", max(_LEAST_CUT, rank))
+        cut = min(self._admission.cut, self._deep_cuts.cut(operation, ""))
+        refusals = self._refusal_cuts.get(operation)
+        return cut if refusals is None else min(cut, refusals.value)
+
+    def refusals(self, operation: str) -> RefusalCut:
+        """Return the threshold for runs whose calls are refused."""
+        cut = self._refusal_cuts.get(operation)
+        if cut is None:
+            if len(self._refusal_cuts) >= _MOST_OPERATIONS:
+                self._refusal_cuts.clear()
+            cut = self._refusal_cuts[operation] = RefusalCut(self._clock)
+        return cut
 
     def submit(self, job: Job) -> None:
         """Take a request; its ``done`` is called once."""
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -275,7 +275,7 @@
         if result.reason is Reason.UPSTREAM_SHED:
             # Nobody is left to ask again: runs like this one only cost the
             # services before it, until fewer of them are begun.
-            self.gate.deny(parent.operation, parent.rank)
+            self.gate.refusals(parent.operation).on_failed(parent.rank)
 
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
