Take only what ends before the node does, once it is told to stop

A node told to stop took requests until its end, since the platform goes on sending where few nodes of a zone are in; those at work at the end were cut.

Change: a root whose timeout ends after the node is refused as not run; calls of runs begun are still taken. An upstream not heard yet counts as 64 slots.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -42,8 +42,10 @@
 _SERVE_FOR = 2.6
 #: Part of the grace after which the process ends whatever is in flight.
 _GRACE_SHARE = 0.85
-#: Slots assumed of an upstream whose announcement has not been heard yet.
-_UNKNOWN_SLOTS = 16
+#: Slots assumed of an upstream whose announcement has not been heard yet.  Too
+#: many wait inside the upstream for a heartbeat's time at most, or are refused
+#: by it as not run; too few leave it idle just when all begin anew.
+_UNKNOWN_SLOTS = 64
 #: Seconds between two probes of an upstream that is not known.
 _PROBE_PAUSE = 0.4
 #: Most bytes of a body between nodes.
@@ -343,6 +345,7 @@
         self._member.leave()
         self._callers.leave()
         end = began + _GRACE_SHARE * self._settings.grace
+        self._relay.leave(end)
         removal = asyncio.ensure_future(self._join.leave())
         while (now := self._clock.now()) < end:
             if now - began > _TAKE_RUNS_FOR and self._gate.accepting:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -111,6 +111,7 @@
         self._names = names
         self._configuration = configuration
         self._membership = membership
+        self._leaves_at: float | None = None
         self._operations: dict[tuple[str, str], str] = {}
         self._background: set[asyncio.Task] = set()
         self._caller_line = names.caller + b": " + settings.service.encode() + b"\r\n"
@@ -129,6 +130,9 @@
         exchange.block += self._caller_line
         parent = self.gate.parent_of(exchange.request_id)
         service = self._configuration.next_service(route)
+        if parent is None and self._leaves_before(route):
+            self._refuse(exchange, Reason.LEAVING, self._settings.retry_after)
+            return
         picker = self.directory.picker(service) if service is not None else None
         if picker is None or not picker.subset:
             self._refuse(exchange, Reason.NO_INSTANCE, self._settings.retry_after)
@@ -146,6 +150,14 @@
             return
         self._forward(exchange, route, service, rank, parent, picker, blocked)
 
+    def leave(self, at: float) -> None:
+        """Take only what ends before this node does, at a time in seconds.
+
+        Calls of runs at the node's own upstream are taken until the end: those
+        runs were begun, and could not end without them.
+        """
+        self._leaves_at = at
+
     def operation(self, route: Route, service: str) -> str:
         """Return the name under which thresholds of a route are kept."""
         key = (route.name, service)
@@ -231,6 +243,10 @@
             parent.cancels[id(exchange)] = forwarding.on_caller_left
         forwarding.start()
 
+    def _leaves_before(self, route: Route) -> bool:
+        leaves_at = self._leaves_at
+        return leaves_at is not None and self.clock.now() + route.timeout > leaves_at
+
     def _rank(self, exchange: Exchange, route: Route, parent: Job | None) -> float:
         if parent is not None:
             return parent.rank
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the path of a request by routes."""
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -0,0 +1,228 @@
+"""A gate, a relay and an upstream without sockets."""
+
+import asyncio
+from functools import wraps
+from random import Random
+
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.membership import Member, Membership
+from rattanfork_core.request import CallResult
+from rattanfork_core.routes import Configuration, Route, Share
+
+from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.http1 import HeaderNames, UpstreamAnswer
+from rattanfork_node.http1.exchange import Exchange
+from rattanfork_node.member.directory import Directory
+from rattanfork_node.peer import LinkLostError, Run, RunReply
+from rattanfork_node.relay import Relay, RelaySettings
+from rattanfork_node.relay.gate import Gate, Upstream
+from rattanfork_node.relay.job import Job
+from rattanfork_node.telemetry import Counters
+
+
+def on_loop(test):
+    """Run a test inside an event loop."""
+
+    @wraps(test)
+    def run(*args, **kwargs):
+        async def inner():
+            await test(*args, **kwargs)
+
+        asyncio.run(inner())
+
+    return run
+
+
+class FakeConnection:
+    """Keeps what was sent; the test answers."""
+
+    def __init__(self) -> None:
+        self.sent = b""
+        self.done = None
+        self.aborted = False
+
+    def send(self, data, request_id, done, is_head=False) -> None:
+        self.sent, self.done = data, done
+
+    def abort(self) -> None:
+        self.aborted = True
+
+
+class FakeUpstreamPool:
+    """Hands out fake connections, or none."""
+
+    def __init__(self) -> None:
+        self.connections: list[FakeConnection] = []
+        self.broken = False
+        self.held: list = []
+        self.holding = False
+
+    def acquire(self, taken) -> None:
+        if self.holding:
+            self.held.append(taken)
+        elif self.broken:
+            taken(None)
+        else:
+            self.connections.append(FakeConnection())
+            taken(self.connections[-1])
+
+    def give_back(self, connection) -> None:
+        connection.aborted = True
+
+    def retire(self) -> None:
+        pass
+
+
+class GateWorld:
+    """A gate with an upstream that the test speaks for."""
+
+    def __init__(self, slots: int = 1) -> None:
+        self.clock = ManualClock(100.0)
+        self.gate = Gate(self.clock, "b1", HeaderNames(), Counters())
+        self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
+        self.pool = self.gate._pool = FakeUpstreamPool()
+
+    def submit(self, request_id: str = "r1", rank: float = 2.5, **changes):
+        results: list[CallResult] = []
+        fields = {
+            "boot": "b1",
+            "operation": "route/s",
+            "method": b"GET",
+            "target": b"/a/",
+            "block": b"Host: h\r\n",
+            "body": b"",
+            "request_id": request_id.encode(),
+            "rank": rank,
+            "deadline": self.clock.now() + 2.0,
+            "idempotent": True,
+            "repeated": False,
+            "done": results.append,
+        }
+        job = Job(**{**fields, **changes})
+        self.gate.submit(job)
+        return job, results
+
+    def answer(self, number: int, status: int = 200, **headers: bytes) -> None:
+        noted = {name.replace("_", "-").encode(): v for name, v in headers.items()}
+        done = self.pool.connections[number].done
+        done(UpstreamAnswer(status, b"X: y\r\n", b"body", noted))
+
+
+class FakeLink:
+    """A link to another node; the test is the node."""
+
+    connection = "c1"
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
+        self.runs: list[tuple[Run, object]] = []
+        self.sent: list = []
+        self.number = 0
+
+    def next_number(self) -> int:
+        self.number += 1
+        return self.number
+
+    def run(self, run, done) -> None:
+        self.runs.append((run, done))
+
+    def send(self, message) -> None:
+        self.sent.append(message)
+
+    def forget(self, number) -> None:
+        pass
+
+    def reply(self, place: int, outcome, reason=0, status=0, **more) -> None:
+        run, done = self.runs[place]
+        fields = {"retry_elsewhere": False, "cut": 5.0, "busy": 1, **more}
+        done(RunReply(run.number, outcome, reason, status, b"", b"body", **fields))
+
+    def lose(self, place: int) -> None:
+        self.runs[place][1](None)
+
+
+class FakePeerPool:
+    """Links to other nodes by their names."""
+
+    def __init__(self) -> None:
+        self.links: dict[str, FakeLink] = {}
+        self.verdicts: list = []
+        self.fenced: list = []
+
+    def ready(self, member) -> FakeLink | None:
+        return self.links.get(member.name)
+
+    async def open(self, address) -> FakeLink:
+        raise LinkLostError("nobody listens")
+
+    async def fence_calls(self, member, connection, calls) -> list:
+        self.fenced.append((member.name, connection, calls))
+        return [self.verdicts.pop(0)]
+
+
+class FakeConnectionOfClient:
+    """Takes the answers of an exchange."""
+
+    def flush_answers(self) -> None:
+        pass
+
+
+class RelayWorld:
+    """A relay on node ``me`` of service ``s``, with peers and an upstream."""
+
+    def __init__(self, peers: int = 0, **route) -> None:
+        self.clock = ManualClock(100.0)
+        self.counters = Counters()
+        fields = {"timeout": 1.0, "idempotent": True, "priority": 2, **route}
+        self.route = Route("r", "h", "/a/", (Share("t"),), **fields)
+        self.inner = Route("i", "h", "/i/", (Share("t"),), **fields)
+        me = Member("me", "b1", "s", "dc1", "127.0.0.1", 1, 1, 8, ready=True)
+        membership = Membership(self.clock, Random(1), me)
+        self.pool = FakePeerPool()
+        for place in range(peers):
+            peer = Member(f"p{place}", "b", "t", "dc1", "127.0.0.1", 2 + place, 2, 8)
+            membership.merge([peer])
+            self.pool.links[peer.name] = FakeLink(peer.name)
+        self.gate_world = GateWorld(8)
+        self.gate = self.gate_world.gate
+        self.gate._clock = self.clock
+        holder = ConfigurationHolder(
+            lambda _: Configuration(1, (self.route, self.inner), {})
+        )
+        holder.offer(b"-")
+        self.relay = Relay(
+            self.clock,
+            Random(1),
+            RelaySettings("s", "dc1"),
+            HeaderNames(),
+            holder,
+            Directory(self.clock, Random(1), membership),
+            membership,
+            self.pool,
+            self.gate,
+            self.counters,
+        )
+
+    @property
+    def links(self) -> list[FakeLink]:
+        return list(self.pool.links.values())
+
+    @property
+    def runs(self) -> list:
+        """All runs sent, with their links, in the order they were sent."""
+        return [(link, i) for link in self.links for i in range(len(link.runs))]
+
+    def ask(self, path: str = "/a/x", request_id: str = "r1", wait=None) -> Exchange:
+        exchange = Exchange(
+            FakeConnectionOfClient(),
+            b"GET",
+            path.encode(),
+            "h",
+            b"Host: h\r\n",
+            b"",
+            request_id.encode(),
+            wait,
+            True,
+        )
+        self.relay.on_request(exchange)
+        return exchange
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -1,87 +1,10 @@
 """Tests of the gate in front of an upstream, without sockets."""
 
 import pytest
-from rattanfork_core.clock import ManualClock
-from rattanfork_core.request import CallResult, Outcome, Reason
-from rattanfork_node.http1 import HeaderNames, UpstreamAnswer
-from rattanfork_node.relay.gate import Gate, Upstream
-from rattanfork_node.relay.job import Job
-from rattanfork_node.telemetry import Counters
-
-
-class FakeConnection:
-    """Keeps what was sent; the test answers."""
-
-    def __init__(self) -> None:
-        self.sent = b""
-        self.done = None
-        self.aborted = False
-
-    def send(self, data, request_id, done, is_head=False) -> None:
-        self.sent, self.done = data, done
-
-    def abort(self) -> None:
-        self.aborted = True
-
-
-class FakePool:
-    """Hands out fake connections, or none."""
-
-    def __init__(self) -> None:
-        self.connections: list[FakeConnection] = []
-        self.broken = False
-        self.held: list = []
-        self.holding = False
-
-    def acquire(self, taken) -> None:
-        if self.holding:
-            self.held.append(taken)
-        elif self.broken:
-            taken(None)
-        else:
-            self.connections.append(FakeConnection())
-            taken(self.connections[-1])
-
-    def give_back(self, connection) -> None:
-        connection.aborted = True
-
-    def retire(self) -> None:
-        pass
-
-
-class World:
-    """A gate with an upstream that the test speaks for."""
-
-    def __init__(self, slots: int = 1) -> None:
-        self.clock = ManualClock(100.0)
-        self.gate = Gate(self.clock, "b1", HeaderNames(), Counters())
-        self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
-        self.pool = self.gate._pool = FakePool()
-
-    def submit(self, request_id: str = "r1", rank: float = 2.5, **changes):
-        results: list[CallResult] = []
-        fields = {
-            "boot": "b1",
-            "operation": "route/s",
-            "method": b"GET",
-            "target": b"/a/",
-            "block": b"Host: h\r\n",
-            "body": b"",
-            "request_id": request_id.encode(),
-            "rank": rank,
-            "deadline": self.clock.now() + 2.0,
-            "idempotent": True,
-            "repeated": False,
-            "done": results.append,
-        }
-        job = Job(**{**fields, **changes})
-        self.gate.submit(job)
-        return job, results
-
-    def answer(self, number: int, status: int = 200, **headers: bytes) -> None:
-        noted = {name.replace("_", "-").encode(): v for name, v in headers.items()}
-        done = self.pool.connections[number].done
-        done(UpstreamAnswer(status, b"X: y\r\n", b"body", noted))
+from rattanfork_core.request import Outcome, Reason
+
+from rattanfork_node.relay.tests.fakes import FakeConnection
+from rattanfork_node.relay.tests.fakes import GateWorld as World
 
 
 def test_a_request_names_the_incarnation_and_the_time_left():
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -0,0 +1,167 @@
+"""Tests of the path of a request from its node, without sockets."""
+
+import asyncio
+
+from rattanfork_core.request import FenceVerdict, Outcome, Reason
+
+from rattanfork_node.peer import Cancel
+from rattanfork_node.relay.tests.fakes import RelayWorld, on_loop
+
+ANSWERED, NOT_RUN, UNKNOWN = Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN
+
+
+async def settle() -> None:
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+@on_loop
+async def test_an_answer_comes_back_as_it_was_given():
+    world = RelayWorld(peers=1)
+    exchange = world.ask()
+    [link] = world.links
+    run, _ = link.runs[0]
+    assert b"Rattanfork-Caller: s\r\n" in run.block
+    assert 900 < run.time_left <= 1000
+    link.reply(0, ANSWERED, status=200)
+    assert exchange.output == (200, b"", b"body")
+
+
+@on_loop
+async def test_without_a_route_the_answer_is_404_and_without_instances_503():
+    world = RelayWorld()
+    assert world.ask("/none/").output[0] == 404
+    status, block, _ = world.ask().output
+    assert status == 503
+    assert b"Retry-After: " in block
+
+
+@on_loop
+async def test_what_may_run_once_is_not_sent_again_after_a_lost_link():
+    """The link to the guard is lost while a posting is there.
+
+    The guard is asked over another link; it has handed the posting over, so
+    nobody can say how it ended, and it is not sent to anybody else.
+    """
+    world = RelayWorld(peers=2, idempotent=False)
+    world.pool.verdicts = [FenceVerdict.HANDED_OVER]
+    exchange = world.ask()
+    [(link, place)] = world.runs
+    link.lose(place)
+    await settle()
+    assert len(world.runs) == 1
+    assert exchange.output[0] == 502
+
+
+@on_loop
+async def test_what_the_guard_has_fenced_is_sent_again():
+    """The link to the guard is lost before the posting was handed over.
+
+    The guard says so and refuses it from then on, so another may run it.
+    """
+    world = RelayWorld(peers=2, idempotent=False)
+    world.pool.verdicts = [FenceVerdict.NOT_RUN]
+    exchange = world.ask()
+    [(link, place)] = world.runs
+    link.lose(place)
+    await settle()
+    assert len(world.pool.fenced) == 1
+    other, place = next(r for r in world.runs if r[0] is not link)
+    other.reply(place, ANSWERED, status=200)
+    assert exchange.output[0] == 200
+
+
+@on_loop
+async def test_an_upstreams_own_failure_is_tried_elsewhere_and_else_handed_on():
+    world = RelayWorld(peers=2, most_upstreams=2)
+    exchange = world.ask()
+    [(first, place)] = world.runs
+    failed = Reason.UPSTREAM_FAILED
+    first.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
+    assert exchange.output is None
+    second, place = next(r for r in world.runs if r[0] is not first)
+    assert second.runs[place][0].repeated
+    second.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
+    assert exchange.output == (500, b"", b"body")
+
+
+@on_loop
+async def test_the_time_of_a_route_ends_a_request_and_its_run():
+    world = RelayWorld(peers=1, timeout=0.03)
+    exchange = world.ask()
+    await asyncio.sleep(0.05)
+    assert exchange.output[0] == 504
+    assert [type(m) for m in world.links[0].sent] == [Cancel]
+    world.links[0].reply(0, ANSWERED, status=200)
+    assert exchange.output[0] == 504
+
+
+@on_loop
+async def test_a_caller_that_leaves_ends_its_run():
+    world = RelayWorld(peers=1)
+    exchange = world.ask()
+    exchange.on_gone()
+    assert [type(m) for m in world.links[0].sent] == [Cancel]
+
+
+@on_loop
+async def test_a_threshold_heard_refuses_at_the_root_but_not_a_run_begun():
+    """The only instance announces that it sheds what is of little importance.
+
+    A caller's request is refused at once and told when to come back.  A call
+    of a run at our own upstream has the rank of that run and still passes.
+    """
+    world = RelayWorld(peers=1)
+    world.ask()
+    world.links[0].reply(0, ANSWERED, status=200, cut=2.0)
+    exchange = world.ask(request_id="r2")
+    assert exchange.output[0] == 503
+    assert b"Retry-After" in exchange.output[1]
+    world.gate_world.submit("run", rank=2.5)
+    assert world.ask("/a/x", request_id="run.0123456789abcdef").output is None
+
+
+@on_loop
+async def test_a_call_ends_with_the_run_that_made_it():
+    """The caller of a run leaves while the run waits for a call of its own.
+
+    Nobody wants the answer of the call either; it is cancelled with the run.
+    """
+    world = RelayWorld(peers=1)
+    job, _ = world.gate_world.submit("run", deadline=world.clock.now() + 0.3)
+    exchange = world.ask("/i/x", request_id="run.0123456789abcdef")
+    run, _ = world.links[0].runs[0]
+    assert run.time_left <= 300
+    world.gate.cancel(job)
+    assert [type(m) for m in world.links[0].sent] == [Cancel]
+    assert exchange.answered
+
+
+@on_loop
+async def test_a_leaving_node_takes_what_ends_before_it_and_nothing_else():
+    """A node was told to stop; a client whose zone has few others goes on.
+
+    Taken, its request would be cut when the node ends.  Refused as not run it
+    can go elsewhere.  A call of a run that is still at work is taken.
+    """
+    world = RelayWorld(peers=1, timeout=1.0)
+    world.relay.leave(world.clock.now() + 1.5)
+    assert world.ask(request_id="r1").output is None
+    world.clock.advance(0.6)
+    assert world.ask(request_id="r2").output[0] == 503
+    world.gate_world.submit("run", deadline=world.clock.now() + 0.5)
+    assert world.ask("/i/x", request_id="run.0123456789abcdef").output is None
+
+
+@on_loop
+async def test_an_instance_that_nobody_reaches_is_not_the_end():
+    """No connection can be made to the instance that was picked.
+
+    Nothing was sent, so also what may run once goes to another.
+    """
+    world = RelayWorld(peers=2, idempotent=False)
+    del world.pool.links["p0"]
+    for _ in range(20):
+        world.ask()
+        await settle()
+    assert len(world.pool.links["p1"].runs) == 20
