--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -160,8 +160,8 @@
     Nothing was sent, so also what may run once goes to another.
     """
     world = RelayWorld(peers=2, idempotent=False)
-    del world.pool.links["p0"]
+    del world.pool.links["p0@b"]
     for _ in range(20):
         world.ask()
         await settle()
-    assert len(world.pool.links["p1"].runs) == 20
+    assert len(world.pool.links["p1@b"].runs) == 20
