--- a/packages/rattanfork-cli/rattanfork_cli/commands/rules.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/rules.py
@@ -9,7 +9,7 @@
 from rattanfork_core.revision import CommitOutcome, CommitStatus, RulesRecord
 from rattanfork_core.rules import RulesDocument, move_rule, retire_rule
 from rattanfork_platform import PlatformDownError
-from rattanfork_platform.http import HttpPlatform
+from rattanfork_platform.connect import connect_platform
 from returns.result import Result, Success
 
 from rattanfork_cli.documents import dump_rules, load_or_exit, read_text
@@ -30,7 +30,10 @@
 
 def _with_store(url: str, work: Callable[[RulesStore], Awaitable[Answer]]) -> Answer:
     async def run() -> Answer:
-        platform = HttpPlatform(url, timeout=3.0)
+        try:
+            platform = connect_platform(url)
+        except ValueError as error:
+            raise fail(str(error), BAD_INPUT) from None
         try:
             return await work(RulesStore(platform))
         finally:
--- a/packages/rattanfork-core/rattanfork_core/account/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/account/__init__.py
@@ -2,6 +2,7 @@
 
 from rattanfork_core.account.account import Account
 from rattanfork_core.account.budget import RetryBudget
+from rattanfork_core.account.callers import CallerBook
 from rattanfork_core.account.context import RunContext
 from rattanfork_core.account.hop import HopAccount
 from rattanfork_core.account.rate import RateLimit
@@ -9,6 +10,7 @@
 
 __all__ = [
     "Account",
+    "CallerBook",
     "HopAccount",
     "RateLimit",
     "RepeatBudget",
--- a/packages/rattanfork-node/rattanfork_node/ingress/callers.py
+++ b/packages/rattanfork-core/rattanfork_core/account/callers.py
@@ -2,7 +2,8 @@
 
 from collections import OrderedDict
 
-from rattanfork_core.account import RateLimit, RetryBudget
+from rattanfork_core.account.budget import RetryBudget
+from rattanfork_core.account.rate import RateLimit
 from rattanfork_core.clock import Clock
 
 
--- a/packages/rattanfork-core/rattanfork_core/revision/state.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/state.py
@@ -1,7 +1,15 @@
 """The revision in force at one node."""
 
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from rattanfork_core.revision.record import RulesRecord
-from rattanfork_core.rules import RuleSet, load_rules
+
+if TYPE_CHECKING:
+    from rattanfork_core.rules import RuleSet
+
+_NO_RULES = "rules: []"
 
 
 class RevisionState:
@@ -42,7 +50,7 @@
     def __init__(self, data_centres_needed: int = 2) -> None:
         self._needed = data_centres_needed
         self._record = RulesRecord(0, "", "", "", "")
-        self._rules = load_rules("rules: []")
+        self._rules: RuleSet | None = None
         self._heard: set[str] = set()
         self._ready = False
 
@@ -59,6 +67,8 @@
     @property
     def rules(self) -> RuleSet:
         """The rules in force."""
+        if self._rules is None:
+            self._rules = _load(_NO_RULES, "no rules")
         return self._rules
 
     @property
@@ -93,6 +103,14 @@
     def _offer(self, record: RulesRecord | None, rules: RuleSet | None) -> bool:
         if record is None or record.revision <= self._record.revision:
             return False
-        self._rules = rules or load_rules(record.text, f"revision {record.revision}")
+        self._rules = rules or _load(record.text, f"revision {record.revision}")
         self._record = record
         return True
+
+
+def _load(text: str, name: str) -> RuleSet:
+    # Imported late: checking documents takes a library of 20 MB, which a node
+    # without rules never needs.
+    from rattanfork_core.rules import load_rules
+
+    return load_rules(text, name)
--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -146,6 +146,10 @@
             and now - s.known_since >= self._warmup
         ]
 
+    def outside(self, data_centre: str) -> frozenset[str]:
+        """Return the instances that are not in a data centre."""
+        return frozenset(s.name for s in self._subset if s.data_centre != data_centre)
+
     def spread(self, count: int) -> list[str]:
         """Return instances for work to be sent later, spread by slots.
 
--- a/packages/rattanfork-node/rattanfork_node/app/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/app/peers.py
@@ -25,10 +25,10 @@
     PeerHandler,
     PeerLink,
     Reply,
-    RulesReply,
     RulesRequest,
     SyncReply,
     SyncRequest,
+    rules_reply,
 )
 from rattanfork_node.telemetry import Counters
 
@@ -122,19 +122,7 @@
 
     def on_rules(self, link: PeerLink, request: RulesRequest) -> None:
         """Reply with the rules held."""
-        record = self._rules.record
-        text = "" if record.revision == request.known else record.text
-        link.send(
-            RulesReply(
-                request.number,
-                self._rules.ready,
-                record.revision,
-                record.operation,
-                record.author,
-                record.comment,
-                text,
-            )
-        )
+        link.send(rules_reply(self._rules, request))
 
     def on_sync(self, link: PeerLink, request: SyncRequest) -> None:
         """Reply with the records that differ."""
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -9,6 +9,7 @@
 from rattanfork_core.announcements import Announcement, AnnouncementBook
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Member, Membership, MembershipSettings
+from rattanfork_core.revision import RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_platform import WatchedPlatform
 
@@ -17,6 +18,7 @@
 from rattanfork_node.app.relay_settings import RelayNodeSettings
 from rattanfork_node.config.configuration_task import ConfigurationTask
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.http1 import HttpServer, RequestLimits
 from rattanfork_node.http1.server import RequestHandler
 from rattanfork_node.member import MemberTask
@@ -54,6 +56,9 @@
 #: which it is taken without looking further: below it nothing waits there, and
 #: the slots left are for what comes before the next reply tells.
 _LOCAL_LOAD = 0.6
+#: Data centres whose word on the rules replaces the store's: one alone may have
+#: been cut off when the last change was accepted.
+_WORDS_NEEDED = 2
 #: News is pushed to this many members at once.  In a small fleet that is
 #: most of them, so a change is known within a tenth of a second.
 _PUSHES = 8
@@ -116,7 +121,7 @@
     def ready(self) -> bool:
         """Whether new work of callers is taken."""
         known = self._join.joined or len(self._membership.present()) > 1
-        held = self._configuration.current is not None
+        held = self._configuration.current is not None and self._rules.ready
         return known and held and not self._draining.is_set()
 
     def on_announcement(self, announcement: Announcement) -> None:
@@ -154,6 +159,7 @@
             ready=False,
         )
         self._configuration = ConfigurationHolder(decode)
+        self._rules = RevisionState(min(_WORDS_NEEDED, settings.data_centres))
         self._configuration.on_change = self._on_configuration
         self._membership = Membership(
             self._clock,
@@ -164,7 +170,11 @@
         self._membership.revision = lambda: self._configuration.version
         self._gate = Gate(self._clock, self._boot, settings.names, self._counters)
         self._handler = RelayPeerHandler(
-            self._clock, self._gate, self._configuration, self._counters
+            self._clock,
+            self._gate,
+            self._configuration,
+            self._rules,
+            self._counters,
         )
         self._pool = PeerPool(
             lambda: self._make_link(connecting=True), self._clock, _SILENCE
@@ -197,6 +207,14 @@
             self._pool,
             self._counters,
         )
+        self._rules_watch = RulesWatch(
+            self._random,
+            self._rules,
+            self._platform,
+            self._membership,
+            self._pool,
+            self._counters,
+        )
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
     def _make_servers(self, announcement_handler: RequestHandler) -> None:
@@ -207,6 +225,7 @@
             settings.relay,
             settings.names,
             self._configuration,
+            self._rules,
             Directory(self._clock, self._random, self._membership, _LOCAL_LOAD),
             self._membership,
             self._pool,
@@ -246,6 +265,7 @@
             await server.start(server_host, server_port)
         self._join.start()
         self._config_task.start()
+        self._rules_watch.start()
 
     async def _tick_forever(self) -> None:
         ticks = 0
@@ -362,6 +382,7 @@
 
     def _stop(self) -> None:
         self._config_task.close()
+        self._rules_watch.close()
         self._join.close()
         self._member.close()
         for _, server in self._servers:
--- a/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
@@ -35,6 +35,9 @@
         Secret that all nodes share.
     configuration_table, configuration_key : str
         The row that holds the configuration.
+    data_centres : int
+        Data centres of the deployment.  While the store is away, a fresh node
+        takes the rules on the word of two of them, or of the only one.
     grace : float
         Seconds from SIGTERM until the process is killed.
     """
@@ -50,4 +53,5 @@
     fleet_key: bytes = b"rattanfork"
     configuration_table: str = "operator"
     configuration_key: str = "configuration"
+    data_centres: int = 1
     grace: float = 6.0
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -15,7 +15,7 @@
 #: Seconds for which one watch of the store waits.  Connections can go silent
 #: unnoticed, so this bounds how long a change stays unseen if no peer tells;
 #: each end of a wait is one call to the store.
-_WATCH_WAIT = 12.0
+_WATCH_WAIT = 20.0
 #: Seconds between tries while the store does not answer: first and longest.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
@@ -103,7 +103,7 @@
         while True:
             try:
                 if version is None:
-                    rows = await self._platform.scan(self._table)
+                    rows = await self._platform.scan(self._table, self._key)
                 else:
                     rows = await self._platform.watch(self._table, version, _WATCH_WAIT)
             except HistoryLostError:
--- a/packages/rattanfork-node/rattanfork_node/ingress/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/__init__.py
@@ -1,6 +1,7 @@
 """From a caller's request to its final answer, free of HTTP."""
 
-from rattanfork_node.ingress.callers import CallerBook
+from rattanfork_core.account.callers import CallerBook
+
 from rattanfork_node.ingress.dispatcher import Dispatcher
 from rattanfork_node.ingress.epochs import EpochBook
 from rattanfork_node.ingress.incoming import Incoming
--- a/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
+++ b/packages/rattanfork-node/rattanfork_node/ingress/ingress.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from rattanfork_core.account import Account, RunContext
+from rattanfork_core.account.callers import CallerBook
 from rattanfork_core.atmostonce import TicketError, TicketMint
 from rattanfork_core.burn import BurnMeter
 from rattanfork_core.clock import Clock
@@ -25,7 +26,6 @@
 from rattanfork_platform import PlatformDownError
 
 from rattanfork_node.guard import Guard
-from rattanfork_node.ingress.callers import CallerBook
 from rattanfork_node.ingress.dispatcher import Dispatcher, Job, blocked_instances
 from rattanfork_node.ingress.incoming import Incoming
 from rattanfork_node.ingress.key_assigner import KeyAssigner
@@ -348,7 +348,7 @@
     """Return the instances that a rule rules out by their data centre."""
     if data_centre is None:
         return _NOBODY
-    return frozenset(s.name for s in picker.subset if s.data_centre != data_centre)
+    return picker.outside(data_centre)
 
 
 def _nobody(avoid: frozenset[str]) -> str | None:
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -31,6 +31,7 @@
     encode_message,
 )
 from rattanfork_node.peer.pool import PeerPool
+from rattanfork_node.peer.rules import rules_reply
 
 __all__ = [
     "BurnReply",
@@ -63,4 +64,5 @@
     "Welcome",
     "decode_message",
     "encode_message",
+    "rules_reply",
 ]
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/peer/rules.py
@@ -0,0 +1,20 @@
+"""What a node tells others of the rules it holds."""
+
+from rattanfork_core.revision import RevisionState
+
+from rattanfork_node.peer.messages import RulesReply, RulesRequest
+
+
+def rules_reply(state: RevisionState, request: RulesRequest) -> RulesReply:
+    """Return the rules held; without their text if the asker has them."""
+    record = state.record
+    text = "" if record.revision == request.known else record.text
+    return RulesReply(
+        request.number,
+        state.ready,
+        record.revision,
+        record.operation,
+        record.author,
+        record.comment,
+        text,
+    )
--- a/packages/rattanfork-node/rattanfork_node/relay/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peers.py
@@ -7,6 +7,7 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.request import CallResult, FenceVerdict
 from rattanfork_core.request.importance import RANKS
+from rattanfork_core.revision import RevisionState
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.member import MemberTask
@@ -27,6 +28,7 @@
     RunReply,
     SyncReply,
     SyncRequest,
+    rules_reply,
 )
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
@@ -48,6 +50,8 @@
         This node's gate.
     configuration : ConfigurationHolder
         The configuration in force.
+    rules : RevisionState
+        The ordered rules in force.
     counters : Counters
         What happened.
     """
@@ -57,11 +61,13 @@
         clock: Clock,
         gate: Gate,
         configuration: ConfigurationHolder,
+        rules: RevisionState,
         counters: Counters,
     ) -> None:
         self._clock = clock
         self._gate = gate
         self._configuration = configuration
+        self._rules = rules
         self._counters = counters
         self._ledgers: OrderedDict[str, ConnectionLedger] = OrderedDict()
         self._links: set[PeerLink] = set()
@@ -157,8 +163,8 @@
         raise FrameError("calls are not served here")
 
     def on_rules(self, link: PeerLink, request: RulesRequest) -> None:
-        """Refuse: rules are read from the table here."""
-        raise FrameError("rules are not served here")
+        """Reply with the rules held."""
+        link.send(rules_reply(self._rules, request))
 
     def on_burn(self, link: PeerLink, request: BurnRequest) -> None:
         """Refuse: no objectives are counted here."""
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -1,8 +1,12 @@
 """Where requests by routes enter."""
 
+from __future__ import annotations
+
 import asyncio
 from collections.abc import Coroutine
+from dataclasses import replace
 from random import Random
+from typing import TYPE_CHECKING
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import HintTable
@@ -15,6 +19,7 @@
     spread_retry_after,
 )
 from rattanfork_core.request.importance import RANKS
+from rattanfork_core.revision import RevisionState
 from rattanfork_core.routes import Route
 from rattanfork_core.routing import InstancePicker
 
@@ -30,6 +35,9 @@
 from rattanfork_node.relay.settings import RelaySettings
 from rattanfork_node.telemetry import Counters
 
+if TYPE_CHECKING:
+    from rattanfork_node.relay.ruling import Ruler, Ruling
+
 #: An instance that fails more often than this says nothing of thresholds.
 _MOSTLY_FAILING = 0.5
 #: Seconds before the deadline at which a request is given up, so that its
@@ -72,6 +80,8 @@
         Headers to set.
     configuration : ConfigurationHolder
         Routes.
+    rules : RevisionState
+        The operators' ordered rules; they stand above the routes.
     directory : Directory
         Who serves what.
     membership : Membership
@@ -91,6 +101,7 @@
         settings: RelaySettings,
         names: HeaderNames,
         configuration: ConfigurationHolder,
+        rules: RevisionState,
         directory: Directory,
         membership: Membership,
         pool: PeerPool,
@@ -110,6 +121,8 @@
         self._settings = settings
         self._names = names
         self._configuration = configuration
+        self._rules = rules
+        self._ruler: Ruler | None = None
         self._membership = membership
         self._leaves_at: float | None = None
         self._operations: dict[tuple[str, str], str] = {}
@@ -119,7 +132,7 @@
     def on_request(self, exchange: Exchange) -> None:
         """Take a request that was read whole."""
         configuration = self._configuration.current
-        if configuration is None:
+        if configuration is None or not self._rules.ready:
             self._refuse(exchange, Reason.NOT_READY, _NOT_READY_RETRY)
             return
         route = configuration.table.find(exchange.host, exchange.path)
@@ -141,6 +154,22 @@
             self.budgets.count_repeat(service)
         else:
             self.budgets.count_request(service)
+        elsewhere = _NOBODY
+        if parent is None and self._rules.revision:
+            ruling = self._rule(exchange, route, service, picker)
+            if ruling.refusal is not None:
+                after = ruling.retry_after or self._settings.retry_after
+                self._refuse(exchange, ruling.refusal, after)
+                return
+            route = replace(
+                route,
+                priority=ruling.level,
+                timeout=ruling.timeout,
+                idempotent=ruling.idempotent,
+                most_upstreams=ruling.most_upstreams,
+            )
+            if ruling.data_centre is not None:
+                elsewhere = picker.outside(ruling.data_centre)
         rank = self._rank(exchange, route, parent)
         operation = self.operation(route, service)
         blocked = self._blocked(picker, operation, rank)
@@ -148,7 +177,8 @@
             after = self._return_after(rank)
             self._refuse(exchange, Reason.SHED_EARLY, after)
             return
-        self._forward(exchange, route, service, rank, parent, picker, blocked)
+        avoided = (blocked or _NOBODY) | elsewhere
+        self._forward(exchange, route, service, rank, parent, picker, avoided)
 
     def leave(self, at: float) -> None:
         """Take only what ends before this node does, at a time in seconds.
@@ -220,7 +250,7 @@
         rank: float,
         parent: Job | None,
         picker: InstancePicker,
-        blocked: frozenset[str] | None,
+        blocked: frozenset[str],
     ) -> None:
         now = self.clock.now()
         deadline = now + route.timeout - _ANSWER_MARGIN
@@ -237,12 +267,30 @@
             deadline,
             parent,
             picker,
-            blocked or _NOBODY,
+            blocked,
         )
         if parent is not None:
             parent.cancels[id(exchange)] = forwarding.on_caller_left
         forwarding.start()
 
+    def _rule(
+        self, exchange: Exchange, route: Route, service: str, picker: InstancePicker
+    ) -> Ruling:
+        if self._ruler is None:
+            from rattanfork_node.relay.ruling import Ruler
+
+            self._ruler = Ruler(self.clock, self._settings.data_centre)
+        operation = self.operation(route, service)
+        cuts = [self.hints.cut(operation, state.name) for state in picker.subset]
+        return self._ruler.rule(
+            self._rules.rules,
+            route,
+            service,
+            exchange.method.decode("latin-1"),
+            self._settings.service,
+            1.0 - max(cuts) / RANKS,
+        )
+
     def _leaves_before(self, route: Route) -> bool:
         leaves_at = self._leaves_at
         return leaves_at is not None and self.clock.now() + route.timeout > leaves_at
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -7,6 +7,7 @@
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.request import CallResult
+from rattanfork_core.revision import RevisionState, RulesRecord
 from rattanfork_core.routes import Configuration, Route, Share
 
 from rattanfork_node.config.holder import ConfigurationHolder
@@ -190,12 +191,15 @@
             lambda _: Configuration(1, (self.route, self.inner), {})
         )
         holder.offer(b"-")
+        self.rules = RevisionState()
+        self.rules.hear_from_store(None)
         self.relay = Relay(
             self.clock,
             Random(1),
             RelaySettings("s", "dc1"),
             HeaderNames(),
             holder,
+            self.rules,
             Directory(self.clock, Random(1), membership),
             membership,
             self.pool,
@@ -203,6 +207,11 @@
             self.counters,
         )
 
+    def accept_rules(self, text: str) -> None:
+        """Let a document of rules be in force."""
+        revision = self.rules.revision + 1
+        self.rules.hear_from_store(RulesRecord(revision, "op", "ann", "", text))
+
     @property
     def links(self) -> list[FakeLink]:
         return list(self.pool.links.values())
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -165,3 +165,69 @@
         world.ask()
         await settle()
     assert len(world.pool.links["p1@b"].runs) == 20
+
+
+@on_loop
+async def test_the_first_rule_that_holds_decides_before_the_route():
+    world = RelayWorld(peers=1)
+    world.accept_rules(
+        """
+rules:
+  - name: keep
+    when: {service: [t], caller: [other]}
+    then: {importance: critical}
+  - name: turn-away
+    when: {service: [t]}
+    then: {refuse: {retry_after: 7}}
+  - name: late
+    when: {service: [t]}
+    then: {importance: high}
+"""
+    )
+    status, block, _ = world.ask().output
+    assert status == 503
+    assert b"Retry-After: 7.00" in block
+    assert world.runs == []
+
+
+@on_loop
+async def test_a_rule_changes_importance_time_and_attempts():
+    world = RelayWorld(peers=2, timeout=5.0)
+    world.accept_rules(
+        """
+rules:
+  - name: first
+    when: {operation: [r]}
+    then: {importance: critical, deadline: 0.5, attempts: 0, idempotent: false}
+"""
+    )
+    exchange = world.ask()
+    [(link, place)] = world.runs
+    run = link.runs[place][0]
+    assert run.rank < 1
+    assert run.time_left <= 500
+    assert not run.idempotent
+    failed = Reason.UPSTREAM_FAILED
+    link.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
+    assert exchange.output[0] == 500
+
+
+@on_loop
+async def test_a_call_of_a_run_is_not_ruled_again():
+    """A rule turns callers away while a run that was let in makes its calls."""
+    world = RelayWorld(peers=1)
+    world.gate_world.submit("run")
+    world.accept_rules("rules: [{name: all, then: {refuse: {retry_after: 1}}}]")
+    assert world.ask(request_id="r1").output[0] == 503
+    assert world.ask("/i/x", request_id="run.0123456789abcdef").output is None
+
+
+@on_loop
+async def test_without_knowing_whether_there_are_rules_nothing_is_taken():
+    """A fresh node can't reach the store and no peer has told it the rules.
+
+    Serving by routes alone would bring back what a rule had turned away.
+    """
+    world = RelayWorld(peers=1)
+    world.relay._rules = type(world.rules)()
+    assert world.ask().output[0] == 503
--- a/packages/rattanfork-platform/rattanfork_platform/interface.py
+++ b/packages/rattanfork-platform/rattanfork_platform/interface.py
@@ -79,8 +79,8 @@
     """A platform whose tables can be listed and watched."""
 
     @abstractmethod
-    async def scan(self, table: str) -> Rows:
-        """Return all rows of a table.
+    async def scan(self, table: str, key: str = "") -> Rows:
+        """Return all rows of a table, or only the one of a key.
 
         Raises
         ======
