Let both peer handlers share their ledgers, and split the link's handshake off

Ruled out: nothing; no behaviour changes.

Conclusion: one class keeps the ledgers of connections for both paths.

--- a/packages/rattanfork-node/rattanfork_node/app/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/app/peers.py
@@ -1,17 +1,15 @@
 """What a node does with what other nodes ask."""
 
 import asyncio
-from collections import OrderedDict
 
 from rattanfork_core.atmostonce import ConnectionLedger
 from rattanfork_core.burn import BurnMeter
 from rattanfork_core.clock import Clock
-from rattanfork_core.request import CallResult, FenceVerdict, Importance
+from rattanfork_core.request import CallResult, Importance
 from rattanfork_core.request.importance import RANKS
 from rattanfork_core.revision import RevisionState
 
 from rattanfork_node.guard import Guard, GuardRequest
-from rattanfork_node.member import MemberTask
 from rattanfork_node.peer import (
     BurnReply,
     BurnRequest,
@@ -22,21 +20,14 @@
     FenceKey,
     FenceReply,
     FrameError,
-    PeerHandler,
+    LedgeredPeerHandler,
     PeerLink,
     Reply,
-    RulesRequest,
-    SyncReply,
-    SyncRequest,
-    rules_reply,
 )
 from rattanfork_node.telemetry import Counters
 
-#: Connections whose calls are remembered after they are closed.
-_MOST_LEDGERS = 2000
 
-
-class NodePeerHandler(PeerHandler):
+class NodePeerHandler(LedgeredPeerHandler):
     """Answers calls, fences, and questions about rules and members.
 
     Parameters
@@ -62,43 +53,17 @@
         burn: BurnMeter,
         counters: Counters,
     ) -> None:
+        super().__init__(rules, counters)
         self._clock = clock
         self._guard = guard
-        self._rules = rules
         self._burn = burn
-        self._counters = counters
-        self._ledgers: OrderedDict[str, ConnectionLedger] = OrderedDict()
-        self._links: set[PeerLink] = set()
-        self._member: MemberTask | None = None
-
-    def connect(self, member: MemberTask) -> None:
-        """Take the member task, which is made after this."""
-        self._member = member
-
-    @property
-    def links(self) -> set[PeerLink]:
-        """Accepted connections."""
-        return self._links
-
-    def on_open(self, link: PeerLink) -> None:
-        """Take note of an authenticated connection."""
-        if link.connection in self._ledgers:
-            raise FrameError("the connection's name is taken")
-        self._links.add(link)
-        self._ledgers[link.connection] = ConnectionLedger()
-        if len(self._ledgers) > _MOST_LEDGERS:
-            # A fence for a connection that is forgotten is answered
-            # "unknown", never "not run".
-            self._ledgers.popitem(last=False)
 
     def on_call(self, link: PeerLink, call: Call) -> None:
         """Run a call and reply on the link."""
-        ledger = self._ledgers.get(link.connection)
-        if ledger is None or not ledger.arrive(call.number):
-            raise FrameError("a call's number is taken")
+        ledger = self.ledger_for(link, call.number)
         if not 0 <= call.importance < RANKS or not 0 <= call.rank < RANKS:
             raise FrameError("importance or rank out of range")
-        task = asyncio.ensure_future(self._run(link, call))
+        task = asyncio.ensure_future(self._run(link, call, ledger))
         link.calls[call.number] = task
 
     def on_cancel(self, link: PeerLink, number: int) -> None:
@@ -113,22 +78,9 @@
         if isinstance(fence, FenceKey):
             verdicts = [self._guard.fence_key(fence.key)]
         else:
-            ledger = self._ledgers.get(fence.connection)
-            if ledger is None:
-                verdicts = [FenceVerdict.UNKNOWN] * len(fence.calls)
-            else:
-                verdicts = ledger.fence(fence.calls)
+            verdicts = self.fence(fence)
         link.send(FenceReply(fence.number, [int(verdict) for verdict in verdicts]))
 
-    def on_rules(self, link: PeerLink, request: RulesRequest) -> None:
-        """Reply with the rules held."""
-        link.send(rules_reply(self._rules, request))
-
-    def on_sync(self, link: PeerLink, request: SyncRequest) -> None:
-        """Reply with the records that differ."""
-        members = self._member.records_differing(request)
-        link.send(SyncReply(request.number, members))
-
     def on_burn(self, link: PeerLink, request: BurnRequest) -> None:
         """Reply with this node's totals."""
         link.send(BurnReply(request.number, self._burn.totals()))
@@ -139,19 +91,13 @@
 
     def on_closed(self, link: PeerLink) -> None:
         """Stop the calls of a connection that is gone."""
-        self._links.discard(link)
+        super().on_closed(link)
         for task in list(link.calls.values()):
             task.cancel()
 
-    def on_bad_frame(self, reason: str) -> None:
-        """Count a frame that was refused."""
-        self._counters.events["peer.bad-frame"] += 1
-
-    async def _run(self, link: PeerLink, call: Call) -> None:
-        ledger = self._ledgers.get(link.connection)
-
+    async def _run(self, link: PeerLink, call: Call, ledger: ConnectionLedger) -> None:
         def may_hand_over() -> bool:
-            return ledger is not None and ledger.hand_over(call.number)
+            return ledger.hand_over(call.number)
 
         request = GuardRequest(
             call.boot,
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -2,6 +2,7 @@
 
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
+from rattanfork_node.peer.ledgered import LedgeredPeerHandler
 from rattanfork_node.peer.link import PeerLink
 from rattanfork_node.peer.messages import (
     BurnReply,
@@ -48,6 +49,7 @@
     "FenceReply",
     "FrameError",
     "Hello",
+    "LedgeredPeerHandler",
     "LinkLostError",
     "PeerHandler",
     "PeerLink",
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -1,7 +1,6 @@
 """One connection between two nodes."""
 
 import asyncio
-import hmac
 import os
 from collections.abc import Callable
 from typing import Any
@@ -11,30 +10,25 @@
 
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
+from rattanfork_node.peer.handshake import check_proof, make_proof, make_unpacker
 from rattanfork_node.peer.messages import (
+    ANSWERS,
     PROTOCOL_VERSION,
-    BurnReply,
     BurnRequest,
     Call,
     Cancel,
     Challenge,
-    ConfigurationReply,
     ConfigurationRequest,
-    EpochReply,
     EpochRequest,
     Fence,
     FenceKey,
-    FenceReply,
     Hello,
     Message,
     Ping,
     Pong,
-    Reply,
-    RulesReply,
     RulesRequest,
     Run,
     RunReply,
-    SyncReply,
     SyncRequest,
     Welcome,
     decode_message,
@@ -43,20 +37,8 @@
 
 #: Bytes taken from a peer that has not proved that it belongs.
 _STRANGER_BYTES = 2048
-#: First size of a connection's buffer; by default it would be the largest.
-_READ_BYTES = 16 << 10
 #: Room in a frame beside the body.
 _FRAME_ROOM = 256 << 10
-_ANSWERS = (
-    RunReply,
-    Reply,
-    FenceReply,
-    RulesReply,
-    SyncReply,
-    BurnReply,
-    EpochReply,
-    ConfigurationReply,
-)
 
 
 class PeerLink(asyncio.Protocol):
@@ -125,7 +107,7 @@
         self._unsent: list[bytes] = []
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._ready.add_done_callback(_retrieve)
-        self._unpacker = self._make_unpacker(_STRANGER_BYTES)
+        self._unpacker = make_unpacker(_STRANGER_BYTES)
         self._last_heard = clock.now()
         self._last_beat = clock.now()
         self._ping_sent = 0.0
@@ -294,20 +276,6 @@
         if unsent and not self._closed:
             self._transport.write(b"".join(unsent))
 
-    def _make_unpacker(self, size: int) -> msgpack.Unpacker:
-        return msgpack.Unpacker(
-            raw=False,
-            use_list=True,
-            strict_map_key=True,
-            read_size=min(size, _READ_BYTES),
-            max_buffer_size=size,
-            max_str_len=size,
-            max_bin_len=size,
-            max_array_len=20_000,
-            max_map_len=0,
-            max_ext_len=0,
-        )
-
     def _take(self, message: Message) -> None:
         if not self._open:
             self._take_handshake(message)
@@ -317,7 +285,7 @@
                 self._late_answers += 1
             else:
                 done(message)
-        elif isinstance(message, _ANSWERS):
+        elif isinstance(message, ANSWERS):
             future = self._waiting.pop(message.number, None)
             if future is None or future.done():
                 self._late_answers += 1
@@ -367,14 +335,14 @@
             )
         elif self._connecting and isinstance(message, Welcome):
             expected = self._proof(b"welcome", self._nonce, b"", message.node)
-            self._check_proof(message.proof, expected)
+            check_proof(message.proof, expected)
             self._peer, self._peer_data_centre = message.node, message.data_centre
             self._opened()
         elif not self._connecting and isinstance(message, Hello):
             if message.version != PROTOCOL_VERSION:
                 raise FrameError("another version of the protocol")
             expected = self._proof(b"hello", self._nonce, message.nonce, message.node)
-            self._check_proof(message.proof, expected)
+            check_proof(message.proof, expected)
             self._peer, self._connection = message.node, message.connection
             proof = self._proof(b"welcome", message.nonce, b"", self._node)
             self.send(Welcome(self._node, self._data_centre, proof))
@@ -383,18 +351,13 @@
             raise FrameError("a stranger")
 
     def _proof(self, role: bytes, first: bytes, second: bytes, node: str) -> bytes:
-        text = b"|".join((role, first, second, node.encode()))
-        return hmac.digest(self._key, text, "sha256")
-
-    def _check_proof(self, proof: bytes, expected: bytes) -> None:
-        if not hmac.compare_digest(proof, expected):
-            raise FrameError("the peer does not know the key")
+        return make_proof(self._key, role, first, second, node)
 
     def _opened(self) -> None:
         self._open = True
         # The handshake is strictly one message at a time, so nothing can
         # wait in the small unpacker that is replaced here.
-        self._unpacker = self._make_unpacker(self._body_limit + _FRAME_ROOM)
+        self._unpacker = make_unpacker(self._body_limit + _FRAME_ROOM)
         if not self._ready.done():
             self._ready.set_result(None)
         if not self._connecting:
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -263,6 +263,18 @@
     | ConfigurationReply
 )
 
+#: Messages that answer another by its number.
+ANSWERS = (
+    RunReply,
+    Reply,
+    FenceReply,
+    RulesReply,
+    SyncReply,
+    BurnReply,
+    EpochReply,
+    ConfigurationReply,
+)
+
 _KINDS: tuple[type, ...] = Message.__args__
 _NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _TYPES = [tuple(kind.__annotations__.values()) for kind in _KINDS]
--- a/packages/rattanfork-node/rattanfork_node/relay/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peers.py
@@ -1,16 +1,13 @@
 """What a node that relays by routes does with what other nodes ask."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 
-from rattanfork_core.atmostonce import ConnectionLedger
 from rattanfork_core.clock import Clock
-from rattanfork_core.request import CallResult, FenceVerdict
+from rattanfork_core.request import CallResult
 from rattanfork_core.request.importance import RANKS
 from rattanfork_core.revision import RevisionState
 
 from rattanfork_node.config.holder import ConfigurationHolder
-from rattanfork_node.member import MemberTask
 from rattanfork_node.peer import (
     BurnRequest,
     Call,
@@ -21,24 +18,17 @@
     FenceKey,
     FenceReply,
     FrameError,
-    PeerHandler,
+    LedgeredPeerHandler,
     PeerLink,
-    RulesRequest,
     Run,
     RunReply,
-    SyncReply,
-    SyncRequest,
-    rules_reply,
 )
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.telemetry import Counters
 
-#: Connections whose runs are remembered after they are closed.
-_MOST_LEDGERS = 2000
 
-
-class RelayPeerHandler(PeerHandler):
+class RelayPeerHandler(LedgeredPeerHandler):
     """Takes runs, fences, and questions about members and configuration.
 
     Parameters
@@ -64,40 +54,14 @@
         rules: RevisionState,
         counters: Counters,
     ) -> None:
+        super().__init__(rules, counters)
         self._clock = clock
         self._gate = gate
         self._configuration = configuration
-        self._rules = rules
-        self._counters = counters
-        self._ledgers: OrderedDict[str, ConnectionLedger] = OrderedDict()
-        self._links: set[PeerLink] = set()
-        self._member: MemberTask | None = None
-
-    @property
-    def links(self) -> set[PeerLink]:
-        """Accepted connections."""
-        return self._links
-
-    def connect(self, member: MemberTask) -> None:
-        """Take the member task, which is made after this."""
-        self._member = member
-
-    def on_open(self, link: PeerLink) -> None:
-        """Take note of an authenticated connection."""
-        if link.connection in self._ledgers:
-            raise FrameError("the connection's name is taken")
-        self._links.add(link)
-        self._ledgers[link.connection] = ConnectionLedger()
-        if len(self._ledgers) > _MOST_LEDGERS:
-            # A fence for a connection that is forgotten is answered
-            # "unknown", never "not run".
-            self._ledgers.popitem(last=False)
 
     def on_run(self, link: PeerLink, run: Run) -> None:
         """Give a run to the gate."""
-        ledger = self._ledgers.get(link.connection)
-        if ledger is None or not ledger.arrive(run.number):
-            raise FrameError("a run's number is taken")
+        ledger = self.ledger_for(link, run.number)
         if not 0 <= run.rank < RANKS:
             raise FrameError("rank out of range")
         job = Job(
@@ -129,12 +93,8 @@
         self._counters.events["fences"] += 1
         if isinstance(fence, FenceKey):
             raise FrameError("keys are not served here")
-        ledger = self._ledgers.get(fence.connection)
-        if ledger is None:
-            verdicts = [FenceVerdict.UNKNOWN] * len(fence.calls)
-        else:
-            verdicts = ledger.fence(fence.calls)
-        link.send(FenceReply(fence.number, [int(verdict) for verdict in verdicts]))
+        verdicts = [int(verdict) for verdict in self.fence(fence)]
+        link.send(FenceReply(fence.number, verdicts))
 
     def on_configuration(self, link: PeerLink, request: ConfigurationRequest) -> None:
         """Reply with the configuration held."""
@@ -143,29 +103,16 @@
         document = holder.document if newer else b""
         link.send(ConfigurationReply(request.number, holder.version, document))
 
-    def on_sync(self, link: PeerLink, request: SyncRequest) -> None:
-        """Reply with the records that differ."""
-        members = self._member.records_differing(request)
-        link.send(SyncReply(request.number, members))
-
     def on_closed(self, link: PeerLink) -> None:
         """Stop the runs of a connection that is gone."""
-        self._links.discard(link)
+        super().on_closed(link)
         for job in list(link.calls.values()):
             self._gate.cancel(job)
 
-    def on_bad_frame(self, reason: str) -> None:
-        """Count a frame that was refused."""
-        self._counters.events["peer.bad-frame"] += 1
-
     def on_call(self, link: PeerLink, call: Call) -> None:
         """Refuse: calls with keys are served by nodes without routes."""
         raise FrameError("calls are not served here")
 
-    def on_rules(self, link: PeerLink, request: RulesRequest) -> None:
-        """Reply with the rules held."""
-        link.send(rules_reply(self._rules, request))
-
     def on_burn(self, link: PeerLink, request: BurnRequest) -> None:
         """Refuse: no objectives are counted here."""
         raise FrameError("no totals are kept here")
