--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how a node learns its configuration and its rules."""
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -0,0 +1,117 @@
+"""A store and peers that the test speaks for."""
+
+import asyncio
+from types import SimpleNamespace
+
+from rattanfork_core.membership import Member
+from rattanfork_platform import (
+    HistoryLostError,
+    PlatformDownError,
+    Row,
+    Rows,
+    WatchedPlatform,
+)
+
+from rattanfork_node.peer import LinkLostError
+
+
+class FakePlatform(WatchedPlatform):
+    """Tables in memory; ``down`` and ``forgetful`` are its faults."""
+
+    def __init__(self) -> None:
+        self.tables: dict[str, dict[str, bytes]] = {}
+        self.version = 0
+        self.down = False
+        self.forgetful = False
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row and wake who watches."""
+        self.version += 1
+        self.tables.setdefault(table, {})[key] = value
+        self._changed.set()
+
+    async def read(self, key: str) -> Row:
+        raise PlatformDownError("not used here")
+
+    async def transact(self, checks, writes) -> bool:
+        self._call("transact")
+        for key, value in writes.items():
+            table, _, name = key.partition("/")
+            self.put(table, name, value)
+        return True
+
+    async def remove(self, key: str) -> None:
+        self._call("remove")
+        table, _, name = key.partition("/")
+        self.tables.get(table, {}).pop(name, None)
+
+    async def scan(self, table: str, key: str = "") -> Rows:
+        self._call("scan")
+        rows = self.tables.get(table, {})
+        return Rows(
+            {k: Row(1, v) for k, v in rows.items() if not key or k == key},
+            self.version,
+        )
+
+    async def watch(self, table: str, after: int, wait: float) -> Rows:
+        self._call("watch")
+        if self.forgetful:
+            self.forgetful = False
+            raise HistoryLostError("gone")
+        if self.version <= after:
+            self._changed.clear()
+            await self._changed.wait()
+            if self.down:
+                raise PlatformDownError("away")
+        rows = self.tables.get(table, {})
+        return Rows({k: Row(1, v) for k, v in rows.items()}, self.version)
+
+    async def close(self) -> None:
+        pass
+
+    def cut(self) -> None:
+        """End all watches and answer nothing more."""
+        self.down = True
+        self._changed.set()
+
+    def _call(self, call: str) -> None:
+        self.calls.append(call)
+        if self.down:
+            raise PlatformDownError("away")
+
+
+class FakePeers:
+    """A pool with one peer that holds a configuration."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.document = b""
+        self.reachable = True
+        self.asked = 0
+
+    async def open(self, address):
+        self.asked += 1
+        if not self.reachable:
+            raise LinkLostError("nobody there")
+        return self
+
+    def next_number(self) -> int:
+        return 1
+
+    async def ask(self, request):
+        newer = self.version > request.known
+        return SimpleNamespace(document=self.document if newer else b"")
+
+
+def member(name: str) -> Member:
+    """Return the record of another node."""
+    return Member(name, "b", "s", "dc1", "127.0.0.1", 1, 2, 8)
+
+
+async def until(holds) -> None:
+    """Let other tasks run until a condition holds."""
+    async with asyncio.timeout(10):
+        while not holds():
+            await asyncio.sleep(0.005)
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
@@ -0,0 +1,137 @@
+"""A node learns configurations from the store, and from peers without it."""
+
+import asyncio
+from functools import wraps
+from random import Random
+from types import SimpleNamespace
+
+from rattanfork_core.clock import MonotonicClock
+from rattanfork_core.membership import Membership
+from rattanfork_core.routes import Configuration
+
+from rattanfork_node.config.configuration_task import ConfigurationTask
+from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.tests.fakes import (
+    FakePeers,
+    FakePlatform,
+    member,
+    until,
+)
+from rattanfork_node.telemetry import Counters
+
+
+class World:
+    """A configuration task with a store and a peer."""
+
+    def __init__(self) -> None:
+        self.platform = FakePlatform()
+        self.peers = FakePeers()
+        self.counters = Counters()
+        self.holder = ConfigurationHolder(lambda d: Configuration(int(d), (), {}))
+        membership = Membership(MonotonicClock(), Random(1), member("me"))
+        membership.merge([member("peer")])
+        self.heard = SimpleNamespace(newest_revision=0)
+        self.task = ConfigurationTask(
+            MonotonicClock(),
+            Random(1),
+            self.holder,
+            self.platform,
+            "op",
+            "config",
+            membership,
+            self.heard,
+            self.peers,
+            self.counters,
+        )
+
+    def write(self, document: bytes) -> None:
+        self.platform.put("op", "config", document)
+
+
+def with_world(test):
+    @wraps(test)
+    def run():
+        async def inner():
+            world = World()
+            try:
+                await test(world)
+            finally:
+                world.task.close()
+
+        asyncio.run(inner())
+
+    del run.__wrapped__
+    return run
+
+
+@with_world
+async def test_the_newest_is_read_at_the_start_and_changes_come_by_one_watch(world):
+    world.write(b"3")
+    world.task.start()
+    await until(lambda: world.holder.version == 3)
+    world.write(b"5")
+    await until(lambda: world.holder.version == 5)
+    assert world.platform.calls.count("scan") == 1
+    assert world.platform.calls.count("watch") <= 3
+
+
+@with_world
+async def test_a_lost_history_is_made_good_by_reading_anew(world):
+    """The store drops its history while a change is made.
+
+    The watch would never tell of the change; it is ended instead, and the
+    row is read again.
+    """
+    world.write(b"1")
+    world.platform.forgetful = True
+    world.task.start()
+    await until(lambda: world.platform.calls.count("scan") == 2)
+    world.write(b"2")
+    await until(lambda: world.holder.version == 2)
+
+
+@with_world
+async def test_a_peer_tells_what_the_store_does_not(world):
+    """The store turns this node away while the operator makes a change.
+
+    Its peers have the change; it hears of the version and asks one.
+    """
+    world.write(b"1")
+    world.task.start()
+    await until(lambda: world.holder.version == 1)
+    world.platform.cut()
+    world.peers.version, world.peers.document = 4, b"4"
+    world.heard.newest_revision = 4
+    await until(lambda: world.holder.version == 4)
+    assert world.holder.document == b"4"
+
+
+@with_world
+async def test_a_fresh_node_asks_peers_while_the_store_is_away(world):
+    world.platform.down = True
+    world.peers.version, world.peers.document = 7, b"7"
+    world.task.start()
+    await until(lambda: world.holder.version == 7)
+
+
+@with_world
+async def test_an_older_configuration_of_a_peer_changes_nothing(world):
+    world.write(b"9")
+    world.task.start()
+    await until(lambda: world.holder.version == 9)
+    world.peers.version, world.peers.document = 8, b"8"
+    world.heard.newest_revision = 10
+    await until(lambda: world.peers.asked >= 2)
+    assert world.holder.version == 9
+
+
+@with_world
+async def test_a_malformed_document_is_counted_and_the_last_one_holds(world):
+    world.write(b"1")
+    world.task.start()
+    await until(lambda: world.holder.version == 1)
+    world.write(b"nonsense")
+    await until(lambda: world.counters.events["configuration.malformed"] == 1)
+    assert world.holder.version == 1
+    world.write(b"2")
+    await until(lambda: world.holder.version == 2)
