--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -158,7 +158,10 @@
 
     async def fence_calls(self, member, connection, calls) -> list:
         self.fenced.append((member.name, connection, calls))
-        return [self.verdicts.pop(0)]
+        verdict = self.verdicts.pop()
+        if verdict is None:
+            raise LinkLostError("the guard does not answer")
+        return [verdict]
 
 
 class FakeConnectionOfClient:
