Split the relay's entry, and let a silent upstream's missed deadlines count

Cause: an upstream that falls silent gives no result, so nothing spoke against it: it kept its share until its slots were full.

Change: a deadline that passes after four times the usual latency of an instance counts as its failure; callers' requests and calls of runs part in two functions.

--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -31,6 +31,10 @@
 
 #: Seconds that a guard may take to judge an attempt whose link was lost.
 _FENCE_TIMEOUT = 0.5
+#: Times the usual latency of an instance without an answer, from which a
+#: deadline that passes counts against it: beyond what waiting in a queue that
+#: refuses late requests can add.
+_SILENT = 4.0
 #: Refusals after which a request is sent again within its budget.  At an
 #: upstream that refuses every second request, all but one in 60 get through.
 _FREE_REFUSALS = 5
@@ -163,6 +167,12 @@
         return self._relay.budgets.spend(self._service, self._rank)
 
     def _on_deadline(self) -> None:
+        state = self._state
+        if state is not None and state.latency:
+            # An upstream that has gone silent answers nothing, so no result
+            # ever speaks against it, and it would go on looking idle and fast.
+            waited = self._relay.clock.now() - self._sent_at
+            self._settle(failed=True, counted=waited > _SILENT * state.latency)
         self._carry_out(self._machine.on_deadline())
 
     def _carry_out(self, commands: list[Command]) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -143,42 +143,45 @@
         exchange.block += self._caller_line
         parent = self.gate.parent_of(exchange.request_id)
         service = self._configuration.next_service(route)
-        if parent is None and self._leaves_before(route):
-            self._refuse(exchange, Reason.LEAVING, self._settings.retry_after)
-            return
-        picker = self.directory.picker(service) if service is not None else None
-        if picker is None or not picker.subset:
-            self._refuse(exchange, Reason.NO_INSTANCE, self._settings.retry_after)
-            return
         if parent is not None and parent.repeated:
             self.budgets.count_repeat(service)
         else:
             self.budgets.count_request(service)
+        picker = self.directory.picker(service)
+        if picker is None or not picker.subset:
+            self._refuse(exchange, Reason.NO_INSTANCE, self._settings.retry_after)
+        elif parent is not None:
+            rank = parent.rank
+            blocked = self._blocked(picker, self.operation(route, service), rank)
+            avoided = blocked or _NOBODY
+            self._forward(exchange, route, service, rank, parent, picker, avoided)
+        else:
+            self._take_root(exchange, route, service, picker)
+
+    def _take_root(
+        self, exchange: Exchange, route: Route, service: str, picker: InstancePicker
+    ) -> None:
+        """Let a caller's request in, or refuse it before any work is done."""
         elsewhere = _NOBODY
-        if parent is None and self._rules.revision:
+        if self._rules.revision:
             ruling = self._rule(exchange, route, service, picker)
             if ruling.refusal is not None:
                 after = ruling.retry_after or self._settings.retry_after
                 self._refuse(exchange, ruling.refusal, after)
                 return
-            route = replace(
-                route,
-                priority=ruling.level,
-                timeout=ruling.timeout,
-                idempotent=ruling.idempotent,
-                most_upstreams=ruling.most_upstreams,
-            )
+            route = _as_ruled(route, ruling)
             if ruling.data_centre is not None:
                 elsewhere = picker.outside(ruling.data_centre)
-        rank = self._rank(exchange, route, parent)
-        operation = self.operation(route, service)
-        blocked = self._blocked(picker, operation, rank)
-        if blocked is None and parent is None:
-            after = self._return_after(rank)
-            self._refuse(exchange, Reason.SHED_EARLY, after)
+        if self._leaves_before(route):
+            self._refuse(exchange, Reason.LEAVING, self._settings.retry_after)
             return
-        avoided = (blocked or _NOBODY) | elsewhere
-        self._forward(exchange, route, service, rank, parent, picker, avoided)
+        rank = self._rank(exchange, route)
+        blocked = self._blocked(picker, self.operation(route, service), rank)
+        if blocked is None:
+            self._refuse(exchange, Reason.SHED_EARLY, self._return_after(rank))
+            return
+        avoided = blocked | elsewhere
+        self._forward(exchange, route, service, rank, None, picker, avoided)
 
     def leave(self, at: float) -> None:
         """Take only what ends before this node does, at a time in seconds.
@@ -250,7 +253,7 @@
         rank: float,
         parent: Job | None,
         picker: InstancePicker,
-        blocked: frozenset[str],
+        avoided: frozenset[str],
     ) -> None:
         now = self.clock.now()
         deadline = now + route.timeout - _ANSWER_MARGIN
@@ -267,7 +270,7 @@
             deadline,
             parent,
             picker,
-            blocked,
+            avoided,
         )
         if parent is not None:
             parent.cancels[id(exchange)] = forwarding.on_caller_left
@@ -295,9 +298,7 @@
         leaves_at = self._leaves_at
         return leaves_at is not None and self.clock.now() + route.timeout > leaves_at
 
-    def _rank(self, exchange: Exchange, route: Route, parent: Job | None) -> float:
-        if parent is not None:
-            return parent.rank
+    def _rank(self, exchange: Exchange, route: Route) -> float:
         level = min(max(route.priority, 0), RANKS - 1)
         return level + request_fate(exchange.request_id.decode("latin-1"))
 
@@ -353,3 +354,13 @@
         if not exchange.request_id:
             return b""
         return self._names.request_id + b": " + exchange.request_id + b"\r\n"
+
+
+def _as_ruled(route: Route, ruling: Ruling) -> Route:
+    return replace(
+        route,
+        priority=ruling.level,
+        timeout=ruling.timeout,
+        idempotent=ruling.idempotent,
+        most_upstreams=ruling.most_upstreams,
+    )
