Take runs for longer at a node that is restarted beside its upstream

Ruled out: a slow start: from the start line to the upstream attached 0.07 s.

Change: runs are taken for 0.27 of the grace before the others are told; what callers ask is bounded by the end as before.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -36,9 +36,13 @@
 _SUMMARY_TICKS = 50
 #: Seconds without any answer after which a connection to a node is lost.
 _SILENCE = 0.8
-#: Seconds after SIGTERM for which runs are still taken: until then the others
-#: have heard, and what they sent before need not be sent again.
-_TAKE_RUNS_FOR = 0.6
+#: Part of the grace for which runs are still taken after SIGTERM.  The upstream
+#: goes on while its node is restarted; where instances are restarted in turn,
+#: each that is away longer than the next one waits takes two away at once.
+_TAKE_RUNS_SHARE = 0.27
+#: Seconds after the others were told for which runs are still taken: until then
+#: all have heard, and what they sent before need not be sent again.
+_TELL_TIME = 0.4
 #: Seconds after SIGTERM for which callers are served at least: readiness is
 #: asked for each second, and two refusals take a node out.
 _SERVE_FOR = 2.6
@@ -362,13 +366,17 @@
     async def _drain(self) -> int:
         began = self._clock.now()
         log_change("draining", runs=self._gate.busy, requests=self._callers.in_flight)
-        self._member.leave()
         self._callers.leave()
         end = began + _GRACE_SHARE * self._settings.grace
         self._relay.leave(end)
         removal = asyncio.ensure_future(self._join.leave())
+        tell_at = began + _TAKE_RUNS_SHARE * self._settings.grace
+        told = False
         while (now := self._clock.now()) < end:
-            if now - began > _TAKE_RUNS_FOR and self._gate.accepting:
+            if now >= tell_at and not told:
+                told = True
+                self._member.leave()
+            if now >= tell_at + _TELL_TIME and self._gate.accepting:
                 self._gate.detach()
             busy = self._callers.in_flight or self._gate.busy
             if now - began > _SERVE_FOR and not busy:
