--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -80,6 +80,12 @@
         Time by which the answer must be out, in seconds of the clock.
     parent : Job or None
         The run that made the request, if an upstream did.
+    picker : InstancePicker
+        Chooses among the instances of the service.
+    blocked : frozenset of str
+        Instances that would shed the request.
+    ruled_out : frozenset of str
+        Instances that a rule forbids.
     """
 
     __slots__ = (
@@ -98,6 +104,7 @@
         "_relay",
         "_repeated",
         "_route",
+        "_ruled_out",
         "_sent_at",
         "_service",
         "_state",
@@ -116,6 +123,7 @@
         parent: Job | None,
         picker: InstancePicker,
         blocked: frozenset[str],
+        ruled_out: frozenset[str],
     ) -> None:
         self._relay = relay
         self._exchange = exchange
@@ -126,7 +134,8 @@
         self.deadline = deadline
         self._parent = parent
         self._picker = picker
-        self._blocked = blocked
+        self._blocked = blocked | ruled_out
+        self._ruled_out = ruled_out
         self._repeated = parent is not None and parent.repeated
         self._attempt = 0
         self._last_reason = Reason.NONE
@@ -157,8 +166,10 @@
 
     def _pick(self, avoid: frozenset[str]) -> str | None:
         picker = self._picker
+        # Where all would shed the request, any may still judge for itself; what
+        # a rule has ruled out stays ruled out.
         return picker.pick(avoid | self._blocked) or (
-            None if avoid else picker.pick(frozenset())
+            None if avoid else picker.pick(self._ruled_out)
         )
 
     def _may_retry(self) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -153,8 +153,9 @@
         elif parent is not None:
             rank = parent.rank
             blocked = self._blocked(picker, self.operation(route, service), rank)
-            avoided = blocked or _NOBODY
-            self._forward(exchange, route, service, rank, parent, picker, avoided)
+            self._forward(
+                exchange, route, service, rank, parent, picker, blocked or _NOBODY
+            )
         else:
             self._take_root(exchange, route, service, picker)
 
@@ -180,8 +181,7 @@
         if blocked is None:
             self._refuse(exchange, Reason.SHED_EARLY, self._return_after(rank))
             return
-        avoided = blocked | elsewhere
-        self._forward(exchange, route, service, rank, None, picker, avoided)
+        self._forward(exchange, route, service, rank, None, picker, blocked, elsewhere)
 
     def leave(self, at: float) -> None:
         """Take only what ends before this node does, at a time in seconds.
@@ -253,7 +253,8 @@
         rank: float,
         parent: Job | None,
         picker: InstancePicker,
-        avoided: frozenset[str],
+        blocked: frozenset[str],
+        ruled_out: frozenset[str] = _NOBODY,
     ) -> None:
         now = self.clock.now()
         deadline = now + route.timeout - _ANSWER_MARGIN
@@ -270,7 +271,8 @@
             deadline,
             parent,
             picker,
-            avoided,
+            blocked,
+            ruled_out,
         )
         if parent is not None:
             parent.cancels[id(exchange)] = forwarding.on_caller_left
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -231,3 +231,16 @@
     world = RelayWorld(peers=1)
     world.relay._rules = type(world.rules)()
     assert world.ask().output[0] == 503
+
+
+@on_loop
+async def test_a_data_centre_that_a_rule_names_is_the_only_one():
+    """A rule keeps a route in one data centre, and all its instances shed.
+
+    The request is not sent to another data centre for that.
+    """
+    world = RelayWorld(peers=2)
+    world.accept_rules("rules: [{name: home, then: {data_centre: dc2}}]")
+    exchange = world.ask()
+    assert world.runs == []
+    assert exchange.output[0] == 503
