Probe the dead also when no living member is left

Of two nodes, the one left probed nobody once it held the other for dead; only a node back before that, within some three seconds, was found.

Change: a node without a living member probes one of the dead each period.

Figures: the new test of two views fails before and passes after.

--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -285,15 +285,17 @@
         return [ping]
 
     def _begin_probe(self, now: float) -> list[Send]:
+        sends: list[Send] = []
         target = self._next_target()
-        if target is None:
-            return []
-        send = self._ping(target)
-        self._probe = _Probe(target.name, send.message.number, now)
-        sends = [send]
-        if self._dead and self._random.random() < _DEAD_SHARE:
+        if target is not None:
+            send = self._ping(target)
+            self._probe = _Probe(target.name, send.message.number, now)
+            sends.append(send)
+        if self._dead and (target is None or self._random.random() < _DEAD_SHARE):
             # After a split has healed, both sides hold the other for dead
-            # and would never speak again.
+            # and would never speak again.  A node that is left alone has
+            # nobody else to probe: one restarted at its old address, with
+            # the store away, could be found by nobody.
             [name] = self._dead.sample(self._random, 1)
             sends.append(self._ping(self._members[name]))
         return sends
--- a/packages/rattanfork-core/rattanfork_core/membership/tests/test_membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/tests/test_membership.py
@@ -182,3 +182,21 @@
     holders = [n for n in names if on_duty(n, names, "read", 2)]
     names.remove(holders[0])
     assert holders[1] in [n for n in names if on_duty(n, names, "read", 2)]
+
+
+def test_one_of_two_finds_the_other_after_a_long_stop_without_any_help():
+    """One of two nodes is away long enough to be declared dead.
+
+    It starts again at its address and knows nobody, for the store is away.
+    The other has no living member left to probe; if it probed nobody, the two
+    would never meet and the restarted one would take no work.
+    """
+    fleet = Fleet(2)
+    fleet.stopped.add(1)
+    fleet.play(60)
+    assert fleet.views[0].members["w1@b1"].status == MemberStatus.DEAD
+    fleet.views[1] = fleet.make(1, "b2")
+    fleet.stopped.clear()
+    fleet.play(5)
+    assert {m.instance for m in fleet.views[1].present()} == {"w0", "w1"}
+    assert "w1@b2" in {m.name for m in fleet.views[0].present()}
