Tell the others of a node before it says that it joined

In its logs the node that was there first never heard of the other: its read of the store came before the other's record was written, and the other was killed some 50 ms after it was ready, before the tick that sends its first datagram. Nobody could then find its successor.

Change: a node pushes its record in the step that reads the others', so one that says it is ready has told them.

--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -20,6 +20,9 @@
 
 #: Share of the probes that also go to one of the dead.
 _DEAD_SHARE = 0.1
+#: Coming and leaving are pushed to this many times as many as other news: who
+#: hears late of the one keeps sending, and of the other can't be found.
+_FAR_PUSHES = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -184,7 +187,16 @@
         The news is pushed at once to more than other news is.
         """
         self.update_me(status=MemberStatus.LEAVING)
-        return self._push(4 * self._settings.pushes)
+        return self._push(_FAR_PUSHES * self._settings.pushes)
+
+    def introduce(self) -> list[Send]:
+        """Tell the others at once that this node is here.
+
+        The news is pushed to more than other news is.  A node that waits for
+        its next tick may be killed before; with the store away nobody could
+        find its successor then, as no other node had ever heard of it.
+        """
+        return self._push(_FAR_PUSHES * self._settings.pushes)
 
     def bury(self, name: str) -> None:
         """Take a member for dead: another process answers at its address."""
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -108,6 +108,7 @@
                 members.append(member)
         self._membership.merge(members)
         self._member_task.add_seeds([(m.host, m.peer_port) for m in members])
+        self._member_task.introduce()
 
     def _row_key(self) -> str:
         return f"{_TABLE}/{self._membership.me.instance}"
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -95,6 +95,10 @@
             self._background.add(task)
             task.add_done_callback(self._background.discard)
 
+    def introduce(self) -> None:
+        """Tell the others that this node is here."""
+        self._send_all(self._membership.introduce())
+
     def leave(self) -> None:
         """Tell the others that this node takes no new work."""
         self._send_all(self._membership.leave())
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from random import Random
-from types import SimpleNamespace
 
 import orjson
 from rattanfork_core.clock import MonotonicClock
@@ -13,8 +12,21 @@
 
 def node(platform: FakePlatform, name: str) -> tuple[JoinTask, Membership]:
     membership = Membership(MonotonicClock(), Random(1), member(name))
-    seeds = SimpleNamespace(add_seeds=lambda _: None)
-    return JoinTask(Random(1), platform, membership, seeds), membership
+    return JoinTask(Random(1), platform, membership, Introductions()), membership
+
+
+class Introductions:
+    """Stands for the task that sends datagrams; counts introductions."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def add_seeds(self, seeds: list) -> None:
+        """Take addresses of others."""
+
+    def introduce(self) -> None:
+        """Tell the others of this node."""
+        self.count += 1
 
 
 def encode_rows(platform: FakePlatform) -> None:
@@ -95,3 +107,26 @@
         assert len(membership.present()) == 1
 
     asyncio.run(play())
+
+
+def test_a_node_has_told_the_others_before_it_says_that_it_joined():
+    """A node is killed right after it became ready; then the store goes away.
+
+    The node that was there first has read the store before the other's record
+    was written, so only a datagram can tell it.  One that waits for the next
+    tick is never sent, and the successor is found by nobody.
+    """
+
+    async def play():
+        platform = FakePlatform()
+        encode_rows(platform)
+        platform.put("members", "n2", list(member("n2")))
+        membership = Membership(MonotonicClock(), Random(1), member("n1"))
+        others = Introductions()
+        task = JoinTask(Random(1), platform, membership, others)
+        task.start()
+        await until(lambda: task.joined)
+        assert others.count == 1
+        assert [s.message.target for s in membership.introduce()] == [member("n2").name]
+
+    asyncio.run(play())
--- a/packages/rattanfork-testkit/rattanfork_testkit/__init__.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/__init__.py
@@ -10,6 +10,7 @@
 )
 from rattanfork_testkit.forwarder import ForwarderSpec
 from rattanfork_testkit.platform import PlatformStandIn
+from rattanfork_testkit.ports import FreePorts
 from rattanfork_testkit.upstream import UpstreamSpec, UpstreamStandIn
 
 __all__ = [
@@ -19,6 +20,7 @@
     "Cluster",
     "Deployment",
     "ForwarderSpec",
+    "FreePorts",
     "LoadSpec",
     "NodeHandle",
     "OpenLoopCaller",
--- a/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/cluster.py
@@ -4,7 +4,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -16,27 +15,11 @@
 import yaml
 
 from rattanfork_testkit.deployments import Deployment, ServiceSpec
+from rattanfork_testkit.ports import FreePorts
 
 _KEY = "a key for tests on loopback only"
 
 
-class FreePorts:
-    """Ports that nobody listens on now."""
-
-    def __init__(self) -> None:
-        self._given: set[int] = set()
-
-    def take(self) -> int:
-        """Return a port not given out before."""
-        while True:
-            with socket.socket() as probe:
-                probe.bind(("127.0.0.1", 0))
-                port = probe.getsockname()[1]
-            if port not in self._given:
-                self._given.add(port)
-                return port
-
-
 @dataclass(slots=True)
 class NodeHandle:
     """A node process and the upstream beside it."""
