--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -38,7 +37,7 @@
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
-    from rattanfork_node.relay.ruling import Ruler, Ruling
+    from rattanfork_node.relay.ruling import Ruler, Verdict
 
 #: An instance that fails more often than this says nothing of thresholds.
 _MOSTLY_FAILING = 0.5
@@ -181,17 +180,16 @@
         elsewhere = _NOBODY
         rule = ""
         if self._rules.revision:
-            ruling = self._rule(exchange, route, service, picker)
-            if ruling.refusal is not None:
-                after = ruling.retry_after or self._settings.retry_after
+            verdict = self._rule(exchange, route, service, picker)
+            rule, route = verdict.rule, verdict.route
+            if verdict.refusal is not None:
+                after = verdict.retry_after or self._settings.retry_after
                 self._refuse(
-                    exchange, ruling.refusal, after, route=route.name, rule=ruling.rule
+                    exchange, verdict.refusal, after, route=route.name, rule=rule
                 )
                 return
-            rule = ruling.rule
-            route = _as_ruled(route, ruling)
-            if ruling.data_centre is not None:
-                elsewhere = picker.outside(ruling.data_centre)
+            if verdict.data_centre is not None:
+                elsewhere = picker.outside(verdict.data_centre)
         if self._leaves_before(route):
             after = self._settings.retry_after
             self._refuse(exchange, Reason.LEAVING, after, route=route.name)
@@ -312,7 +310,7 @@
 
     def _rule(
         self, exchange: Exchange, route: Route, service: str, picker: InstancePicker
-    ) -> Ruling:
+    ) -> Verdict:
         if self._ruler is None:
             from rattanfork_node.relay.ruling import Ruler
 
@@ -411,13 +409,3 @@
     if outcome is Outcome.NOT_RUN:
         return _NOT_RUN_STATUS
     return _TIMEOUT_STATUS if reason is Reason.DEADLINE else _UNKNOWN_STATUS
-
-
-def _as_ruled(route: Route, ruling: Ruling) -> Route:
-    return replace(
-        route,
-        priority=ruling.level,
-        timeout=ruling.timeout,
-        idempotent=ruling.idempotent,
-        most_upstreams=ruling.most_upstreams,
-    )
--- a/packages/rattanfork-node/rattanfork_node/relay/ruling.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/ruling.py
@@ -1,4 +1,4 @@
-"""What the operators' ordered rules make of a request by routes.
+"""Applies the operators' ordered rules to requests by routes.
 
 The library that checks rules is large, so this module is imported only by a
 node that has rules.
@@ -8,15 +8,13 @@
 
 from rattanfork_core.account.callers import CallerBook
 from rattanfork_core.clock import Clock
-from rattanfork_core.request import Importance, Reason
+from rattanfork_core.request import Reason
 from rattanfork_core.routes import Route
-from rattanfork_core.rules import RequestFacts, RuleSet
-
-_NO_RULE = "-"
+from rattanfork_core.rules import RuleSet, facts_of_route, rule_on
 
 
 @dataclass(frozen=True, slots=True)
-class Ruling:
+class Verdict:
     """How the first rule that matches has a request treated.
 
     Parameters
@@ -24,14 +22,8 @@
 
     rule : str
         Name of the rule; "-" if none matches.
-    level : int
-        Importance, 0 for the highest.
-    timeout : float
-        Seconds until the caller must have its answer.
-    idempotent : bool
-        Whether running the request twice does no harm.
-    most_upstreams : int
-        Most upstreams that it may be sent to.
+    route : Route
+        The route, with what the rule changes of it.
     data_centre : str or None
         The only data centre whose instances may run it.
     refusal : Reason or None
@@ -41,25 +33,14 @@
     """
 
     rule: str
-    level: int
-    timeout: float
-    idempotent: bool
-    most_upstreams: int
+    route: Route
     data_centre: str | None = None
     refusal: Reason | None = None
     retry_after: float = 0.0
 
 
 class Ruler:
-    """Applies ordered rules to requests by routes.
-
-    Explanation
-    ===========
-
-    To a rule the service is that of the route, the operation is the route's
-    name, and the importance is the route's priority.  A rule may forbid that a
-    request is repeated; that one may be repeated is for the route to say, for
-    only who wrote it knows what running it twice does.
+    """Applies ordered rules to requests by routes, and counts for their limits.
 
     Parameters
     ==========
@@ -82,43 +63,17 @@
         method: str,
         caller: str,
         load: float,
-    ) -> Ruling:
-        """Return the ruling on a request."""
-        level = min(max(route.priority, 0), len(Importance) - 1)
-        facts = RequestFacts(
-            service,
-            route.name,
-            caller,
-            method,
-            self._data_centre,
-            Importance(level),
-            load,
-        )
+    ) -> Verdict:
+        """Return the verdict on a request."""
+        facts = facts_of_route(route, service, method, caller, self._data_centre, load)
         found = rules.first_match(facts)
-        if found is None:
-            return Ruling(
-                _NO_RULE, level, route.timeout, route.idempotent, route.most_upstreams
-            )
-        action = found.action
+        ruling = rule_on(route, found)
         refusal, after = None, 0.0
-        if action.refuse_after is not None:
-            refusal, after = Reason.RULE, action.refuse_after
-        elif action.rate is not None:
-            who = caller if action.rate_per_caller else ""
-            limit = self._book.limit(found.name, who, action.rate)
+        if ruling.refuse_after is not None:
+            refusal, after = Reason.RULE, ruling.refuse_after
+        elif found is not None and found.action.rate is not None:
+            who = caller if found.action.rate_per_caller else ""
+            limit = self._book.limit(found.name, who, found.action.rate)
             if not limit.take():
                 refusal, after = Reason.LIMIT, limit.delay
-        deadline = route.timeout if action.deadline is None else action.deadline
-        most = route.most_upstreams
-        if action.attempts is not None:
-            most = min(most, 1 + action.attempts)
-        return Ruling(
-            found.name,
-            level if action.importance is None else int(action.importance),
-            min(route.timeout, deadline),
-            route.idempotent and action.idempotent is not False,
-            most,
-            action.data_centre,
-            refusal,
-            after,
-        )
+        return Verdict(ruling.rule, ruling.route, ruling.data_centre, refusal, after)
