Do not believe an upstream's old pace while nothing ends there

Cause: a test of refusals for load showed 290 requests waiting behind 7 slots for 15 seconds. The queue holds what is served in a fifth of a second, by the mean of runs that ended; an upstream that answered in 1 ms and then hangs ends none, so its queue took hundreds, who all waited until their deadlines.

Ruled out: the threshold (it follows the queue), the probe's guess of slots.

Change: while runs are out and none has ended for three times the expected interval, the pace is at most three in that time. Two tests, one fails without it; one slow request beside quick ones changes nothing.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -12,6 +12,10 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.request.outcome import Reason
 
+#: Runs that would have ended, at the true pace, in a time without any end, with
+#: a chance of 95 in 100: three, for ends that come independently.
+_ENDS_MISSED = 3.0
+
 
 class AdmissionController:
     """Decides which requests run, wait and are shed at one guard.
@@ -65,6 +69,8 @@
         self._leaving = False
         self._busy = 0.0
         self._busy_since = clock.now()
+        #: When a run last ended, or the first began after idle.
+        self._progress = clock.now()
 
     @property
     def cut(self) -> float:
@@ -117,6 +123,7 @@
         """Take note that a run has ended, and start who is next."""
         self._count_busy()
         waiter = self._running.pop(key, None)
+        self._progress = self._clock.now()
         if waiter is not None and succeeded:
             now = self._clock.now()
             duration = now - waiter.started
@@ -144,10 +151,9 @@
             decisions.append(Refuse(waiter, Reason.TOO_LATE))
         decisions += self._start_next()
         limit = self._limit.current
-        mean = self._estimate.mean
-        if mean:
+        if self._estimate.mean:
             self._cut.update(
-                capacity=limit / mean * self.TICK,
+                capacity=self._pace() * self.TICK,
                 queue_share=len(self._queue) / self._queue_bound(),
                 utilisation=self._take_busy() / (limit * self.TICK),
             )
@@ -163,13 +169,25 @@
         busy, self._busy = self._busy, 0.0
         return busy
 
+    def _pace(self) -> float:
+        """Return how many runs end in a second, from a known service time.
+
+        Service times are learned from runs that end.  An upstream that hangs
+        ends none, and by its old pace the queue took hundreds more, who waited
+        until their deadlines; so a time without any end bounds the pace.
+        """
+        pace = self._limit.current / self._estimate.mean
+        quiet = self._clock.now() - self._progress
+        if self._running and quiet * pace > _ENDS_MISSED:
+            return _ENDS_MISSED / quiet
+        return pace
+
     def _queue_bound(self) -> int:
         limit, settings = self._limit.current, self._settings
         bound = max(settings.least_queue, ceil(limit * settings.queue_share))
-        mean = self._estimate.mean
-        if not mean:
+        if not self._estimate.mean:
             return bound
-        return max(bound, int(limit / mean * settings.queue_seconds))
+        return max(bound, int(self._pace() * settings.queue_seconds))
 
     def _cannot_finish(self, waiter: Waiter, wait: float = 0.0) -> bool:
         now = self._clock.now()
@@ -184,9 +202,8 @@
         return now + needed > waiter.deadline
 
     def _enqueue(self, waiter: Waiter) -> list[Decision]:
-        limit = self._limit.current
         mean = self._estimate.mean
-        wait = (self._queue.ahead(waiter.rank) + 1) * mean / limit
+        wait = (self._queue.ahead(waiter.rank) + 1) / self._pace() if mean else 0.0
         if self._cannot_finish(waiter, max(0.0, wait - mean)):
             self._on_displaced(waiter)
             return [Refuse(waiter, Reason.TOO_LATE)]
@@ -196,7 +213,7 @@
         bound = self._queue_bound()
         if len(self._queue) <= bound:
             if 2 * len(self._queue) > bound and mean:
-                self._cut.on_pressure(self._clock.now(), limit / mean)
+                self._cut.on_pressure(self._clock.now(), self._pace())
             return []
         worst = self._queue.pop_worst()
         self._on_displaced(worst)
@@ -204,12 +221,10 @@
         return [Refuse(worst, Reason.SHED)]
 
     def _on_displaced(self, waiter: Waiter) -> None:
-        mean = self._estimate.mean
-        if not mean:
+        if not self._estimate.mean:
             # A cold start: what the upstream can do is not known yet.
             return
-        capacity = self._limit.current / mean
-        self._cut.on_displaced(waiter.rank, self._clock.now(), capacity)
+        self._cut.on_displaced(waiter.rank, self._clock.now(), self._pace())
 
     def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> Refuse:
         self._queue.remove(waiter)
@@ -219,6 +234,8 @@
     def _start(self, waiter: Waiter) -> Start:
         self._count_busy()
         waiter.started = self._clock.now()
+        if not self._running:
+            self._progress = waiter.started
         self._running[waiter.key] = waiter
         return Start(waiter)
 
--- a/packages/rattanfork-core/rattanfork_core/admission/tests/test_controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/tests/test_controller.py
@@ -176,3 +176,49 @@
         upstream.clock.advance(0.1)
         upstream.take(upstream.admission.tick())
     assert upstream.admission.cut == 5.0
+
+
+def test_an_upstream_that_hangs_does_not_fill_its_queue():
+    """An upstream answers in a millisecond, then hangs without closing anything.
+
+    By its old pace the queue could be served in a fifth of a second, so it
+    would take hundreds, who all wait until their deadlines.  Without any
+    answer the pace is not believed: what comes late is refused at once and
+    finds another instance.
+    """
+    settings = AdmissionSettings(
+        slots=4, least_queue=4, queue_share=1.0, queue_seconds=0.2, warmup=0.0
+    )
+    upstream = Upstream(settings)
+    for _ in range(200):
+        upstream.arrive(2.5)
+        upstream.clock.advance(0.001)
+        upstream.finish()
+    for _ in range(300):
+        upstream.arrive(2.5)
+        upstream.clock.advance(0.002)
+    assert upstream.admission.waiting <= 60
+    upstream.clock.advance(1.0)
+    upstream.take(upstream.admission.tick())
+    waiting, told = upstream.admission.waiting, len(upstream.log)
+    for _ in range(20):
+        upstream.arrive(2.5)
+    assert upstream.admission.waiting <= waiting
+    assert [r for r, _ in upstream.log[told:] if r in ("SHED", "TOO_LATE")]
+    assert len(upstream.log) - told >= 20
+
+
+def test_a_slow_request_alone_does_not_look_like_a_hang():
+    """Most requests are quick, one runs for seconds beside them."""
+    settings = AdmissionSettings(
+        slots=4, least_queue=4, queue_share=1.0, queue_seconds=0.2, warmup=0.0
+    )
+    upstream = Upstream(settings)
+    upstream.arrive(2.5)
+    slow = upstream.running.pop()
+    for _ in range(400):
+        upstream.arrive(2.5)
+        upstream.clock.advance(0.005)
+        upstream.finish()
+    assert [reason for reason, _ in upstream.log] == ["start"] * 401
+    upstream.running.append(slow)
