Answer no call in place of an upstream once a node was told to stop

A cancelled run stops its calls at once, answering them, for upstreams that take no note of a closed connection.

Ruled out: the timers of routes (the answer was 502, not 504), a lost link (the run was cut one millisecond later, by the cancel).

Change: a node on its way out closes the run's connection only. Found beside it: a run that must not be repeated goes on after its caller left, but its calls were stopped, so that it could only fail; they go on too now. Two tests that fail before.

--- a/bench/speed.py
+++ b/bench/speed.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 import uvloop
+from by_routes import ByRoutes
 from rattanfork_testkit import Cluster, ServiceSpec
 
 _SPEC = ServiceSpec(1, 400, 1000, 0.0)
@@ -23,10 +24,12 @@
     return (int(fields[11]) + int(fields[12])) / _TICKS
 
 
-async def one_at_a_time(urls: dict[str, str], count: int) -> dict[str, list[float]]:
+async def one_at_a_time(
+    urls: dict[str, str], headers: dict[str, str], count: int
+) -> dict[str, list[float]]:
     """Return the time of each call, taking turns between the ways."""
     took: dict[str, list[float]] = {name: [] for name in urls}
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(headers=headers) as session:
         for i in range(count + 200):
             for name, url in urls.items():
                 began = monotonic()
@@ -38,13 +41,15 @@
     return took
 
 
-async def concurrent(url: str, total: int, width: int) -> list[float]:
+async def concurrent(
+    url: str, headers: dict[str, str], total: int, width: int
+) -> list[float]:
     """Return the time of each of many calls, some at once."""
     took: list[float] = []
     left = total
 
     async with aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0)
+        connector=aiohttp.TCPConnector(limit=0), headers=headers
     ) as session:
 
         async def worker() -> None:
@@ -85,54 +90,76 @@
             ]
         )
         await cluster.wait_ready()
-        urls = {
-            "direct": f"{target.upstream_url}/get",
-            "bare": f"http://127.0.0.1:{port}/target/get",
-            "two nodes": f"{other.edge}/target/get",
-        }
-        took = await one_at_a_time(urls, count)
-        result: dict = {"one at a time": {}, "200 at once": {}}
-        base = milliseconds(took["direct"])
-        for name in urls:
-            p50, p99 = milliseconds(took[name])
-            result["one at a time"][name] = {
-                "p50_ms": round(p50, 3),
-                "p99_ms": round(p99, 3),
-                "added_p50_ms": round(p50 - base[0], 3),
-                "added_p99_ms": round(p99 - base[1], 3),
+        async with ByRoutes(target.upstream_url) as by_routes:
+            urls = {
+                "direct": f"{target.upstream_url}/get",
+                "bare": f"http://127.0.0.1:{port}/target/get",
+                "two nodes": f"{other.edge}/target/get",
+                "by routes": by_routes.url,
             }
-        groups = {"bare": [forwarder], "two nodes": [other.process, target.process]}
-        for name, processes in groups.items():
-            await concurrent(urls[name], total // 4, 200)
-            before = sum(cpu_seconds(p) for p in processes)
-            began = monotonic()
-            samples = await concurrent(urls[name], total, 200)
-            seconds = monotonic() - began
-            cpu = sum(cpu_seconds(p) for p in processes) - before
-            p50, p99 = milliseconds(samples)
-            result["200 at once"][name] = {
-                "p50_ms": round(p50, 2),
-                "p99_ms": round(p99, 2),
-                "per_second": round(total / seconds),
-                "per_core_second": round(total / cpu),
+            processes = {
+                "bare": [forwarder],
+                "two nodes": [other.process, target.process],
+                "by routes": by_routes.processes,
             }
-    one = result["one at a time"]
-    many = result["200 at once"]
-    result["ratios"] = {
-        "added p50": one["two nodes"]["added_p50_ms"] / one["bare"]["added_p50_ms"],
-        "added p99": one["two nodes"]["added_p99_ms"] / one["bare"]["added_p99_ms"],
-        "total p99": one["two nodes"]["p99_ms"] / one["bare"]["p99_ms"],
-        "200 p99": many["two nodes"]["p99_ms"] / many["bare"]["p99_ms"],
-        "per core-second": many["two nodes"]["per_core_second"]
-        / many["bare"]["per_core_second"],
-    }
-    result["ratios"] = {k: round(v, 2) for k, v in result["ratios"].items()}
+            result = await measure(urls, processes, by_routes.headers, count, total)
+    result["ratios"] = {way: ratios(result, way) for way in ("two nodes", "by routes")}
     print(json.dumps(result, indent=1))
     if save:
         _RESULTS.parent.mkdir(parents=True, exist_ok=True)
         _RESULTS.write_text(json.dumps(result, indent=1) + "\n")
 
 
+async def measure(
+    urls: dict[str, str],
+    processes: dict[str, list],
+    headers: dict[str, str],
+    count: int,
+    total: int,
+) -> dict:
+    """Return what each way adds to a call, and what it costs under load."""
+    took = await one_at_a_time(urls, headers, count)
+    result: dict = {"one at a time": {}, "200 at once": {}}
+    base = milliseconds(took["direct"])
+    for name in urls:
+        p50, p99 = milliseconds(took[name])
+        result["one at a time"][name] = {
+            "p50_ms": round(p50, 3),
+            "p99_ms": round(p99, 3),
+            "added_p50_ms": round(p50 - base[0], 3),
+            "added_p99_ms": round(p99 - base[1], 3),
+        }
+    for name, group in processes.items():
+        await concurrent(urls[name], headers, total // 4, 200)
+        before = sum(cpu_seconds(p) for p in group)
+        began = monotonic()
+        samples = await concurrent(urls[name], headers, total, 200)
+        seconds = monotonic() - began
+        cpu = sum(cpu_seconds(p) for p in group) - before
+        p50, p99 = milliseconds(samples)
+        result["200 at once"][name] = {
+            "p50_ms": round(p50, 2),
+            "p99_ms": round(p99, 2),
+            "per_second": round(total / seconds),
+            "per_core_second": round(total / cpu),
+        }
+    return result
+
+
+def ratios(result: dict, way: str) -> dict[str, float]:
+    """Return a way's figures as multiples of the bare forwarder's."""
+    one, many = result["one at a time"], result["200 at once"]
+    found = {
+        "added p50": one[way]["added_p50_ms"] / one["bare"]["added_p50_ms"],
+        "added p99": one[way]["added_p99_ms"] / one["bare"]["added_p99_ms"],
+        "total p99": one[way]["p99_ms"] / one["bare"]["p99_ms"],
+        "200 p99": many[way]["p99_ms"] / many["bare"]["p99_ms"],
+        "per core-second": many[way]["per_core_second"]
+        / many["bare"]["per_core_second"],
+    }
+    return {name: round(value, 2) for name, value in found.items()}
+
+
 if __name__ == "__main__":
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--count", type=int, default=2000)
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -353,6 +353,7 @@
         began = self._clock.now()
         log_change("draining", runs=self._gate.busy, requests=self._callers.in_flight)
         self._keeper.close()
+        self._gate.leave()
         self._callers.leave()
         end = began + _GRACE_SHARE * self._settings.grace
         self._relay.leave(end)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -140,6 +140,7 @@
         self._running: dict[bytes, Job] = {}
         self._next_key = 0
         self._accepting = False
+        self._leaving = False
         #: Set when the upstream turned out to be another incarnation.
         self.misdirected = False
 
@@ -234,18 +235,22 @@
         """Stop a request that nobody waits for."""
         if job.ended:
             return
-        for stop in list(job.cancels.values()):
-            stop()
         if not job.handed_over:
             self._withdraw(job, Reason.CANCELLED)
         elif job.connection is None:
             self._end(job, _not_run(Reason.CANCELLED), False)
         elif job.idempotent:
             # Closing is what makes an upstream stop.  A run that must not be
-            # repeated goes on: cut off half-way, nobody could tell its state.
+            # repeated goes on, and so do its calls: cut off half-way, nobody
+            # could tell its state.
             job.connection.abort()
+            self._stop_calls(job)
             self._end(job, CallResult(Outcome.UNKNOWN, Reason.CANCELLED), False)
 
+    def leave(self) -> None:
+        """Take note that this node was told to stop."""
+        self._leaving = True
+
     def tick(self) -> None:
         """Carry admission on; call every ``AdmissionController.TICK``."""
         self._apply(self._admission.tick())
@@ -260,6 +265,16 @@
         if self._pool is not None:
             self._pool.close()
 
+    def _stop_calls(self, job: Job) -> None:
+        """Stop the calls of a run, for upstreams that take no note of a close.
+
+        Not on a node that leaves: one whose upstream still waits for the answer
+        would see it replaced by a failure that only the restart has caused.
+        """
+        if not self._leaving:
+            for stop in list(job.cancels.values()):
+                stop()
+
     def _replace(self, upstream: Upstream, connections: int) -> None:
         if self._pool is not None:
             self._pool.retire()
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -140,6 +140,40 @@
     assert exchange.answered
 
 
+@on_loop
+async def test_a_run_that_must_not_be_repeated_keeps_its_calls():
+    """The caller of a posting leaves, or its node is lost, while it runs.
+
+    The run goes on, for nobody could tell the state it was cut off in.  It can
+    only end well if the calls that it has made are not stopped either.
+    """
+    world = RelayWorld(peers=1)
+    job, _ = world.gate_world.submit("run", idempotent=False)
+    exchange = world.ask("/i/x", request_id="run.0123456789abcdef")
+    world.gate.cancel(job)
+    assert world.links[0].sent == []
+    assert not exchange.answered
+
+
+@on_loop
+async def test_a_leaving_node_answers_no_call_in_place_of_an_upstream():
+    """A node was told to stop; a run at its upstream is cancelled.
+
+    The run's connection is closed, and the upstream closes those of its calls
+    if it takes note.  A call that is still wanted is at work elsewhere, and is
+    not broken off by a node on its way out.
+    """
+    world = RelayWorld(peers=1)
+    job, _ = world.gate_world.submit("run")
+    exchange = world.ask("/i/x", request_id="run.0123456789abcdef")
+    world.gate.leave()
+    world.gate.cancel(job)
+    assert world.gate_world.pool.connections[0].aborted
+    assert not exchange.answered
+    exchange.on_gone()
+    assert [type(m) for m in world.links[0].sent] == [Cancel]
+
+
 @on_loop
 async def test_a_leaving_node_takes_what_ends_before_it_and_nothing_else():
     """A node was told to stop; a client whose zone has few others goes on.
