Move the threshold to the least important waiter when one's time runs out

Cause: a deep call of a posting that is short of time says nothing of its own rank; taken as the threshold it would close the service to all below it.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -218,7 +218,7 @@
         mean = self._estimate.mean
         wait = (self._queue.ahead(waiter.rank) + 1) / self._pace() if mean else 0.0
         if self._cannot_finish(waiter, max(0.0, wait - mean)):
-            self._on_displaced(waiter.rank)
+            self._on_waited_out(waiter)
             return [Refuse(waiter, Reason.TOO_LATE)]
         shortest = self._estimate.shortest(waiter.operation)
         self._latest_start[waiter.key] = waiter.deadline - shortest
@@ -240,14 +240,17 @@
         self._cut.on_displaced(rank, self._clock.now(), self._pace())
 
     def _on_waited_out(self, waiter: Waiter) -> None:
-        """Take note that a waiter's time ran out in the queue.
+        """Take note that a waiter's time runs out before its turn.
 
         Calls with little time left are shed by the clock before the queue is
         full.  Unless that moves the threshold, callers go on beginning runs
-        whose calls end here.  One that is more important than others in the
-        queue was only short of time: those others are the ones too many.
+        whose calls end here.  It moves to the least important of those who
+        wait, however important the one is who was short of time: a deep call
+        of a posting, with milliseconds left, would close the service to all
+        that is less important while browsing still waits.
         """
-        self._on_displaced(max(waiter.rank, self._queue.worst_rank))
+        if self._queue:
+            self._on_displaced(max(waiter.rank, self._queue.worst_rank))
 
     def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> Refuse:
         self._queue.remove(waiter)
