--- a/packages/rattanfork-core/rattanfork_core/admission/tests/test_controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/tests/test_controller.py
@@ -222,9 +222,13 @@
         upstream.finish()
     for rank in (2.2, 2.4, 2.6, 2.8):
         upstream.arrive(rank)
-    upstream.arrive(0.5, patience=0.004)
-    assert upstream.log[-1][0] == "TOO_LATE"
-    assert upstream.admission.cut > 2.0
+    upstream.arrive(0.5, patience=0.06)
+    upstream.clock.advance(0.03)
+    upstream.take(upstream.admission.tick())
+    assert [(r, w.rank) for r, w in upstream.log if r == "TOO_LATE"] == [
+        ("TOO_LATE", 0.5)
+    ]
+    assert 2.0 < upstream.admission.cut < 5.0
 
 
 def test_a_call_short_of_time_at_an_idle_service_is_no_sign_of_load():
@@ -235,7 +239,9 @@
         upstream.finish()
     upstream.arrive(2.5)
     upstream.arrive(2.6)
-    upstream.arrive(0.5, patience=0.004)
+    upstream.arrive(0.5, patience=0.06)
+    upstream.clock.advance(0.03)
+    upstream.take(upstream.admission.tick())
     assert upstream.log[-1][0] == "TOO_LATE"
     assert upstream.admission.cut == 5.0
 
