Take back that time-outs and standing queues move the threshold

What was tried: the threshold falls to the least important waiter when one's time runs out, and is trimmed while a queue stands for 0.03 s over four ticks.

Conclusion: reverted.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -1,6 +1,5 @@
 """Admission in front of one upstream."""
 
-from collections import deque
 from math import ceil
 
 from rattanfork_core.admission.cut import ShedCut
@@ -16,9 +15,6 @@
 #: Runs that would have ended, at the true pace, in a time without any end, with
 #: a chance of 95 in 100: three, for ends that come independently.
 _ENDS_MISSED = 3.0
-#: Ticks over which a queue is looked at: its shortest length in them stands, and
-#: what is above came in a burst and goes again.
-_STANDING_TICKS = 4
 
 
 class AdmissionController:
@@ -73,7 +69,6 @@
         self._leaving = False
         self._busy = 0.0
         self._busy_since = clock.now()
-        self._lengths: deque[int] = deque(maxlen=_STANDING_TICKS)
         #: When a run last ended, or the first began after idle.
         self._progress = clock.now()
 
@@ -143,13 +138,8 @@
 
     def withdraw(self, waiter: Waiter) -> bool:
         """Take a waiter out of the queue; return whether it was there."""
-        latest_start = self._latest_start.pop(waiter.key, None)
-        if not self._queue.remove(waiter):
-            return False
-        if latest_start is not None and latest_start <= self._clock.now():
-            # Whoever gave it up did so because its time was over.
-            self._on_waited_out(waiter)
-        return True
+        self._latest_start.pop(waiter.key, None)
+        return self._queue.remove(waiter)
 
     def tick(self) -> list[Decision]:
         """Shed the doomed and adapt the cut; call every :attr:`TICK`."""
@@ -158,15 +148,12 @@
         decisions: list[Decision] = []
         for waiter in doomed:
             self._latest_start.pop(waiter.key, None)
-            self._on_waited_out(waiter)
             decisions.append(Refuse(waiter, Reason.TOO_LATE))
         decisions += self._start_next()
         limit = self._limit.current
-        self._lengths.append(len(self._queue))
         if self._estimate.mean:
             self._cut.update(
                 capacity=self._pace() * self.TICK,
-                standing=min(self._lengths) / self._pace(),
                 queue_share=len(self._queue) / self._queue_bound(),
                 utilisation=self._take_busy() / (limit * self.TICK),
             )
@@ -218,7 +205,7 @@
         mean = self._estimate.mean
         wait = (self._queue.ahead(waiter.rank) + 1) / self._pace() if mean else 0.0
         if self._cannot_finish(waiter, max(0.0, wait - mean)):
-            self._on_waited_out(waiter)
+            self._on_displaced(waiter)
             return [Refuse(waiter, Reason.TOO_LATE)]
         shortest = self._estimate.shortest(waiter.operation)
         self._latest_start[waiter.key] = waiter.deadline - shortest
@@ -229,28 +216,15 @@
                 self._cut.on_pressure(self._clock.now(), self._pace())
             return []
         worst = self._queue.pop_worst()
-        self._on_displaced(worst.rank)
+        self._on_displaced(worst)
         self._latest_start.pop(worst.key, None)
         return [Refuse(worst, Reason.SHED)]
 
-    def _on_displaced(self, rank: float) -> None:
+    def _on_displaced(self, waiter: Waiter) -> None:
         if not self._estimate.mean:
             # A cold start: what the upstream can do is not known yet.
             return
-        self._cut.on_displaced(rank, self._clock.now(), self._pace())
-
-    def _on_waited_out(self, waiter: Waiter) -> None:
-        """Take note that a waiter's time runs out before its turn.
-
-        Calls with little time left are shed by the clock before the queue is
-        full.  Unless that moves the threshold, callers go on beginning runs
-        whose calls end here.  It moves to the least important of those who
-        wait, however important the one is who was short of time: a deep call
-        of a posting, with milliseconds left, would close the service to all
-        that is less important while browsing still waits.
-        """
-        if self._queue:
-            self._on_displaced(max(waiter.rank, self._queue.worst_rank))
+        self._cut.on_displaced(waiter.rank, self._clock.now(), self._pace())
 
     def _refuse_waiting(self, waiter: Waiter, reason: Reason) -> Refuse:
         self._queue.remove(waiter)
@@ -271,7 +245,6 @@
             waiter = self._queue.pop_best()
             self._latest_start.pop(waiter.key, None)
             if self._cannot_finish(waiter):
-                self._on_waited_out(waiter)
                 decisions.append(Refuse(waiter, Reason.TOO_LATE))
             else:
                 decisions.append(self._start(waiter))
--- a/packages/rattanfork-core/rattanfork_core/admission/cut.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/cut.py
@@ -16,9 +16,6 @@
 _IDLE_GAIN = 0.5
 _MOSTLY_IDLE = 0.5
 _LEAST_TRIM = 1.0 / 256
-#: Seconds of a queue that stands.  It serves nothing: the slots would be as
-#: busy without it, and every call of a run that makes several waits in it.
-_STANDING = 0.03
 _QUEUE_LOW = 0.25
 _QUEUE_HIGH = 0.75
 #: Arrivals looked at for a surge, and how much faster than served they come.
@@ -47,9 +44,8 @@
       below which they would fit: sorting a surge out by displacement alone
       lets shallow services work for most of it first.
     - While some slots idle, it rises by a part of the capacity not used.
-    - While the queue is long, or does not go away for some ticks, or is short,
-      the cut is trimmed by a small share of the capacity, so that it settles
-      with a queue that comes and goes.
+    - While the queue is long or short, the cut is trimmed by a small share
+      of the capacity, so that it settles with a queue neither empty nor full.
     - When slots mostly idle, it rises by steps that double: the demand above
       the cut is not seen here, so its size has to be felt for.
 
@@ -126,13 +122,7 @@
                 self._value = min(self._value, (self._value + ranks[fitting]) / 2)
         self._value = max(_LEAST_CUT, self._value)
 
-    def update(
-        self,
-        capacity: float,
-        queue_share: float,
-        utilisation: float,
-        standing: float = 0.0,
-    ) -> None:
+    def update(self, capacity: float, queue_share: float, utilisation: float) -> None:
         """Adapt the cut; called once each tick.
 
         Parameters
@@ -144,9 +134,6 @@
             Length of the queue as a share of its bound.
         utilisation : float
             Share of the slots' time since the last tick that was used.
-        standing : float
-            Seconds that the part of the queue which does not go away takes to
-            be served.
         """
         idle = 1.0 - utilisation
         if idle > _MOSTLY_IDLE:
@@ -156,7 +143,7 @@
             self._rise = _FIRST_RISE
             if idle > _SOME_IDLE:
                 self._trim(capacity * idle * _IDLE_GAIN)
-            elif queue_share > _QUEUE_HIGH or standing > _STANDING:
+            elif queue_share > _QUEUE_HIGH:
                 self._trim(-capacity * _TRIM)
             elif queue_share < _QUEUE_LOW:
                 self._trim(capacity * _TRIM)
--- a/packages/rattanfork-core/rattanfork_core/admission/queue.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/queue.py
@@ -45,11 +45,6 @@
         """Return how many waiters would go before one of this rank."""
         return self._waiters.bisect_key_left((rank, 0))
 
-    @property
-    def worst_rank(self) -> float:
-        """Rank of the waiter that is shed first; 0 if nobody waits."""
-        return self._waiters[-1].rank if self._waiters else 0.0
-
     def pop_best(self) -> Waiter:
         """Take out the waiter that goes next."""
         return self._waiters.pop(0)
