--- a/packages/rattanfork-core/rattanfork_core/hints/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/__init__.py
@@ -1,5 +1,6 @@
 """Thresholds of other guards, heard on replies."""
 
+from rattanfork_core.hints.early import EarlyRefusal
 from rattanfork_core.hints.table import HintTable
 
-__all__ = ["HintTable"]
+__all__ = ["EarlyRefusal", "HintTable"]
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/hints/early.py
@@ -0,0 +1,120 @@
+"""Refusal of what every instance would refuse."""
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.hints.table import HintTable
+from rattanfork_core.request.importance import RANKS
+from rattanfork_core.routing import InstancePicker
+
+#: An instance that fails more often than this says nothing of thresholds.
+_MOSTLY_FAILING = 0.5
+#: Seconds for which a threshold heard is believed as it is, ranks by which it
+#: rises in a second after that, and seconds without news after which one
+#: request may test it.  Replies come many times a second while any request
+#: passes; only when none does has the threshold to open by itself.
+_FRESH = 0.4
+_RISE = 1.0
+_PROBE_AFTER = 0.2
+#: Instances named in what is told of a refusal.
+_MOST_TOLD = 8
+_NOBODY: frozenset[str] = frozenset()
+
+
+class EarlyRefusal:
+    """Refuses, before any work is done, what every instance would shed.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+
+    Examples
+    ========
+
+    >>> from random import Random
+    >>> from rattanfork_core.clock import ManualClock
+    >>> from rattanfork_core.routing import InstanceState
+    >>> clock = ManualClock()
+    >>> picker = InstancePicker("n1", "dc1", clock, Random(1))
+    >>> picker.update([InstanceState("a", "dc1"), InstanceState("b", "dc1")])
+    >>> early = EarlyRefusal(clock)
+    >>> early.hear("lookup", "a", 2.0)
+    >>> early.blocked(picker, "lookup", 2.5)
+    frozenset({'a'})
+    >>> early.hear("lookup", "b", 2.0)
+    >>> early.blocked(picker, "lookup", 2.5) is None
+    True
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._hints = HintTable(clock, _FRESH, _RISE, _PROBE_AFTER)
+
+    def hear(self, operation: str, instance: str, cut: float) -> None:
+        """Take in the threshold that came with a reply."""
+        self._hints.hear(operation, instance, cut)
+
+    def blocked(
+        self, picker: InstancePicker, operation: str, rank: float
+    ) -> frozenset[str] | None:
+        """Return the instances that would shed a rank; None if all would."""
+        hints = self._hints
+        if not len(hints):
+            return _NOBODY
+        blocked = []
+        passing = 0
+        for state in picker.subset:
+            if rank < hints.cut(operation, state.name):
+                passing += 1
+            elif state.failures <= _MOSTLY_FAILING:
+                blocked.append(state.name)
+        if passing:
+            return frozenset(blocked)
+        for state in picker.subset:
+            if hints.may_probe(operation, state.name, rank):
+                return frozenset(n for n in blocked if n != state.name)
+        return None
+
+    def highest(
+        self, picker: InstancePicker, operation: str, own: str = "", own_cut: float = 0
+    ) -> float | None:
+        """Return the threshold of the instance that sheds least.
+
+        Parameters
+        ==========
+
+        picker : InstancePicker
+            The instances.
+        operation : str
+            Operation that is called.
+        own : str
+            An instance whose threshold is known at first hand, or "".
+        own_cut : float
+            Its threshold.
+
+        Returns
+        =======
+
+        float or None
+            None if all instances mostly fail.
+        """
+        cuts = [
+            own_cut if state.name == own else self._hints.cut(operation, state.name)
+            for state in picker.subset
+            if state.failures <= _MOSTLY_FAILING
+        ]
+        return max(cuts, default=None)
+
+    def pressure(self, picker: InstancePicker, operation: str) -> float:
+        """Return 0 while all is admitted, up to 1 when nothing is."""
+        cuts = [self._hints.cut(operation, state.name) for state in picker.subset]
+        return 1.0 - max(cuts) / RANKS
+
+    def told(
+        self, picker: InstancePicker, operation: str
+    ) -> dict[str, tuple[float, float]]:
+        """Return thresholds heard and their ages in seconds, by instance."""
+        heard = {
+            state.name: self._hints.heard(operation, state.name)
+            for state in picker.subset[:_MOST_TOLD]
+        }
+        return {name: hint for name, hint in heard.items() if hint is not None}
--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -3,7 +3,7 @@
 from rattanfork_core.membership.anti_entropy import BucketDigest
 from rattanfork_core.membership.duty import on_duty
 from rattanfork_core.membership.member import Member, MemberStatus
-from rattanfork_core.membership.membership import Membership, MembershipSettings
+from rattanfork_core.membership.membership import Membership
 from rattanfork_core.membership.messages import (
     Ack,
     GossipMessage,
@@ -14,6 +14,7 @@
     encode_gossip,
 )
 from rattanfork_core.membership.rumours import RumourQueue
+from rattanfork_core.membership.settings import MembershipSettings
 
 __all__ = [
     "Ack",
--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -17,6 +17,7 @@
 )
 from rattanfork_core.membership.pool import RandomPool
 from rattanfork_core.membership.rumours import RumourQueue
+from rattanfork_core.membership.settings import MembershipSettings
 
 #: Share of the probes that also go to one of the dead.
 _DEAD_SHARE = 0.1
@@ -25,41 +26,6 @@
 _FAR_PUSHES = 4
 
 
-@dataclass(frozen=True, slots=True)
-class MembershipSettings:
-    """Settings of the membership protocol.
-
-    Parameters
-    ==========
-
-    period : float
-        Seconds between two probes.
-    ack_timeout : float
-        Seconds after which others are asked to probe.
-    helpers : int
-        How many are asked.
-    suspicion : float
-        Periods a suspect has to answer, times the logarithm of the fleet.
-    rumours : int
-        Most rumours of a datagram.
-    push_interval : float
-        Least seconds between two pushes of fresh news.
-    pushes : int
-        How many others fresh news is pushed to.
-    forget_after : float
-        Seconds for which the dead are remembered.
-    """
-
-    period: float = 1.0
-    ack_timeout: float = 0.3
-    helpers: int = 2
-    suspicion: float = 1.5
-    rumours: int = 6
-    push_interval: float = 0.2
-    pushes: int = 2
-    forget_after: float = 600.0
-
-
 @dataclass(slots=True)
 class _Probe:
     target: str
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -268,7 +268,7 @@
             self._last_reason = Reason.CONNECTION
             self._carry_out(self._machine.on_link_lost(attempt))
             return
-        self._relay.hints.hear(self._admitted.operation, name, reply.cut)
+        self._relay.early.hear(self._admitted.operation, name, reply.cut)
         if self._state is not None:
             self._state.busy = reply.busy
         result = CallResult(
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.hints import HintTable
+from rattanfork_core.hints import EarlyRefusal, HintTable
 from rattanfork_core.membership import Membership
 from rattanfork_core.request import (
     CallResult,
@@ -39,29 +39,18 @@
 if TYPE_CHECKING:
     from rattanfork_node.relay.ruling import Ruler, Verdict
 
-#: An instance that fails more often than this says nothing of thresholds.
-_MOSTLY_FAILING = 0.5
 #: Seconds before the deadline at which a request is given up, so that its
 #: answer still reaches the caller in time.
 _ANSWER_MARGIN = 0.015
 #: Seconds after which a caller comes back to a node that has no
 #: configuration yet; it reads one within about a second of its start.
 _NOT_READY_RETRY = 0.3
-#: Seconds for which a threshold heard is believed as it is, ranks by which it
-#: rises in a second after that, and seconds without news after which one
-#: request may test it.  Replies come many times a second while any request
-#: passes; only when none does has the threshold to open by itself.
-_HINT_FRESH = 0.4
-_HINT_RISE = 1.0
-_PROBE_AFTER = 0.2
 _NOBODY: frozenset[str] = frozenset()
 #: What a caller gets where no upstream answered: the first says that the
 #: request did not run and never will, the others that it may have.
 _NOT_RUN_STATUS = 503
 _TIMEOUT_STATUS = 504
 _UNKNOWN_STATUS = 502
-#: Thresholds named on the line of a refusal.
-_MOST_THRESHOLDS = 8
 
 
 class Relay(RequestHandler):
@@ -125,7 +114,7 @@
         self.pool = pool
         self.gate = gate
         self.counters = counters
-        self.hints = HintTable(clock, _HINT_FRESH, _HINT_RISE, _PROBE_AFTER)
+        self.early = EarlyRefusal(clock)
         self.budgets = ArrivalBudgets(clock, settings)
         self.my_name = membership.me.name
         self._journal = journal
@@ -166,7 +155,7 @@
             self._refuse(exchange, Reason.NO_INSTANCE, after, route=route.name)
         elif parent is not None:
             rank = parent.rank
-            blocked = self._blocked(picker, self.operation(route, service), rank)
+            blocked = self.early.blocked(picker, self.operation(route, service), rank)
             self._forward(
                 exchange, route, service, rank, parent, picker, blocked or _NOBODY
             )
@@ -196,7 +185,7 @@
             return
         rank = self._rank(exchange, route)
         operation = self.operation(route, service)
-        blocked = self._blocked(picker, operation, rank)
+        blocked = self.early.blocked(picker, operation, rank)
         if blocked is None:
             self._refuse(
                 exchange,
@@ -204,7 +193,7 @@
                 self._return_after(rank),
                 route=route.name,
                 rank=round(rank, 3),
-                thresholds=self._thresholds(picker, operation),
+                thresholds=self.early.told(picker, operation),
             )
             return
         self._forward(
@@ -315,15 +304,13 @@
             from rattanfork_node.relay.ruling import Ruler
 
             self._ruler = Ruler(self.clock, self._settings.data_centre)
-        operation = self.operation(route, service)
-        cuts = [self.hints.cut(operation, state.name) for state in picker.subset]
         return self._ruler.rule(
             self._rules.rules,
             route,
             service,
             exchange.method.decode("latin-1"),
             self._settings.service,
-            1.0 - max(cuts) / RANKS,
+            self.early.pressure(picker, self.operation(route, service)),
         )
 
     def _leaves_before(self, route: Route) -> bool:
@@ -334,39 +321,13 @@
         level = min(max(route.priority, 0), RANKS - 1)
         return level + request_fate(exchange.request_id.decode("latin-1"))
 
-    def _blocked(
-        self, picker: InstancePicker, operation: str, rank: float
-    ) -> frozenset[str] | None:
-        """Return the instances that would shed a rank; None if all would."""
-        hints = self.hints
-        if not len(hints):
-            return _NOBODY
-        blocked = []
-        passing = 0
-        for state in picker.subset:
-            if rank < hints.cut(operation, state.name):
-                passing += 1
-            elif state.failures <= _MOSTLY_FAILING:
-                blocked.append(state.name)
-        if passing:
-            return frozenset(blocked)
-        for state in picker.subset:
-            if hints.may_probe(operation, state.name, rank):
-                return frozenset(n for n in blocked if n != state.name)
-        return None
-
     def _pass_up(
         self, parent: Job, operation: str, picker: InstancePicker, result: CallResult
     ) -> None:
-        cuts = [
-            self.hints.cut(operation, s.name)
-            if s.name != self.my_name
-            else self.gate.cut(operation)
-            for s in picker.subset
-            if s.failures <= _MOSTLY_FAILING
-        ]
-        if cuts:
-            parent.heard_cut = min(parent.heard_cut, max(cuts))
+        own_cut = self.gate.cut(operation)
+        cut = self.early.highest(picker, operation, self.my_name, own_cut)
+        if cut is not None:
+            parent.heard_cut = min(parent.heard_cut, cut)
         if result.status < 200 or result.status >= 300:
             parent.failed_calls += 1
         if result.reason is Reason.UPSTREAM_SHED:
@@ -377,16 +338,6 @@
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
 
-    def _thresholds(
-        self, picker: InstancePicker, operation: str
-    ) -> dict[str, tuple[float, float]]:
-        """Return the thresholds heard and their ages in seconds, for the log."""
-        heard = {
-            state.name: self.hints.heard(operation, state.name)
-            for state in picker.subset[:_MOST_THRESHOLDS]
-        }
-        return {name: hint for name, hint in heard.items() if hint is not None}
-
     def _refuse(
         self, exchange: Exchange, reason: Reason, after: float, **inputs: object
     ) -> None:
