--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := core platform node cli testkit
 READY := $(VENV)/.ready
 
-.PHONY: demo test bench speed shared matrix slopes lint format fuzz clean
+.PHONY: demo test bench speed starts shared matrix slopes lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -36,6 +36,9 @@
 speed: $(READY)
 	$(BIN)/python bench/speed.py
 
+starts: $(READY)
+	$(BIN)/python bench/starts.py
+
 shared: $(READY)
 	$(BIN)/python bench/shared.py
 
