Keep the platform's headers out of the bench

Cause: the bench of speed by routes named headers of the platform outside its folder.

Conclusion: no code of a node changes.

--- a/bench/by_routes.py
+++ b/bench/by_routes.py
@@ -5,16 +5,15 @@
 from types import SimpleNamespace
 from urllib.parse import urlsplit
 
-from rattanfork_adapter.tests.fleet import NodeProcess, configuration, until
+from rattanfork_adapter.tests.fleet import (
+    NodeProcess,
+    client_headers,
+    configuration,
+    until,
+)
 from rattanfork_adapter.tests.stand_in import StoreStandIn
 from rattanfork_testkit import FreePorts
 
-_HEADERS = {
-    "Host": "h.example",
-    "X-Rattanfork-Request-Id": "speed",
-    "X-Rattanfork-Deadline-Ms": "5000",
-}
-
 
 class ByRoutes:
     """A node of another service and the node beside an upstream.
@@ -32,7 +31,7 @@
         self._store = StoreStandIn()
         self._ports = FreePorts()
         self._nodes: list[NodeProcess] = []
-        self.headers = _HEADERS
+        self.headers = client_headers("speed", 5000)
 
     @property
     def url(self) -> str:
