Let an upstream's own failure of a posting speak against it

One upstream turned slow and answered 51 dues postings 504 at their deadline; only failures of what may be repeated counted against an instance, so it kept its share of the postings while the other two failed none.

Ruled out: thresholds (all open), queues (empty), deeper calls (none failed).

A posting is still never sent again; its failure is told to the sender with the reason, and the choice of an instance counts it.

--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -291,7 +291,7 @@
         if self._parent is not None:
             refused = result.reason is Reason.UPSTREAM_SHED
             self._relay.gate.refusals(self._parent.operation).on_attempt(refused)
-        if result.reason is Reason.UPSTREAM_FAILED:
+        if result.reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
             # A failure that another instance may do better; should none be
             # asked, the upstream's own answer is what the caller gets.
             result.outcome = Outcome.UNKNOWN
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -377,9 +377,11 @@
     result = CallResult(
         Outcome.ANSWERED, status=answer.status, block=answer.block, body=answer.body
     )
-    if answer.status >= 500 and job.idempotent and not job.failed_calls:
-        # The upstream failed by itself; where a deeper call failed, another
-        # instance would make the same call and fail as well.
+    if answer.status >= 500 and not job.failed_calls:
+        # The upstream failed by itself, which speaks against it: one that has
+        # turned slow fails posting after posting at its deadline, and was sent
+        # its full share as long as only reads counted.  Where a deeper call
+        # failed, another instance would make the same call and fail as well.
         result.reason = Reason.UPSTREAM_FAILED
-        result.retry_elsewhere = True
+        result.retry_elsewhere = job.idempotent
     return result
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -163,3 +163,17 @@
     job.failed_calls = 1
     world.answer(0, 500)
     assert not results[0].retry_elsewhere
+
+
+def test_an_upstreams_own_failure_of_a_posting_speaks_against_it():
+    """An upstream has turned slow and answers a posting 504 at its deadline.
+
+    The posting is not tried elsewhere, for it has run.  The sender must learn
+    all the same that it was the upstream that failed.
+    """
+    world = World()
+    _, results = world.submit(idempotent=False)
+    world.answer(0, 504)
+    assert results[0].outcome is Outcome.ANSWERED
+    assert results[0].reason is Reason.UPSTREAM_FAILED
+    assert not results[0].retry_elsewhere
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -88,6 +88,28 @@
     assert exchange.output == (500, b"", b"body")
 
 
+@on_loop
+async def test_an_upstream_that_fails_postings_gets_fewer_of_them():
+    """One of two instances has turned slow and fails postings at their deadline.
+
+    A posting is not sent again, so its caller gets the failure.  It must speak
+    against the instance, or half of all postings would go on failing there.
+    """
+    world = RelayWorld(peers=2, idempotent=False)
+    slow = world.links[0]
+    sent = {link.peer: 0 for link in world.links}
+    for number in range(40):
+        exchange = world.ask(request_id=f"r{number}")
+        [(link, place)] = [r for r in world.runs if r[1] == sent[r[0].peer]]
+        sent[link.peer] += 1
+        if link is slow:
+            link.reply(place, ANSWERED, Reason.UPSTREAM_FAILED, 504)
+            assert exchange.output == (504, b"", b"body")
+        else:
+            link.reply(place, ANSWERED, status=200)
+    assert sent[slow.peer] <= 8
+
+
 @on_loop
 async def test_the_time_of_a_route_ends_a_request_and_its_run():
     world = RelayWorld(peers=1, timeout=0.03)
