Report the burn of the platform's routes from the metrics of nodes

The report knew only objectives that stand in the ordered rules, asked of an admin port that nodes by routes do not have.

The windows moved to a subpackage that takes no library, as the one of reports loads a checker of documents and sketches.

--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -8,16 +8,29 @@
 from rattanfork_core.rules import ObjectiveModel
 
 from rattanfork_cli.burn_page import burn_page
+from rattanfork_cli.exits import BAD_INPUT, FAILED
 from rattanfork_cli.http import ask_node
 from rattanfork_cli.options import AsJson, Node
-from rattanfork_cli.output import print_json, print_table
+from rattanfork_cli.output import fail, print_json, print_table
 
 app = typer.Typer(no_args_is_help=True, help="Reports over the fleet.")
 
 
 @app.command()
 def burn(
-    node: Node,
+    node: Node = "",
+    metrics: Annotated[
+        list[str] | None,
+        typer.Option(help="Address of a node's metrics; once for each node."),
+    ] = None,
+    target: Annotated[
+        float,
+        typer.Option(
+            help="With --metrics: share of requests to be answered in time.",
+            min=0.0,
+            max=0.999999,
+        ),
+    ] = 0.99,
     as_json: AsJson = False,
     html: Annotated[
         Path | None, typer.Option(help="Write a page with plots to this file.")
@@ -25,15 +38,21 @@
 ) -> None:
     """Show how fast service-level objectives are spent.
 
-    Objectives stand in the rules.  A burn of 1 spends the budget exactly by
-    the end of the window.
+    A burn of 1 spends the budget exactly by the end of the window.  With
+    --node, objectives are those of the rules.  With --metrics, each route is an
+    objective: callers' requests answered with success within its latency
+    objective; the last column names the nodes that saw the others.
 
     Example: rattanfork report burn --html burn.html
+
+    Example: rattanfork report burn --metrics 10.1.0.8:9464 --target 0.995
     """
-    answer = ask_node(node, "/burn")
-    objectives = [ObjectiveModel(**entry) for entry in answer["objectives"]]
-    lines = burn_report(objectives, [tuple(t) for t in answer["totals"]])
-    unknown = _unknown(answer)
+    if metrics:
+        lines, unknown = _by_routes(metrics, target)
+    elif node:
+        lines, unknown = _by_rules(node)
+    else:
+        raise fail("--node or --metrics is needed", BAD_INPUT)
     if html is not None:
         html.write_text(burn_page(lines, unknown))
     if as_json:
@@ -41,14 +60,40 @@
         return
     columns = ["service", "importance", "target", "requests"]
     columns += ["5m", "1h", "6h", "budget left", "gone in", "spent by"]
+    if metrics:
+        columns[0] = "route"
     print_table("Burn of objectives", columns, [_row(line) for line in lines])
     for key, value in unknown.items():
         print(f"{key}: {value}")
 
 
-def _unknown(answer: dict) -> dict[str, object]:
+def _by_rules(node: str) -> tuple[list[BurnLine], dict[str, object]]:
+    answer = ask_node(node, "/burn")
+    objectives = [ObjectiveModel(**entry) for entry in answer["objectives"]]
+    lines = burn_report(objectives, [tuple(t) for t in answer["totals"]])
+    return lines, _unknown(answer["answered"], answer["members"])
+
+
+def _by_routes(
+    addresses: list[str], target: float
+) -> tuple[list[BurnLine], dict[str, object]]:
+    # Imported late: the parser of metrics is needed here only.
+    from rattanfork_cli.scraped import scrape_objectives
+
+    totals, silent = scrape_objectives(addresses)
+    if len(silent) == len(addresses):
+        raise fail(f"no metrics from {', '.join(silent)}", FAILED)
+    routes = sorted({entry[0] for entry in totals})
+    objectives = [ObjectiveModel(service=name, target=target) for name in routes]
+    unknown = _unknown(len(addresses) - len(silent), len(addresses))
+    if silent:
+        unknown["did not answer"] = ", ".join(silent)
+    return burn_report(objectives, totals), unknown
+
+
+def _unknown(answered: int, asked: int) -> dict[str, object]:
     return {
-        "nodes counted": f"{answer['answered']} of {answer['members']}",
+        "nodes counted": f"{answered} of {asked}",
         "not known": (
             "what nodes that were replaced or did not answer had seen, and "
             "requests that reached no node"
--- a/packages/rattanfork-core/rattanfork_core/burn/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/burn/__init__.py
@@ -1,7 +1,6 @@
 """How fast service-level objectives are spent."""
 
 from rattanfork_core.burn.meter import BurnMeter
-from rattanfork_core.burn.report import BurnLine, burn_report
-from rattanfork_core.burn.window import WindowedCount
+from rattanfork_core.burn.report import BurnLine, Totals, burn_report
 
-__all__ = ["BurnLine", "BurnMeter", "WindowedCount", "burn_report"]
+__all__ = ["BurnLine", "BurnMeter", "Totals", "burn_report"]
--- a/packages/rattanfork-core/rattanfork_core/burn/meter.py
+++ b/packages/rattanfork-core/rattanfork_core/burn/meter.py
@@ -2,12 +2,10 @@
 
 from ddsketch import DDSketch
 
-from rattanfork_core.burn.window import WindowedCount
 from rattanfork_core.clock import Clock
+from rattanfork_core.objectives import WINDOWS, WindowedCount
 from rattanfork_core.request.importance import Importance
 
-#: Windows in seconds: five minutes, one hour, six hours.
-WINDOWS = (300.0, 3600.0, 21600.0)
 _MOST_SERIES = 2000
 
 
--- a/packages/rattanfork-core/rattanfork_core/burn/report.py
+++ b/packages/rattanfork-core/rattanfork_core/burn/report.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from rattanfork_core.burn.meter import WINDOWS
+from rattanfork_core.objectives import WINDOWS
 from rattanfork_core.rules.document import ObjectiveModel
 
 Totals = tuple[str, str, str, tuple[tuple[int, int], ...]]
--- a/packages/rattanfork-core/rattanfork_core/burn/window.py
+++ b/packages/rattanfork-core/rattanfork_core/objectives/windowed_count.py
@@ -4,6 +4,10 @@
 
 from rattanfork_core.clock import Clock
 
+#: Lengths of the windows of objectives in seconds: five minutes, one hour, six
+#: hours.
+WINDOWS = (300.0, 3600.0, 21600.0)
+
 
 class WindowedCount:
     """Good and bad answers over the last seconds.
--- a/packages/rattanfork-node/rattanfork_node/app/metrics_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/app/metrics_handler.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from rattanfork_core.objectives import RouteObjectives
+
 from rattanfork_node.http1 import Exchange
 from rattanfork_node.http1.server import RequestHandler
 from rattanfork_node.telemetry import Counters
@@ -19,13 +21,19 @@
         What is counted.
     gauges : callable
         Returns the present values of gauges by name.
+    objectives : RouteObjectives
+        Callers' requests against the objectives of their routes.
     """
 
     def __init__(
-        self, counters: Counters, gauges: Callable[[], dict[str, float]]
+        self,
+        counters: Counters,
+        gauges: Callable[[], dict[str, float]],
+        objectives: RouteObjectives,
     ) -> None:
         self._counters = counters
         self._gauges = gauges
+        self._objectives = objectives
 
     def on_request(self, exchange: Exchange) -> None:
         """Answer."""
@@ -36,5 +44,5 @@
         # are asked have to spend.
         from rattanfork_node.telemetry.scrape import TEXT_TYPE, render_metrics
 
-        body = render_metrics(self._counters, self._gauges)
+        body = render_metrics(self._counters, self._gauges, self._objectives)
         exchange.answer(200, b"Content-Type: " + TEXT_TYPE + b"\r\n", body)
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -8,6 +8,7 @@
 
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Member, Membership, MembershipSettings
+from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.revision import RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LineBudget
@@ -173,8 +174,14 @@
         )
         self._membership.revision = lambda: self._configuration.version
         self._membership.on_status = lambda *news: self._observer.on_member(*news)
+        self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
-            self._clock, self._log, self._counters, self._configuration, self._rules
+            self._clock,
+            self._log,
+            self._counters,
+            self._configuration,
+            self._rules,
+            self._objectives,
         )
         self._gate = Gate(
             self._clock, self._boot, settings.names, self._counters, self._journal
@@ -280,7 +287,7 @@
             self._clock,
             settings.names,
             RequestLimits(),
-            MetricsHandler(self._counters, self._observer.gauges),
+            MetricsHandler(self._counters, self._observer.gauges, self._objectives),
         )
 
     def _make_link(self, connecting: bool) -> PeerLink:
@@ -334,6 +341,7 @@
             await asyncio.sleep(_TICK)
 
     def _sweep(self) -> None:
+        self._objectives.roll()
         self._gate.sweep()
         for _, server in self._servers:
             server.sweep()
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from rattanfork_core.clock import Clock
+from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.request import CallResult, Outcome, Reason
 from rattanfork_core.revision import RevisionState
 
@@ -43,6 +44,8 @@
         Its version stands on each line.
     rules : RevisionState
         Its revision stands on each line.
+    objectives : RouteObjectives or None
+        Where callers' requests are counted against their routes' objectives.
     """
 
     def __init__(
@@ -52,8 +55,10 @@
         counters: Counters,
         configuration: ConfigurationHolder,
         rules: RevisionState,
+        objectives: RouteObjectives | None = None,
     ) -> None:
         self._clock = clock
+        self._objectives = objectives or RouteObjectives(clock)
         self._log = log
         self._counters = counters
         self._configuration = configuration
@@ -65,9 +70,13 @@
         status: int,
         reason: Reason,
         retry_after: float = 0.0,
+        is_call: bool = False,
         **inputs: object,
     ) -> None:
         """Take note of a request that was refused here before any attempt."""
+        route = inputs.get("route")
+        if route is not None and not is_call:
+            self._objectives.add(route, good=False)
         request_id = exchange.request_id
         if self._log.wants(request_id, plain=False):
             fields = {
@@ -95,8 +104,10 @@
         route = admitted.route
         outcome = result.outcome.label
         self._counters.durations.add((route.name, outcome), seconds)
-        succeeded = 200 <= status < 300 and len(attempts) == 1
-        plain = succeeded and seconds <= route.target_latency
+        good = 200 <= status < 300 and seconds <= route.target_latency
+        if admitted.parent is None and result.reason is not Reason.CANCELLED:
+            self._objectives.add(route.name, good)
+        plain = good and len(attempts) == 1
         if not self._log.wants(exchange.request_id, plain):
             return
         fields = {
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -152,7 +152,13 @@
         picker = self.directory.picker(service)
         if picker is None or not picker.subset:
             after = self._settings.retry_after
-            self._refuse(exchange, Reason.NO_INSTANCE, after, route=route.name)
+            self._refuse(
+                exchange,
+                Reason.NO_INSTANCE,
+                after,
+                is_call=parent is not None,
+                route=route.name,
+            )
         elif parent is not None:
             rank = parent.rank
             blocked = self.early.blocked(picker, self.operation(route, service), rank)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -6,6 +6,7 @@
 
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.membership import Member, Membership
+from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.request import CallResult
 from rattanfork_core.revision import RevisionState, RulesRecord
 from rattanfork_core.routes import Configuration, Route, Share
@@ -59,7 +60,7 @@
         self.held: list = []
         self.holding = False
 
-    def acquire(self, taken) -> None:
+    def acquire(self, taken, repeatable=True) -> None:
         if self.holding:
             self.held.append(taken)
         elif self.broken:
@@ -195,6 +196,7 @@
         self.clock = ManualClock(100.0)
         self.counters = Counters()
         self.log = FakeLog(self.clock)
+        self.objectives = RouteObjectives(self.clock)
         fields = {"timeout": 1.0, "idempotent": True, "priority": 2, **route}
         self.route = Route("r", "h", "/a/", (Share("t"),), **fields)
         self.inner = Route("i", "h", "/i/", (Share("t"),), **fields)
@@ -226,7 +228,14 @@
             self.pool,
             self.gate,
             self.counters,
-            Journal(self.clock, self.log, self.counters, holder, self.rules),
+            Journal(
+                self.clock,
+                self.log,
+                self.counters,
+                holder,
+                self.rules,
+                self.objectives,
+            ),
         )
 
     def accept_rules(self, text: str) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_journal.py
@@ -85,3 +85,33 @@
     [line] = world.log.lines
     assert (line["outcome"], line["reason"]) == ("not-run", "leaving")
     assert line["run_ms"] is None
+
+
+def counted(world: RelayWorld) -> dict[str, tuple[int, int]]:
+    world.objectives.roll()
+    return {route: windows[0] for route, windows in world.objectives.totals()}
+
+
+@on_loop
+async def test_callers_requests_count_against_the_objective_of_their_route():
+    """One request is answered in time, one late, one fails, one is refused.
+
+    A call of a run and a request that its caller gave up are no measure of
+    whole requests, and are left out.
+    """
+    world = RelayWorld(peers=1)
+    [link] = world.links
+    for number, (status, wait) in enumerate([(200, 0.1), (200, 5.0), (500, 0.1)]):
+        world.ask(request_id=f"r{number}")
+        world.clock.advance(wait)
+        link.reply(number, ANSWERED, status=status)
+    world.ask(request_id="left").on_gone()
+    world.gate_world.submit("run", deadline=world.clock.now() + 2)
+    world.ask("/i/x", request_id="run.0123456789abcdef")
+    link.reply(4, ANSWERED, status=200, cut=0.0)
+    link.reply(3, ANSWERED, status=200, cut=0.0)
+    world.ask(request_id="refused")
+    assert counted(world) == {"r": (1, 3)}
+    world = RelayWorld()
+    world.ask()
+    assert counted(world) == {"r": (0, 1)}
--- a/packages/rattanfork-node/rattanfork_node/telemetry/scrape.py
+++ b/packages/rattanfork-node/rattanfork_node/telemetry/scrape.py
@@ -14,6 +14,7 @@
 )
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector, CollectorRegistry
+from rattanfork_core.objectives import WINDOWS, RouteObjectives
 
 from rattanfork_node.telemetry.counters import Counters
 from rattanfork_node.telemetry.durations import DurationBuckets
@@ -32,13 +33,19 @@
         Counts by outcome, event and call of the store.
     gauges : callable
         Returns the present values of gauges by name.
+    objectives : RouteObjectives
+        Callers' requests against the objectives of their routes.
     """
 
     def __init__(
-        self, counters: Counters, gauges: Callable[[], dict[str, float]]
+        self,
+        counters: Counters,
+        gauges: Callable[[], dict[str, float]],
+        objectives: RouteObjectives,
     ) -> None:
         self._counters = counters
         self._gauges = gauges
+        self._objectives = objectives
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
@@ -77,14 +84,31 @@
             ["operation", "outcome"],
             counters.runs,
         )
+        yield self._objective_requests()
         for name, value in self._gauges().items():
             yield GaugeMetricFamily(f"rattanfork_{name}", name, value=value)
 
+    def _objective_requests(self) -> GaugeMetricFamily:
+        family = GaugeMetricFamily(
+            "rattanfork_objective_requests",
+            "Callers' requests of the last seconds, good within the route's objective",
+            labels=["route", "window", "result"],
+        )
+        for route, totals in self._objectives.totals():
+            for window, (good, bad) in zip(WINDOWS, totals, strict=True):
+                family.add_metric([route, f"{window:g}", "good"], good)
+                family.add_metric([route, f"{window:g}", "bad"], bad)
+        return family
+
 
-def render_metrics(counters: Counters, gauges: Callable[[], dict[str, float]]) -> bytes:
+def render_metrics(
+    counters: Counters,
+    gauges: Callable[[], dict[str, float]],
+    objectives: RouteObjectives,
+) -> bytes:
     """Return all metrics as text."""
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(NodeCollector(counters, gauges))
+    registry.register(NodeCollector(counters, gauges, objectives))
     return generate_latest(registry)
 
 
--- a/packages/rattanfork-node/rattanfork_node/telemetry/tests/test_telemetry.py
+++ b/packages/rattanfork-node/rattanfork_node/telemetry/tests/test_telemetry.py
@@ -4,6 +4,7 @@
 import os
 
 from rattanfork_core.clock import ManualClock
+from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.trace import LineBudget
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.http1.exchange import Exchange
@@ -93,8 +94,11 @@
     counters.requests["answered", "a", "none"] += 3
     counters.store["rows-get", "200"] += 2
     counters.durations.add(("a", "answered"), 0.02)
+    objectives = RouteObjectives(ManualClock(9.0))
+    objectives.add("a", good=False)
+    objectives.roll()
     status, block, body = ask(
-        MetricsHandler(counters, lambda: {"waiting": 4}), b"/metrics"
+        MetricsHandler(counters, lambda: {"waiting": 4}, objectives), b"/metrics"
     )
     assert status == 200
     assert b"Content-Type: text/plain" in block
@@ -103,6 +107,8 @@
     assert f"rattanfork_requests_total{{{labels}}} 3.0" in lines
     assert 'rattanfork_store_calls_total{call="rows-get",result="200"} 2.0' in lines
     assert "rattanfork_waiting 4.0" in lines
+    labels = 'result="bad",route="a",window="300"'
+    assert f"rattanfork_objective_requests{{{labels}}} 1.0" in lines
     bucket = 'http_server_request_duration_seconds_bucket{le="0.025"'
     assert any(line.startswith(bucket) and line.endswith(" 1.0") for line in lines)
-    assert ask(MetricsHandler(counters, dict), b"/")[0] == 404
+    assert ask(MetricsHandler(counters, dict, objectives), b"/")[0] == 404
