Send no posting on a connection that has rested

Cause: something between a node and its upstream may forget a connection that rests, at times after 0.3 s; what is sent next on it is reset, and nobody can say whether it ran. Connections were used up to 0.6 of the time the upstream states, or 4 s. A read is repeated from a budget; a posting failed for its caller.

Ruled out: asking the connection first (a probe is itself a request that waits for a slot), and a fixed short bound for all (a new connection holds a slot for a millisecond, and reads can be sent again).

--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -0,0 +1,5 @@
+"""Which kept connections may carry another request."""
+
+from rattanfork_core.connections.rest_limit import RestLimit
+
+__all__ = ["RestLimit"]
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -4,16 +4,12 @@
 from collections.abc import Callable
 
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import RestLimit
 
 from rattanfork_node.http1.upstream import UpstreamConnection
 
 #: Seconds that a new connection may take; the upstream is on this instance.
 _CONNECT_TIMEOUT = 1.0
-#: Connections are used up to this share of the time for which the upstream
-#: keeps them: a request that crosses the upstream's close may have run.
-_KEEP_SHARE = 0.6
-#: Seconds for which an idle connection is used if the upstream states none.
-_KEEP_DEFAULT = 4.0
 
 
 class UpstreamPool:
@@ -54,6 +50,7 @@
         self._open: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
         self._closed = False
+        self._rest = RestLimit(clock)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -65,19 +62,18 @@
         """Connections that are open."""
         return len(self._open)
 
-    def acquire(self, taken: Callable[[UpstreamConnection | None], None]) -> None:
+    def acquire(
+        self,
+        taken: Callable[[UpstreamConnection | None], None],
+        repeatable: bool = True,
+    ) -> None:
         """Find a connection; ``taken`` gets it, or None if there is none.
 
-        It is called at once if one is idle.
+        It is called at once if one is idle.  What is not ``repeatable`` gets a
+        connection that has hardly rested, or a new one.
         """
-        now = self._clock.now()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.closed:
-                continue
-            if now - connection.idle_since > self._usable_for(connection):
-                connection.abort()
-                continue
+        connection = self._take_idle(repeatable)
+        if connection is not None:
             taken(connection)
             return
         if len(self._open) + len(self._connecting) >= self._most:
@@ -115,10 +111,33 @@
         for connection in list(self._open):
             connection.abort()
 
-    def _usable_for(self, connection: UpstreamConnection) -> float:
-        if connection.keep_for is None:
-            return _KEEP_DEFAULT
-        return connection.keep_for * _KEEP_SHARE
+    def _take_idle(self, repeatable: bool) -> UpstreamConnection | None:
+        now = self._clock.now()
+        while self._idle:
+            # The one used last comes first: it has rested least.
+            connection = self._idle[-1]
+            rested = now - connection.idle_since
+            if connection.closed or rested > self._usable_for(connection):
+                connection.abort()
+                self._idle.pop()
+            elif repeatable or rested <= self._usable_for(connection, False):
+                return self._idle.pop()
+            else:
+                self._make_room()
+                return None
+        return None
+
+    def _make_room(self) -> None:
+        """Close an idle connection where a new one would be too many."""
+        if len(self._open) + len(self._connecting) >= self._most:
+            connection = self._idle.pop(0)
+            self._open.discard(connection)
+            connection.abort()
+
+    def _usable_for(
+        self, connection: UpstreamConnection, repeatable: bool = True
+    ) -> float:
+        return self._rest.seconds(connection.keep_for, repeatable)
 
     async def _connect(
         self, taken: Callable[[UpstreamConnection | None], None]
@@ -132,7 +151,7 @@
                         self._id_name,
                         self._noted,
                         self._on_idle,
-                        self._open.discard,
+                        self._on_closed,
                     ),
                     *self._address,
                 )
@@ -147,3 +166,8 @@
             connection.abort()
         else:
             self._idle.append(connection)
+
+    def _on_closed(self, connection: UpstreamConnection) -> None:
+        self._open.discard(connection)
+        if connection.stale_after is not None:
+            self._rest.on_stale(connection.stale_after)
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -9,6 +9,11 @@
 
 from rattanfork_node.http1.headers import PER_CONNECTION
 
+#: Seconds within which a reset speaks of a connection that was forgotten: the
+#: upstream is on this instance, and a reset comes back as soon as it is sent to.
+_STALE_WITHIN = 0.1
+#: Seconds of rest below which a reset has another cause.
+_SOME_REST = 0.1
 #: Most bytes of an answer that a node holds.
 _MOST_BYTES = 64 << 20
 
@@ -86,7 +91,12 @@
         self.idle_since = clock.now()
         #: Seconds for which the upstream keeps the connection; None if unsaid.
         self.keep_for: float | None = None
-        self.used = 0
+        #: Seconds that the connection had rested when it turned out to be
+        #: forgotten by the other end; None while it has not.
+        self.stale_after: float | None = None
+        self._rested = 0.0
+        self._sent_at = 0.0
+        self._heard = False
         self._reset()
 
     def send(
@@ -112,7 +122,9 @@
         self._done = done
         self._request_id = request_id
         self._is_head = is_head
-        self.used += 1
+        self._heard = False
+        self._sent_at = self._clock.now()
+        self._rested = self._sent_at - self.idle_since
         self._transport.write(data)
 
     def abort(self) -> None:
@@ -124,10 +136,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the connection."""
         self._transport = transport
+        self.idle_since = self._clock.now()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell who waits."""
         self.closed = True
+        if self._done is not None and not self._heard:
+            self._note_stale()
         self._on_closed(self)
         done, self._done = self._done, None
         if done is not None:
@@ -147,6 +162,7 @@
         if self._done is None:
             self._transport.abort()
             return
+        self._heard = True
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
@@ -191,6 +207,11 @@
         if self._status >= 200:
             self._complete(self._parser.should_keep_alive())
 
+    def _note_stale(self) -> None:
+        waited = self._clock.now() - self._sent_at
+        if waited < _STALE_WITHIN and self._rested > _SOME_REST:
+            self.stale_after = self._rested
+
     def _reset(self) -> None:
         self._answer_id = b""
         self._headers: dict[bytes, bytes] = {}
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -299,7 +299,9 @@
     def _start(self, job: Job) -> None:
         job.handed_over = True
         self._running[job.request_id] = job
-        self._pool.acquire(lambda connection: self._send(job, connection))
+        self._pool.acquire(
+            lambda connection: self._send(job, connection), job.idempotent
+        )
 
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
         time_left = job.deadline - self._clock.now()
