--- a/packages/rattanfork-core/rattanfork_core/admission/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/__init__.py
@@ -5,11 +5,9 @@
 from rattanfork_core.admission.decisions import Decision, Refuse, Start
 from rattanfork_core.admission.demand import DemandHistogram
 from rattanfork_core.admission.estimate import ServiceEstimate
-from rattanfork_core.admission.late import LateCut
 from rattanfork_core.admission.limit import ConcurrencyLimit
 from rattanfork_core.admission.queue import WaitQueue
 from rattanfork_core.admission.refusals import RefusalCut
-from rattanfork_core.admission.run_cuts import RunCuts
 from rattanfork_core.admission.settings import AdmissionSettings
 from rattanfork_core.admission.waiter import Waiter
 
@@ -19,10 +17,8 @@
     "ConcurrencyLimit",
     "Decision",
     "DemandHistogram",
-    "LateCut",
     "RefusalCut",
     "Refuse",
-    "RunCuts",
     "ServiceEstimate",
     "ShedCut",
     "Start",
--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -95,17 +95,6 @@
         """The instances that calls are spread over."""
         return self._subset
 
-    @property
-    def full(self) -> bool:
-        """Whether requests wait at every instance, as last heard.
-
-        One that mostly fails has no room either.  A call that comes too late
-        while another instance has room is that one instance's trouble.
-        """
-        return bool(self._subset) and all(
-            s.load >= 1.0 or s.mostly_failing for s in self._subset
-        )
-
     def update(self, instances: Iterable[InstanceState]) -> None:
         """Take in the instances that are alive, keeping what is known."""
         states: dict[str, InstanceState] = {}
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -290,8 +290,7 @@
         self._last_reason = result.reason
         if self._parent is not None:
             refused = result.reason is Reason.UPSTREAM_SHED
-            cuts = self._relay.gate.run_cuts(self._parent.operation)
-            cuts.refusals.on_attempt(refused)
+            self._relay.gate.refusals(self._parent.operation).on_attempt(refused)
         if result.reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
             # A failure that another instance may do better; should none be
             # asked, the upstream's own answer is what the caller gets.
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -7,7 +7,7 @@
     AdmissionController,
     AdmissionSettings,
     Decision,
-    RunCuts,
+    RefusalCut,
     Start,
     Waiter,
 )
@@ -38,7 +38,7 @@
 _QUEUE_SECONDS = 0.2
 #: Arrivals looked at for a surge: a tenth of a second at a full upstream.
 _SURGE_SAMPLE = 100
-#: Operations whose runs are judged by their calls; there are as many as routes.
+#: Operations whose refusals are counted; there are as many as routes.
 _MOST_OPERATIONS = 10_000
 #: Misdirected Request: another incarnation listens at the address.
 _MISDIRECTED = 421
@@ -135,7 +135,7 @@
             ),
         )
         self._deep_cuts = HintTable(clock)
-        self._run_cuts: dict[str, RunCuts] = {}
+        self._refusal_cuts: dict[str, RefusalCut] = {}
         self._jobs: dict[int, Job] = {}
         self._running: dict[bytes, Job] = {}
         self._next_key = 0
@@ -203,17 +203,17 @@
     def cut(self, operation: str) -> float:
         """Return the threshold to announce: the gate's or a deeper one."""
         cut = min(self._admission.cut, self._deep_cuts.cut(operation, ""))
-        runs = self._run_cuts.get(operation)
-        return cut if runs is None else min(cut, runs.value)
-
-    def run_cuts(self, operation: str) -> RunCuts:
-        """Return the thresholds for runs of an operation, to tell them of calls."""
-        cuts = self._run_cuts.get(operation)
-        if cuts is None:
-            if len(self._run_cuts) >= _MOST_OPERATIONS:
-                self._run_cuts.clear()
-            cuts = self._run_cuts[operation] = RunCuts(self._clock)
-        return cuts
+        refusals = self._refusal_cuts.get(operation)
+        return cut if refusals is None else min(cut, refusals.value)
+
+    def refusals(self, operation: str) -> RefusalCut:
+        """Return the threshold for runs whose calls are refused."""
+        cut = self._refusal_cuts.get(operation)
+        if cut is None:
+            if len(self._refusal_cuts) >= _MOST_OPERATIONS:
+                self._refusal_cuts.clear()
+            cut = self._refusal_cuts[operation] = RefusalCut(self._clock)
+        return cut
 
     def submit(self, job: Job) -> None:
         """Take a request; its ``done`` is called once."""
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -46,8 +46,6 @@
 #: configuration yet; it reads one within about a second of its start.
 _NOT_READY_RETRY = 0.3
 _NOBODY: frozenset[str] = frozenset()
-#: Reasons for which a call came too late for the run that made it.
-_LATE = frozenset((Reason.TOO_LATE, Reason.DEADLINE))
 #: What a caller gets where no upstream answered: the first says that the
 #: request did not run and never will, the others that it may have.
 _NOT_RUN_STATUS = 503
@@ -341,9 +339,7 @@
         if result.reason is Reason.UPSTREAM_SHED:
             # Nobody is left to ask again: runs like this one only cost the
             # services before it, until fewer of them are begun.
-            self.gate.run_cuts(parent.operation).refusals.on_failed(parent.rank)
-        elif result.reason in _LATE and picker.full:
-            self.gate.run_cuts(parent.operation).late.on_late(parent.rank)
+            self.gate.refusals(parent.operation).on_failed(parent.rank)
 
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
