Add a fault soak of real processes

Found while it was built: a connection to a peer that failed after whoever waited for it had given up was reported by the interpreter as an exception never retrieved; it is taken now. The checks themselves are tested on histories told by hand, each kept and broken.

--- a/Makefile
+++ b/Makefile
@@ -5,13 +5,16 @@
 PACKAGES := core platform node cli testkit
 READY := $(VENV)/.ready
 
-.PHONY: demo test bench speed starts shared matrix slopes lint format fuzz clean
+SEEDS ?= 50
+FIRST ?= 0
+.PHONY: demo test bench speed starts shared matrix slopes soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install -q --disable-pip-version-check -r requirements.lock
 	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation \
-	    --no-deps $(foreach p,$(PACKAGES),-e packages/rattanfork-$(p)) -e platform
+	    --no-deps $(foreach p,$(PACKAGES),-e packages/rattanfork-$(p)) -e platform \
+	    -e packages/rattanfork-soak
 	touch $@
 
 demo: $(READY)
@@ -49,6 +52,10 @@
 	HYPOTHESIS_PROFILE=long $(BIN)/python -m pytest packages/rattanfork-core \
 	    packages/rattanfork-node
 
+# Real processes with faults from outside; FIRST=0 draws fresh seeds.
+soak: $(READY)
+	$(BIN)/python -m rattanfork_soak --seeds $(SEEDS) --first $(FIRST) --side-by-side 2
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -92,7 +92,7 @@
         if task is None:
             task = asyncio.ensure_future(self._connect(address))
             self._opening[address] = task
-            task.add_done_callback(lambda _: self._opening.pop(address, None))
+            task.add_done_callback(lambda done: self._on_opened(address, done))
         return await asyncio.shield(task)
 
     async def fence_calls(
@@ -164,6 +164,13 @@
         for task in list(self._opening.values()):
             task.cancel()
 
+    def _on_opened(self, address: Address, task: asyncio.Task[PeerLink]) -> None:
+        self._opening.pop(address, None)
+        if not task.cancelled():
+            # Whoever waited may have given up; a failure that nobody asks for
+            # would be reported as a fault of this program.
+            task.exception()
+
     async def _connect(self, address: Address) -> PeerLink:
         loop = asyncio.get_running_loop()
         host, port = address
--- /dev/null
+++ b/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
@@ -0,0 +1,138 @@
+"""Each promise, kept and broken: the soak must see the difference."""
+
+from random import Random
+
+import pytest
+from rattanfork_soak.checks import Checks
+from rattanfork_soak.record import Record
+from rattanfork_soak.worker import Arrival, SoakWorker
+
+
+class History:
+    """What clients and one worker saw, told by hand."""
+
+    def __init__(self) -> None:
+        self.worker = SoakWorker("i0", Random(1), lambda: 0.0)
+        self.checks = Checks([self.worker], timeout=2.0)
+
+    def ask(self, request_id: str = "r1", idempotent: bool = False) -> Record:
+        text = "GET /a/x " if idempotent else f"POST /p/x order {request_id}"
+        record = Record(request_id, "n0", 7, text, idempotent, sent=1.0)
+        self.checks.on_sent(record)
+        return record
+
+    def run(self, record: Record, at: float = 1.1, text: str = "") -> None:
+        arrival = Arrival(record.request_id, at, "i0-1", text or record.text)
+        self.worker.arrivals.append(arrival)
+
+    def answer(self, record: Record, status: int, stamp: str = "", **more) -> None:
+        record.ended = more.get("at", 1.2)
+        record.status, record.stamp = status, stamp
+        record.body = more.get("body", f"{record.request_id} {record.text}")
+        self.checks.on_ended(record, paused=more.get("paused", False))
+
+    @property
+    def broken(self) -> set[str]:
+        self.checks.review()
+        return {finding.promise for finding in self.checks.findings}
+
+
+def test_a_request_served_as_it_should_be_breaks_nothing():
+    history = History()
+    record = history.ask()
+    history.run(record)
+    history.answer(record, 200, "i0-1.200")
+    assert history.broken == set()
+
+
+def test_a_posting_that_runs_twice_is_seen():
+    history = History()
+    record = history.ask()
+    history.run(record)
+    history.run(record, at=1.5)
+    assert history.broken == {"twice"}
+
+
+def test_a_read_may_run_twice():
+    history = History()
+    record = history.ask(idempotent=True)
+    history.run(record)
+    history.run(record, at=1.5)
+    assert history.broken == set()
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+@pytest.mark.parametrize("runs_first", [True, False])
+def test_a_false_word_that_a_posting_did_not_run_is_seen(status, runs_first):
+    history = History()
+    record = history.ask()
+    if runs_first:
+        history.run(record)
+    history.answer(record, status)
+    if not runs_first:
+        history.run(record, at=3.0)
+    assert "refused" in history.broken
+
+
+@pytest.mark.parametrize(
+    ("status", "stamp", "body"),
+    [
+        (200, "i0-1.200", "r2 GET /a/x "),
+        (200, "i0-1.200", "r1 POST /p/x ord"),
+        (200, "", "r1 POST /p/x order r1"),
+        (200, "i0-1.500", "r1 POST /p/x order r1"),
+        (502, "i0-1.500", ""),
+    ],
+)
+def test_an_answer_that_is_not_the_workers_own_is_seen(status, stamp, body):
+    history = History()
+    record = history.ask()
+    history.run(record)
+    history.answer(record, status, stamp, body=body)
+    assert history.broken == {"mixed"}
+
+
+def test_a_request_that_nobody_sent_or_that_was_changed_is_seen():
+    history = History()
+    record = history.ask()
+    history.run(record, text="POST /p/x order r9")
+    assert history.broken == {"unasked"}
+
+
+def test_work_after_an_acknowledged_leaving_is_seen():
+    history = History()
+    record = history.ask()
+    history.worker.left["i0-1"] = 1.0
+    history.run(record, at=2.9)
+    assert history.broken == set()
+    history.run(history.ask("r2"), at=3.5)
+    assert history.broken == {"drain"}
+
+
+def test_a_version_that_a_process_forgets_is_seen():
+    history = History()
+    history.checks.on_probe(7, version=3, status=200, at=1.0)
+    history.checks.on_probe(7, version=4, status=404, at=1.1)
+    history.checks.on_probe(8, version=2, status=404, at=1.2)
+    assert history.broken == set()
+    history.checks.on_probe(7, version=3, status=404, at=1.3)
+    assert history.broken == {"configuration"}
+
+
+def test_an_answer_long_after_the_time_of_its_route_is_seen():
+    history = History()
+    record = history.ask(idempotent=True)
+    history.answer(record, 504, at=4.5, paused=True)
+    assert history.broken == set()
+    history.answer(record, 504, at=4.5)
+    assert history.broken == {"time"}
+
+
+def test_a_system_that_does_not_recover_is_seen():
+    history = History()
+    for number in range(10):
+        record = history.ask(f"r{number}", idempotent=True)
+        served = number < 8
+        history.answer(record, 200 if served else 503, "i0-1.200" if served else "")
+    history.checks.check_recovery(since=0.5)
+    assert history.broken == {"recovery"}
--- /dev/null
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -0,0 +1,180 @@
+"""An upstream that keeps a ledger, announces itself, and misbehaves."""
+
+import asyncio
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+import aiohttp
+from aiohttp import web
+
+_ID = "X-Rattanfork-Request-Id"
+_HEARTBEAT = 0.4
+
+
+class Trouble(Enum):
+    """What a worker does wrong."""
+
+    NONE = "none"
+    SLOW = "slow"
+    SHEDS = "refuses every second request"
+    FAILS = "fails every second request"
+    GARBLES = "breaks answers off"
+    HANGS = "answers nothing"
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that a worker began to work on."""
+
+    request_id: str
+    at: float
+    incarnation: str
+    fingerprint: str
+
+
+class SoakWorker:
+    """A worker beside a node; the truth of what ran.
+
+    Parameters
+    ==========
+
+    name : str
+        Name of the place; each incarnation adds a number.
+    random : Random
+        Source of the times of work and of its troubles.
+    now : callable
+        Returns seconds from the start of the soak.
+    """
+
+    service = "s1"
+
+    def __init__(self, name: str, random: Random, now) -> None:
+        self.place = name
+        self.trouble = Trouble.NONE
+        self.arrivals: list[Arrival] = []
+        self.address = ("127.0.0.1", 0)
+        #: When the node acknowledged that this incarnation leaves.
+        self.left: dict[str, float] = {}
+        self._random = random
+        self._now = now
+        self._number = 0
+        self._control = ""
+        self._leaving = False
+        self._listener: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._transports: set = set()
+
+    @property
+    def name(self) -> str:
+        """ID of the incarnation that runs now."""
+        return f"{self.place}-{self._number}"
+
+    async def start(self, control: str = "") -> None:
+        """Run as a new incarnation, at the same address as before."""
+        self._number += 1
+        self._sequence = 0
+        self._leaving = False
+        self._control = control or self._control
+        self._session = self._session or aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=1.0)
+        )
+        server = web.Server(self._handle, access_log=None)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(server, *self.address)
+        self.address = self._listener.sockets[0].getsockname()[:2]
+        self._tasks = [asyncio.ensure_future(self._announce_forever(self.name))]
+
+    def announce_to(self, control: str) -> None:
+        """Take the address for announcements."""
+        self._control = control
+
+    async def leave(self) -> None:
+        """Say that this incarnation leaves, until that is acknowledged."""
+        self._leaving = True
+        name = self.name
+        while self.name == name and not await self._announce("draining"):
+            await asyncio.sleep(0.1)
+        self.left.setdefault(name, self._now())
+
+    def crash(self) -> None:
+        """End without a word."""
+        self._listener.close()
+        for task in self._tasks:
+            task.cancel()
+        transports, self._transports = self._transports, set()
+        for transport in transports:
+            transport.abort()
+
+    async def close(self) -> None:
+        """End for good."""
+        self.crash()
+        await self._session.close()
+
+    async def _announce_forever(self, name: str) -> None:
+        while self.name == name:
+            if self._control and not self._leaving:
+                await self._announce("ready")
+            await asyncio.sleep(_HEARTBEAT)
+
+    async def _announce(self, state: str) -> bool:
+        self._sequence += 1
+        host, port = self.node_side
+        body = {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": "z1",
+            "version": "v1",
+            "slots": 20,
+            "state": state,
+            "coldLeftS": 0,
+            "sequence": self._sequence,
+        }
+        url = f"http://{self._control}/rattanfork/instances/{self.name}"
+        try:
+            async with self._session.put(url, json=body) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    @property
+    def node_side(self) -> tuple[str, int]:
+        """Where the node reaches this worker; a proxy may stand there."""
+        return getattr(self, "_node_side", self.address)
+
+    @node_side.setter
+    def node_side(self, address: tuple[str, int]) -> None:
+        self._node_side = address
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.transport is not None:
+            self._transports.add(request.transport)
+        named = {"X-Rattanfork-Instance-Id": self.name}
+        if request.path == "/health":
+            return web.Response(status=503 if self._leaving else 200, headers=named)
+        if request.headers.get("X-Rattanfork-Expect-Instance") != self.name:
+            return web.Response(status=421, headers=named)
+        request_id = request.headers[_ID]
+        echo = {_ID: request_id}
+        odd = self._random.random() < 0.5
+        if self.trouble is Trouble.SHEDS and odd:
+            return web.Response(
+                status=503, headers={**echo, "X-Rattanfork-Not-Run": "1"}
+            )
+        body = await request.read()
+        text = f"{request.method} {request.path} {body.decode()}"
+        self.arrivals.append(Arrival(request_id, self._now(), self.name, text))
+        await asyncio.sleep(self._random.uniform(0.005, 0.05))
+        if self.trouble is Trouble.SLOW:
+            await asyncio.sleep(self._random.uniform(0.3, 0.8))
+        elif self.trouble is Trouble.HANGS:
+            await asyncio.sleep(20)
+        elif self.trouble is Trouble.FAILS and odd:
+            stamp = {"X-Rattanfork-Server-Stamp": f"{self.name}.500"}
+            return web.Response(status=500, headers={**echo, **stamp})
+        elif self.trouble is Trouble.GARBLES and odd and request.transport:
+            request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nda")
+            request.transport.abort()
+        stamp = {"X-Rattanfork-Server-Stamp": f"{self.name}.200"}
+        return web.Response(text=f"{request_id} {text}", headers={**echo, **stamp})
--- /dev/null
+++ b/packages/rattanfork-soak/rattanfork_soak/world.py
@@ -0,0 +1,110 @@
+"""What a soak runs: a store, workers, and a node beside each."""
+
+import asyncio
+from base64 import b64encode
+from pathlib import Path
+from random import Random
+from time import monotonic
+
+import msgspec
+from rattanfork_adapter.tests.fleet import until
+from rattanfork_adapter.tests.stand_in import StoreStandIn
+from rattanfork_testkit import FreePorts
+
+from rattanfork_soak.place import Place
+from rattanfork_soak.worker import SoakWorker
+
+#: Seconds that a route gives its requests.
+TIMEOUT = 2.0
+
+
+class World:
+    """A store, workers, and a node beside each.
+
+    Parameters
+    ==========
+
+    folder : Path
+        Where settings and logs go.
+    count : int
+        Nodes.
+    random : Random
+        Source of what workers do.
+    """
+
+    def __init__(self, folder: Path, count: int, random: Random) -> None:
+        self.store = StoreStandIn()
+        self.version = 0
+        self._began = monotonic()
+        self._folder = folder
+        self._ports = FreePorts()
+        self.places = [
+            Place(
+                f"n{number}",
+                SoakWorker(f"i{number}", Random(random.getrandbits(64)), self.now),
+                self.now,
+            )
+            for number in range(count)
+        ]
+        self._node_locks = {place.name: asyncio.Lock() for place in self.places}
+        self._worker_locks = {place.name: asyncio.Lock() for place in self.places}
+
+    def now(self) -> float:
+        """Return seconds from the start."""
+        return monotonic() - self._began
+
+    def node_lock(self, place: Place) -> asyncio.Lock:
+        """Return the lock of what starts and stops a node."""
+        return self._node_locks[place.name]
+
+    def worker_lock(self, place: Place) -> asyncio.Lock:
+        """Return the lock of what starts and stops a worker."""
+        return self._worker_locks[place.name]
+
+    async def start(self) -> None:
+        """Start all, and wait until every node is ready."""
+        await self.store.start()
+        await self.change_configuration()
+        for place in self.places:
+            await place.start(self.store.address, self._folder, self._ports)
+        for place in self.places:
+            await until(place.is_ready)
+
+    async def stop(self) -> None:
+        """End all that was started."""
+        for place in self.places:
+            await place.stop()
+        self.store.stop()
+
+    async def change_configuration(self) -> None:
+        """Write the next version, as the operator does."""
+        self.version += 1
+        await self.store.put("op", "config", self._configuration())
+
+    def _configuration(self) -> str:
+        routes = {
+            "read": _route("/a/", "idempotent"),
+            "post": _route("/p/", "non_idempotent"),
+        }
+        for version in range(1, self.version + 1):
+            routes[f"v{version}"] = _route(f"/v{version}/", "idempotent")
+        document = {
+            "version": f"{self.version:08x}",
+            "routes": routes,
+            "services": {"s1": {"healthPath": "/health", "maxConns": 500}},
+            "limits": {},
+        }
+        return b64encode(msgspec.json.encode(document)).decode()
+
+
+def _route(prefix: str, kind: str) -> dict[str, object]:
+    return {
+        "host": "h.example",
+        "pathPrefix": prefix,
+        "kind": kind,
+        "timeoutS": TIMEOUT,
+        "targetLatencyS": 1,
+        "priority": 2 if kind == "idempotent" else 0,
+        "service": SoakWorker.service,
+        "maxAttempts": 2,
+    }
