--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -19,6 +19,7 @@
 from rattanfork_node.app.prober import Prober
 from rattanfork_node.app.readiness import ReadinessHandler
 from rattanfork_node.app.relay_settings import RelayNodeSettings
+from rattanfork_node.app.shutdown import Shutdown
 from rattanfork_node.app.upstream_keeper import UpstreamKeeper
 from rattanfork_node.config.configuration_task import ConfigurationTask
 from rattanfork_node.config.holder import ConfigurationHolder
@@ -44,18 +45,6 @@
 _SUMMARY_TICKS = 50
 #: Seconds without any answer after which a connection to a node is lost.
 _SILENCE = 0.8
-#: Part of the grace for which runs are still taken after SIGTERM.  The upstream
-#: goes on while its node is restarted; where instances are restarted in turn,
-#: each that is away longer than the next one waits takes two away at once.
-_TAKE_RUNS_SHARE = 0.27
-#: Seconds after the others were told for which runs are still taken: until then
-#: all have heard, and what they sent before need not be sent again.
-_TELL_TIME = 0.4
-#: Seconds after SIGTERM for which callers are served at least: readiness is
-#: asked for each second, and two refusals take a node out.
-_SERVE_FOR = 2.6
-#: Part of the grace after which the process ends whatever is in flight.
-_GRACE_SHARE = 0.85
 #: Most bytes of a body between nodes.
 _BODY_LIMIT = 64 << 20
 #: Requests at an instance of the own data centre, for each of its slots, up to
@@ -358,31 +347,15 @@
         )
 
     async def _drain(self) -> int:
-        began = self._clock.now()
-        log_change("draining", runs=self._gate.busy, requests=self._callers.in_flight)
+        shutdown = Shutdown(
+            self._clock, self._settings.grace, self._member, self._gate, self._callers
+        )
         self._keeper.close()
-        self._gate.leave()
-        self._callers.leave()
-        end = began + _GRACE_SHARE * self._settings.grace
-        self._relay.leave(end)
+        self._relay.leave(shutdown.begin())
         removal = asyncio.ensure_future(self._join.leave())
-        tell_at = began + _TAKE_RUNS_SHARE * self._settings.grace
-        told = False
-        while (now := self._clock.now()) < end:
-            if now >= tell_at and not told:
-                told = True
-                self._member.leave()
-            if now >= tell_at + _TELL_TIME and self._gate.accepting:
-                self._gate.detach()
-            busy = self._callers.in_flight or self._gate.busy
-            if now - began > _SERVE_FOR and not busy:
-                break
-            await asyncio.sleep(_TICK / 2)
+        status = await shutdown.finish()
         removal.cancel()
-        left = self._callers.in_flight + self._gate.busy
-        if left:
-            log_change("cut_off", runs=self._gate.busy, requests=left)
-        return 1 if left else 0
+        return status
 
     def _stop(self) -> None:
         self._config_task.close()
