--- a/packages/rattanfork-node/rattanfork_node/app/metrics_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/app/metrics_handler.py
@@ -5,7 +5,7 @@
 from rattanfork_core.objectives import RouteObjectives
 
 from rattanfork_node.http1 import Exchange
-from rattanfork_node.http1.server import RequestHandler
+from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.telemetry import Counters
 
 PATH = "/metrics"
--- a/packages/rattanfork-node/rattanfork_node/app/readiness.py
+++ b/packages/rattanfork-node/rattanfork_node/app/readiness.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from rattanfork_node.http1 import Exchange
-from rattanfork_node.http1.server import RequestHandler
+from rattanfork_node.http1.handler import RequestHandler
 
 
 class ReadinessHandler(RequestHandler):
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -25,7 +25,7 @@
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.http1 import HttpServer, RequestLimits
-from rattanfork_node.http1.server import RequestHandler
+from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import MemberTask
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.member.join import JoinTask
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -8,11 +8,13 @@
 
 from rattanfork_node.http1.client import HttpClient
 from rattanfork_node.http1.exchange import Exchange
+from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_answer, render_head
-from rattanfork_node.http1.server import HttpServer, ServerConnection
+from rattanfork_node.http1.server import HttpServer
+from rattanfork_node.http1.server_connection import ServerConnection
 from rattanfork_node.http1.upstream import UpstreamAnswer, UpstreamConnection
 
 __all__ = [
@@ -20,6 +22,7 @@
     "HeaderNames",
     "HttpClient",
     "HttpServer",
+    "RequestHandler",
     "RequestLimits",
     "ServerConnection",
     "UpstreamAnswer",
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/fakes.py
@@ -4,8 +4,14 @@
 
 from rattanfork_core.clock import ManualClock
 
-from rattanfork_node.http1 import Exchange, HeaderNames, HttpServer, RequestLimits
-from rattanfork_node.http1.server import RequestHandler, ServerConnection
+from rattanfork_node.http1 import (
+    Exchange,
+    HeaderNames,
+    HttpServer,
+    RequestHandler,
+    RequestLimits,
+    ServerConnection,
+)
 
 
 class FakeTransport(asyncio.Transport):
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -24,7 +24,7 @@
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.http1 import Exchange, HeaderNames
-from rattanfork_node.http1.server import RequestHandler
+from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted import Admitted, Attempted
