--- a/packages/rattanfork-core/rattanfork_core/hints/early.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/early.py
@@ -65,7 +65,8 @@
                 # By time alone a threshold opens to all at once, long before
                 # the first reply tells that it still holds: nearly a third of
                 # the requests to a service that was shut to them were begun,
-                # and failed.  So a word that is not taken back passes probes.
+                # and failed.  So while the last word shuts a rank out at every
+                # instance, only probes pass.
                 passing |= rank < hints.last_heard(operation, state.name)
             elif not state.mostly_failing:
                 blocked.append(state.name)
--- a/packages/rattanfork-soak/rattanfork_soak/client.py
+++ b/packages/rattanfork-soak/rattanfork_soak/client.py
@@ -1,6 +1,7 @@
 """A client that sends one request after another."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import aiohttp
@@ -9,6 +10,8 @@
 from rattanfork_soak.place import Place
 from rattanfork_soak.record import Record
 
+#: Milliseconds that a client waits: longer than a route's time, so that the node
+#: has to end a request by that.
 _WAIT_MS = 3000
 #: Share of the requests that test which configuration is in force.
 _PROBES = 0.08
@@ -36,7 +39,12 @@
     """
 
     def __init__(
-        self, name: str, place: Place, checks: Checks, random: Random, newest
+        self,
+        name: str,
+        place: Place,
+        checks: Checks,
+        random: Random,
+        newest: Callable[[], int],
     ) -> None:
         self._name = name
         self._place = place
--- a/packages/rattanfork-soak/rattanfork_soak/place.py
+++ b/packages/rattanfork-soak/rattanfork_soak/place.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from collections.abc import Callable
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -29,7 +30,7 @@
         Returns seconds from the start of the soak.
     """
 
-    def __init__(self, name: str, worker: SoakWorker, now) -> None:
+    def __init__(self, name: str, worker: SoakWorker, now: Callable[[], float]) -> None:
         self.name = name
         self.worker = worker
         self.now = now
@@ -38,9 +39,10 @@
         self._disturbed = float("-inf")
         self._paused = False
         self._expected_to_end = False
-        self._ended = asyncio.Event()
 
-    async def start(self, store: tuple[str, int], folder: Path, ports: FreePorts):
+    async def start(
+        self, store: tuple[str, int], folder: Path, ports: FreePorts
+    ) -> None:
         """Start proxies, worker and node."""
         self.worker.address = ("127.0.0.1", ports.take())
         await self.worker.start()
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -1,6 +1,7 @@
 """An upstream that keeps a ledger, announces itself, and misbehaves."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -9,6 +10,8 @@
 from aiohttp import web
 
 _ID = "X-Rattanfork-Request-Id"
+#: Seconds between two announcements; the platform's workers take 1.5, and a
+#: shorter time only brings a restarted node its worker sooner.
 _HEARTBEAT = 0.4
 
 
@@ -49,11 +52,13 @@
 
     service = "s1"
 
-    def __init__(self, name: str, random: Random, now) -> None:
+    def __init__(self, name: str, random: Random, now: Callable[[], float]) -> None:
         self.place = name
         self.trouble = Trouble.NONE
         self.arrivals: list[Arrival] = []
         self.address = ("127.0.0.1", 0)
+        #: Where the node reaches this worker, if a proxy stands between them.
+        self.node_side: tuple[str, int] | None = None
         #: When the node acknowledged that this incarnation leaves.
         self.left: dict[str, float] = {}
         self._random = random
@@ -64,19 +69,18 @@
         self._listener: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
-        self._transports: set = set()
+        self._transports: set[asyncio.Transport] = set()
 
     @property
     def name(self) -> str:
         """ID of the incarnation that runs now."""
         return f"{self.place}-{self._number}"
 
-    async def start(self, control: str = "") -> None:
+    async def start(self) -> None:
         """Run as a new incarnation, at the same address as before."""
         self._number += 1
         self._sequence = 0
         self._leaving = False
-        self._control = control or self._control
         self._session = self._session or aiohttp.ClientSession(
             timeout=aiohttp.ClientTimeout(total=1.0)
         )
@@ -120,7 +124,7 @@
 
     async def _announce(self, state: str) -> bool:
         self._sequence += 1
-        host, port = self.node_side
+        host, port = self.node_side or self.address
         body = {
             "service": self.service,
             "address": f"{host}:{port}",
@@ -138,15 +142,6 @@
         except (aiohttp.ClientError, TimeoutError):
             return False
 
-    @property
-    def node_side(self) -> tuple[str, int]:
-        """Where the node reaches this worker; a proxy may stand there."""
-        return getattr(self, "_node_side", self.address)
-
-    @node_side.setter
-    def node_side(self, address: tuple[str, int]) -> None:
-        self._node_side = address
-
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is not None:
             self._transports.add(request.transport)
