Let the soak speak to nodes through the test kit of the adapter

It spelt the platform's headers and messages itself, the third place to do so. Now they are the ones of the stand-ins in platform/, which alone know them; routes and announcements come from there too.

--- a/packages/rattanfork-soak/rattanfork_soak/client.py
+++ b/packages/rattanfork-soak/rattanfork_soak/client.py
@@ -5,6 +5,8 @@
 from random import Random
 
 import aiohttp
+from rattanfork_adapter.tests.fleet import client_headers
+from rattanfork_adapter.tests.stand_in import STAMP
 
 from rattanfork_soak.checks import Checks
 from rattanfork_soak.place import Place
@@ -101,11 +103,7 @@
     async def _send(
         self, session: aiohttp.ClientSession, record: Record, method: str, path: str
     ) -> None:
-        headers = {
-            "Host": "h.example",
-            "X-Rattanfork-Request-Id": record.request_id,
-            "X-Rattanfork-Deadline-Ms": str(_WAIT_MS),
-        }
+        headers = client_headers(record.request_id, _WAIT_MS)
         body = record.text.split(" ", 2)[2].encode() or None
         try:
             async with session.request(
@@ -113,7 +111,7 @@
             ) as response:
                 record.body = await response.text()
                 record.status = response.status
-                record.stamp = response.headers.get("X-Rattanfork-Server-Stamp", "")
+                record.stamp = response.headers.get(STAMP, "")
         except (aiohttp.ClientError, TimeoutError) as error:
             record.status = 0
             record.error = type(error).__name__
--- a/packages/rattanfork-soak/rattanfork_soak/place.py
+++ b/packages/rattanfork-soak/rattanfork_soak/place.py
@@ -14,6 +14,8 @@
 
 #: Seconds after SIGTERM in which a node has to end.
 _GRACE = 6.5
+#: Slots that each worker announces: more than its clients keep busy.
+_SLOTS = 20
 
 
 class Place:
@@ -50,14 +52,13 @@
         self.store_link = LoopbackProxy(store)
         await self.worker_link.start()
         await self.store_link.start()
-        self.worker.node_side = self.worker_link.address
         beside = SimpleNamespace(
             name=self.worker.name,
             service=self.worker.service,
             address=self.worker_link.address,
         )
         self._node = NodeProcess(self.name, beside, self.store_link, folder, ports)
-        self.worker.announce_to(f"127.0.0.1:{self._node.ports['control']}")
+        self.worker.announce = self._announce
         await self._node.spawn()
 
     @property
@@ -140,7 +141,12 @@
             await self._node.process.wait()
         self.worker_link.stop()
         self.store_link.stop()
-        await self.worker.close()
+        self.worker.crash()
+
+    async def _announce(self, state: str) -> int | None:
+        # The worker may be another incarnation by now.
+        self._node.worker.name = self.worker.name
+        return await self._node.announce(state, _SLOTS)
 
     def _signal(self, number: int) -> None:
         if self._node.process.returncode is None:
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -1,18 +1,29 @@
 """An upstream that keeps a ledger, announces itself, and misbehaves."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
-import aiohttp
 from aiohttp import web
+from rattanfork_adapter.tests.stand_in import (
+    EXPECTED,
+    INSTANCE,
+    NOT_RUN,
+    REQUEST_ID,
+    STAMP,
+)
 
-_ID = "X-Rattanfork-Request-Id"
 #: Seconds between two announcements; the platform's workers take 1.5, and a
 #: shorter time only brings a restarted node its worker sooner.
 _HEARTBEAT = 0.4
+#: Status of an answer that acknowledges an announcement.
+_ACKNOWLEDGED = 200
+
+
+async def _nobody(state: str) -> None:
+    """Stand for a node that was not started yet."""
 
 
 class Trouble(Enum):
@@ -57,18 +68,16 @@
         self.trouble = Trouble.NONE
         self.arrivals: list[Arrival] = []
         self.address = ("127.0.0.1", 0)
-        #: Where the node reaches this worker, if a proxy stands between them.
-        self.node_side: tuple[str, int] | None = None
+        #: Announces a state to the node; returns the status of its answer.
+        self.announce: Callable[[str], Awaitable[int | None]] = _nobody
         #: When the node acknowledged that this incarnation leaves.
         self.left: dict[str, float] = {}
         self._random = random
         self._now = now
         self._number = 0
-        self._control = ""
         self._leaving = False
         self._listener: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
-        self._session: aiohttp.ClientSession | None = None
         self._transports: set[asyncio.Transport] = set()
 
     @property
@@ -79,26 +88,18 @@
     async def start(self) -> None:
         """Run as a new incarnation, at the same address as before."""
         self._number += 1
-        self._sequence = 0
         self._leaving = False
-        self._session = self._session or aiohttp.ClientSession(
-            timeout=aiohttp.ClientTimeout(total=1.0)
-        )
         server = web.Server(self._handle, access_log=None)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(server, *self.address)
         self.address = self._listener.sockets[0].getsockname()[:2]
         self._tasks = [asyncio.ensure_future(self._announce_forever(self.name))]
 
-    def announce_to(self, control: str) -> None:
-        """Take the address for announcements."""
-        self._control = control
-
     async def leave(self) -> None:
         """Say that this incarnation leaves, until that is acknowledged."""
         self._leaving = True
         name = self.name
-        while self.name == name and not await self._announce("draining"):
+        while self.name == name and await self.announce("draining") != _ACKNOWLEDGED:
             await asyncio.sleep(0.1)
         self.left.setdefault(name, self._now())
 
@@ -111,52 +112,25 @@
         for transport in transports:
             transport.abort()
 
-    async def close(self) -> None:
-        """End for good."""
-        self.crash()
-        await self._session.close()
-
     async def _announce_forever(self, name: str) -> None:
         while self.name == name:
-            if self._control and not self._leaving:
-                await self._announce("ready")
+            if not self._leaving:
+                await self.announce("ready")
             await asyncio.sleep(_HEARTBEAT)
 
-    async def _announce(self, state: str) -> bool:
-        self._sequence += 1
-        host, port = self.node_side or self.address
-        body = {
-            "service": self.service,
-            "address": f"{host}:{port}",
-            "zone": "z1",
-            "version": "v1",
-            "slots": 20,
-            "state": state,
-            "coldLeftS": 0,
-            "sequence": self._sequence,
-        }
-        url = f"http://{self._control}/rattanfork/instances/{self.name}"
-        try:
-            async with self._session.put(url, json=body) as response:
-                return response.status == 200
-        except (aiohttp.ClientError, TimeoutError):
-            return False
-
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is not None:
             self._transports.add(request.transport)
-        named = {"X-Rattanfork-Instance-Id": self.name}
+        named = {INSTANCE: self.name}
         if request.path == "/health":
             return web.Response(status=503 if self._leaving else 200, headers=named)
-        if request.headers.get("X-Rattanfork-Expect-Instance") != self.name:
+        if request.headers.get(EXPECTED) != self.name:
             return web.Response(status=421, headers=named)
-        request_id = request.headers[_ID]
-        echo = {_ID: request_id}
+        request_id = request.headers[REQUEST_ID]
+        echo = {REQUEST_ID: request_id}
         odd = self._random.random() < 0.5
         if self.trouble is Trouble.SHEDS and odd:
-            return web.Response(
-                status=503, headers={**echo, "X-Rattanfork-Not-Run": "1"}
-            )
+            return web.Response(status=503, headers={**echo, NOT_RUN: "1"})
         body = await request.read()
         text = f"{request.method} {request.path} {body.decode()}"
         self.arrivals.append(Arrival(request_id, self._now(), self.name, text))
@@ -166,10 +140,10 @@
         elif self.trouble is Trouble.HANGS:
             await asyncio.sleep(20)
         elif self.trouble is Trouble.FAILS and odd:
-            stamp = {"X-Rattanfork-Server-Stamp": f"{self.name}.500"}
+            stamp = {STAMP: f"{self.name}.500"}
             return web.Response(status=500, headers={**echo, **stamp})
         elif self.trouble is Trouble.GARBLES and odd and request.transport:
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nda")
             request.transport.abort()
-        stamp = {"X-Rattanfork-Server-Stamp": f"{self.name}.200"}
+        stamp = {STAMP: f"{self.name}.200"}
         return web.Response(text=f"{request_id} {text}", headers={**echo, **stamp})
--- a/packages/rattanfork-soak/rattanfork_soak/world.py
+++ b/packages/rattanfork-soak/rattanfork_soak/world.py
@@ -1,13 +1,11 @@
 """What a soak runs: a store, workers, and a node beside each."""
 
 import asyncio
-from base64 import b64encode
 from pathlib import Path
 from random import Random
 from time import monotonic
 
-import msgspec
-from rattanfork_adapter.tests.fleet import until
+from rattanfork_adapter.tests.fleet import configuration_of, route, until
 from rattanfork_adapter.tests.stand_in import StoreStandIn
 from rattanfork_testkit import FreePorts
 
@@ -83,28 +81,10 @@
 
     def _configuration(self) -> str:
         routes = {
-            "read": _route("/a/", "idempotent"),
-            "post": _route("/p/", "non_idempotent"),
+            "read": route("/a/", "idempotent", TIMEOUT, priority=2),
+            "post": route("/p/", "non_idempotent", TIMEOUT),
         }
         for version in range(1, self.version + 1):
-            routes[f"v{version}"] = _route(f"/v{version}/", "idempotent")
-        document = {
-            "version": f"{self.version:08x}",
-            "routes": routes,
-            "services": {"s1": {"healthPath": "/health", "maxConns": 500}},
-            "limits": {},
-        }
-        return b64encode(msgspec.json.encode(document)).decode()
-
-
-def _route(prefix: str, kind: str) -> dict[str, object]:
-    return {
-        "host": "h.example",
-        "pathPrefix": prefix,
-        "kind": kind,
-        "timeoutS": TIMEOUT,
-        "targetLatencyS": 1,
-        "priority": 2 if kind == "idempotent" else 0,
-        "service": SoakWorker.service,
-        "maxAttempts": 2,
-    }
+            name = f"v{version}"
+            routes[name] = route(f"/{name}/", "idempotent", TIMEOUT, priority=2)
+        return configuration_of(self.version, routes)
