--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
@@ -23,13 +23,15 @@
 class World:
     """A configuration task with a store and a peer."""
 
+    make_platform = FakePlatform
+
     def __init__(self) -> None:
-        self.platform = FakePlatform()
+        self.platform = self.make_platform()
         self.peers = FakePeers()
         self.counters = Counters()
         self.holder = ConfigurationHolder(lambda d: Configuration(int(d), (), {}))
-        membership = Membership(MonotonicClock(), Random(1), member("me"))
-        membership.merge([member("peer")])
+        self.membership = Membership(MonotonicClock(), Random(1), member("me"))
+        self.membership.merge([member("peer")])
         self.heard = SimpleNamespace(newest_revision=0)
         self.task = ConfigurationTask(
             MonotonicClock(),
@@ -38,7 +40,7 @@
             self.platform,
             "op",
             "config",
-            membership,
+            self.membership,
             self.heard,
             self.peers,
             self.counters,
