Ask the store in turn whether there is something newer

Cause: a store that is silent takes a watch and forgets it. The node waits 21.5 s for its answer and takes the silence for "nothing new"; when all watches were lost at the same moment, all nodes wait so, and no peer knows better. Change: a node whose last confirmation is old asks for changes without waiting, and tells the others, who begin their wait anew (ConfirmationSchedule). A watch overtaken by other news is made anew. Datagrams say what a node holds and when the store last held nothing newer. The set-up of the three tests in config/tests starts the new task; what they assert is unchanged.

--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -1,7 +1,8 @@
 """Who is there: announcements, probes, suspicion and leaving."""
 
 from rattanfork_core.membership.anti_entropy import BucketDigest
-from rattanfork_core.membership.duty import on_duty
+from rattanfork_core.membership.duty import duty_group, on_duty
+from rattanfork_core.membership.held import NEVER, HeldVersions
 from rattanfork_core.membership.member import Member, MemberStatus
 from rattanfork_core.membership.membership import Membership
 from rattanfork_core.membership.messages import (
@@ -21,16 +22,19 @@
     "Ack",
     "BucketDigest",
     "GossipMessage",
+    "HeldVersions",
     "Member",
     "MemberStatus",
     "Membership",
     "MembershipSettings",
+    "NEVER",
     "Ping",
     "PingRequest",
     "RumourQueue",
     "Send",
     "SyncSchedule",
     "decode_gossip",
+    "duty_group",
     "encode_gossip",
     "on_duty",
 ]
--- a/packages/rattanfork-core/rattanfork_core/membership/duty.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/duty.py
@@ -1,6 +1,7 @@
 """Who does what only a few need to do."""
 
 from collections.abc import Iterable
+from heapq import nsmallest
 
 from rattanfork_core.hashing import hash64
 
@@ -30,3 +31,17 @@
             if before >= count:
                 return False
     return True
+
+
+def duty_group(names: Iterable[str], duty: str, count: int) -> list[str]:
+    """Return the members that do a duty, in the order in which they are asked to.
+
+    Examples
+    ========
+
+    >>> names = [f"n{i}" for i in range(50)]
+    >>> group = duty_group(names, "read", 2)
+    >>> [name for name in names if on_duty(name, names, "read", 2)] == sorted(group)
+    True
+    """
+    return nsmallest(count, names, key=lambda name: hash64(f"{duty}|{name}"))
--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -7,6 +7,7 @@
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.membership.anti_entropy import BucketDigest, bucket_of
+from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member, MemberStatus
 from rattanfork_core.membership.messages import (
     Ack,
@@ -109,7 +110,8 @@
         self._version = 0
         self._has_news = False
         self._next_push = clock.now()
-        self.revision: Callable[[], int] = lambda: 0
+        #: What this node holds of the store.
+        self.held: Callable[[], HeldVersions] = HeldVersions
         #: Told of each member that comes or changes its status, with the status
         #: before; None for one that was not known.
         self.on_status: Callable[[Member, MemberStatus | None], None] = _ignore
@@ -167,6 +169,15 @@
         """
         return self._push(_FAR_PUSHES * self._settings.pushes)
 
+    def tell(self, names: Iterable[str]) -> list[Send]:
+        """Tell some members at once what this node holds of the store."""
+        known = (self._members.get(name) for name in names if name != self._me.name)
+        return [
+            self._ping(member)
+            for member in known
+            if member is not None and member.status != MemberStatus.DEAD
+        ]
+
     def bury(self, name: str) -> None:
         """Take a member for dead: another process answers at its address."""
         if name != self._me.name:
@@ -234,7 +245,7 @@
             # The sender does not know that it is thought dead: tell it, so
             # that it refutes.
             self._rumours.add(sender, 2)
-        ack = Ack(ping.number, self._me, self._me.name, self.revision(), self._news())
+        ack = Ack(ping.number, self._me, self._me.name, self.held(), self._news())
         return [Send(ping.sender.address, ack)]
 
     def _on_ack(self, ack: Ack) -> list[Send]:
@@ -253,7 +264,7 @@
             return []
         number, address = relay
         news = self._news()
-        return [Send(address, Ack(number, self._me, ack.target, ack.revision, news))]
+        return [Send(address, Ack(number, self._me, ack.target, ack.held, news))]
 
     def _on_ping_request(self, request: PingRequest) -> list[Send]:
         target = self._members.get(request.target)
@@ -300,9 +311,7 @@
         drawn = self._living.sample(self._random, count + len(names))
         helpers = [self._members[n] for n in drawn if n not in names][:count]
         news = self._news()
-        request = PingRequest(
-            probe.number, self._me, probe.target, self.revision(), news
-        )
+        request = PingRequest(probe.number, self._me, probe.target, self.held(), news)
         return [Send(helper.address, request) for helper in helpers]
 
     def _probe_failed(self, probe: _Probe) -> None:
@@ -382,7 +391,7 @@
     def _ping(self, target: Member) -> Send:
         self._number += 1
         news = self._news()
-        ping = Ping(self._number, self._me, target.name, self.revision(), news)
+        ping = Ping(self._number, self._me, target.name, self.held(), news)
         return Send(target.address, ping)
 
 
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member
 
 _MAC_BYTES = 12
@@ -20,7 +21,7 @@
     number: int
     sender: Member
     target: str
-    revision: int
+    held: HeldVersions
     rumours: tuple[Member, ...]
 
 
@@ -30,7 +31,7 @@
     number: int
     sender: Member
     target: str
-    revision: int
+    held: HeldVersions
     rumours: tuple[Member, ...]
 
 
@@ -40,7 +41,7 @@
     number: int
     sender: Member
     target: str
-    revision: int
+    held: HeldVersions
     rumours: tuple[Member, ...]
 
 
@@ -75,7 +76,7 @@
     ========
 
     >>> me = Member("w1", "b", "claims", "dc1", "127.0.0.1", 1, 2, 8)
-    >>> ping = Ping(1, me, "w2@b", 0, ())
+    >>> ping = Ping(1, me, "w2@b", HeldVersions(), ())
     >>> decode_gossip(encode_gossip(ping, b"k"), b"k") == ping
     True
     >>> decode_gossip(b"x" * 40, b"k")
@@ -89,11 +90,11 @@
         raise ValueError("datagram of a stranger")
     try:
         fields = msgpack.unpackb(body, use_list=False)
-        kind, number, sender, target, revision, rumours = fields
+        kind, number, sender, target, held, rumours = fields
         message_type = _KINDS[kind]
     except Exception as error:
         raise ValueError("malformed datagram") from error
-    if type(number) is not int or type(revision) is not int:
+    if type(number) is not int:
         raise ValueError("malformed datagram")
     if not isinstance(target, str) or not isinstance(rumours, tuple):
         raise ValueError("malformed datagram")
@@ -101,6 +102,6 @@
         number,
         Member.from_fields(sender),
         target,
-        revision,
+        HeldVersions.from_fields(held),
         tuple(Member.from_fields(rumour) for rumour in rumours[:_MOST_RUMOURS]),
     )
--- a/packages/rattanfork-core/rattanfork_core/revision/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/__init__.py
@@ -7,6 +7,7 @@
     ReadRow,
     TryCommit,
 )
+from rattanfork_core.revision.confirmation import ConfirmationSchedule
 from rattanfork_core.revision.reading import ReadSchedule
 from rattanfork_core.revision.record import RulesRecord
 from rattanfork_core.revision.state import RevisionState
@@ -15,6 +16,7 @@
     "CommitMachine",
     "CommitOutcome",
     "CommitStatus",
+    "ConfirmationSchedule",
     "ReadRow",
     "ReadSchedule",
     "RevisionState",
--- a/packages/rattanfork-node/rattanfork_node/app/observer.py
+++ b/packages/rattanfork-node/rattanfork_node/app/observer.py
@@ -36,6 +36,8 @@
         The ordered rules in force.
     platform : WatchedPlatform
         The store.
+    confirmed_age : callable
+        Returns the seconds since the store held nothing newer than this node.
     is_ready : callable
         Whether new work of callers is taken.
     """
@@ -50,6 +52,7 @@
         configuration: ConfigurationHolder,
         rules: RevisionState,
         platform: WatchedPlatform,
+        confirmed_age: Callable[[], float],
         is_ready: Callable[[], bool],
     ) -> None:
         self._clock = clock
@@ -60,6 +63,7 @@
         self._configuration = configuration
         self._rules = rules
         self._platform = platform
+        self._confirmed_age = confirmed_age
         self._is_ready = is_ready
         self._configuration_since = clock.now()
 
@@ -92,6 +96,7 @@
             store_silence_s=round(self._platform.silence, 2),
             store_pending=self._store_pending(),
             configuration=self._configuration.version,
+            confirmed_s=round(self._confirmed_age(), 2),
             running=self._gate.busy - self._gate.waiting,
             waiting=self._gate.waiting,
             cut=round(self._gate.own_cut, 3),
@@ -123,6 +128,7 @@
             "ready": int(self._is_ready()),
             "configuration_version": self._configuration.version,
             "configuration_age_seconds": self._clock.now() - self._configuration_since,
+            "configuration_confirmed_seconds": self._confirmed_age(),
             "rules_revision": self._rules.revision,
             "store_silence_seconds": self._platform.silence,
             "store_calls_pending": len(self._platform.pending),
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -6,10 +6,15 @@
 from collections.abc import Callable
 from random import Random
 
-from rattanfork_core.clock import MonotonicClock
-from rattanfork_core.membership import Member, Membership, MembershipSettings
+from rattanfork_core.clock import BootClock, MonotonicClock
+from rattanfork_core.membership import (
+    HeldVersions,
+    Member,
+    Membership,
+    MembershipSettings,
+)
 from rattanfork_core.objectives import RouteObjectives
-from rattanfork_core.revision import RevisionState
+from rattanfork_core.revision import ConfirmationSchedule, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LineBudget
 from rattanfork_platform import WatchedPlatform
@@ -22,6 +27,7 @@
 from rattanfork_node.app.shutdown import Shutdown
 from rattanfork_node.app.upstream_keeper import UpstreamKeeper
 from rattanfork_node.config.configuration_task import ConfigurationTask
+from rattanfork_node.config.confirmation_task import ConfirmationTask
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.http1 import HttpServer, RequestLimits
@@ -167,7 +173,11 @@
             me,
             MembershipSettings(pushes=_PUSHES, push_interval=_TICK),
         )
-        self._membership.revision = lambda: self._configuration.version
+        self._membership.held = lambda: HeldVersions(
+            self._configuration.version,
+            self._rules.revision,
+            self._confirmation.confirmed_ms(),
+        )
         self._membership.on_status = lambda *news: self._observer.on_member(*news)
         self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
@@ -226,7 +236,17 @@
             self._membership,
             self._pool,
             self._counters,
+            lambda: self._member.newest_rules,
+        )
+        self._confirmation = ConfirmationTask(
+            self._random,
+            ConfirmationSchedule(BootClock(), self._random),
+            self._membership,
+            self._member,
+            (self._config_task, self._rules_watch),
+            self._counters,
         )
+        self._member.on_held = self._confirmation.hear
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
     def _make_servers(
@@ -256,6 +276,7 @@
             self._configuration,
             self._rules,
             self._platform,
+            lambda: self._confirmation.age,
             lambda: self.ready,
         )
         self._keeper = UpstreamKeeper(
@@ -310,6 +331,7 @@
         self._join.start()
         self._config_task.start()
         self._rules_watch.start()
+        self._confirmation.start()
 
     async def _start_metrics(self) -> None:
         if self._settings.metrics is None:
@@ -368,6 +390,7 @@
     def _stop(self) -> None:
         self._config_task.close()
         self._rules_watch.close()
+        self._confirmation.close()
         self._join.close()
         self._member.close()
         for _, server in self._servers:
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -5,16 +5,16 @@
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.membership import Membership
-from rattanfork_platform import HistoryLostError, PlatformDownError, WatchedPlatform
+from rattanfork_platform import PlatformDownError, Rows, WatchedPlatform
 
+from rattanfork_node.config.follower import Follower
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.member import MemberTask
 from rattanfork_node.peer import ConfigurationRequest, LinkLostError, PeerPool
 from rattanfork_node.telemetry import Counters, log_change
 
-#: Seconds for which one watch of the store waits.  Connections can go silent
-#: unnoticed, so this bounds how long a change stays unseen if no peer tells;
-#: each end of a wait is one call to the store.
+#: Seconds for which one watch of the store waits; each end of a wait is one call.
 _WATCH_WAIT = 20.0
 #: Seconds between tries while the store does not answer: first and longest.
 _FIRST_PAUSE = 0.1
@@ -25,7 +25,7 @@
 _ASK_TIMEOUT = 0.6
 
 
-class ConfigurationTask:
+class ConfigurationTask(Follower):
     """Learns configurations from the store, and from peers.
 
     Explanation
@@ -35,6 +35,7 @@
     version held rides on the datagrams of the membership; a node that hears
     of a newer one than its own asks a peer for it.  So a node that the store
     turns away, or whose watch has gone silent, is behind by a datagram only.
+    What all watches have missed is found by who looks in turn.
 
     Parameters
     ==========
@@ -75,8 +76,7 @@
         self._clock = clock
         self._random = random
         self._holder = holder
-        self._platform = platform
-        self._table = table
+        self._watch = RowWatch(platform, table, key, _WATCH_WAIT)
         self._key = key
         self._membership = membership
         self._member_task = member_task
@@ -85,6 +85,19 @@
         self._tasks: list[asyncio.Task] = []
         self._store_answers = True
 
+    @property
+    def behind(self) -> bool:
+        """Whether another node holds something newer."""
+        return self._member_task.newest_configuration > self._holder.version
+
+    async def look(self, store_version: int) -> int:
+        """Ask the store whether it holds something newer; take it if so."""
+        if store_version and self._watch.known >= store_version:
+            return self._watch.known
+        if self._take(await self._watch.look()):
+            self._watch.overtaken()
+        return self._watch.known
+
     def start(self) -> None:
         """Begin to watch the store and to listen to peers."""
         self._tasks = [
@@ -98,35 +111,29 @@
             task.cancel()
 
     async def _follow_store(self) -> None:
-        version: int | None = None
         pause = _FIRST_PAUSE
         while True:
             try:
-                if version is None:
-                    rows = await self._platform.scan(self._table, self._key)
-                else:
-                    rows = await self._platform.watch(self._table, version, _WATCH_WAIT)
-            except HistoryLostError:
-                version = None
-                continue
+                rows = await self._watch.next()
             except PlatformDownError as error:
                 self._note_store(False, str(error))
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
                 continue
-            self._note_store(True, "")
             pause = _FIRST_PAUSE
-            version = rows.version
-            row = rows.rows.get(self._key)
-            if row is not None:
-                self._offer(row.value, "store")
+            if rows is not None:
+                self._take(rows)
+
+    def _take(self, rows: Rows) -> bool:
+        self._note_store(True, "")
+        row = rows.rows.get(self._key)
+        return row is not None and self._offer(row.value, "store")
 
     async def _follow_peers(self) -> None:
         while True:
             await asyncio.sleep(_ASK_PAUSE * self._random.uniform(0.7, 1.3))
-            behind = self._member_task.newest_revision > self._holder.version
             lost = not self._store_answers and self._holder.current is None
-            if behind or lost:
+            if self.behind or lost:
                 await self._ask_peer()
 
     async def _ask_peer(self) -> None:
@@ -143,22 +150,23 @@
         except (LinkLostError, TimeoutError):
             self._counters.events["configuration.peer-lost"] += 1
             return
-        if reply.document:
-            self._offer(reply.document, "peer")
+        if reply.document and self._offer(reply.document, "peer"):
+            self._watch.overtaken()
 
-    def _offer(self, document: bytes, source: str) -> None:
+    def _offer(self, document: bytes, source: str) -> bool:
         try:
             changed = self._holder.offer(document)
         except ValueError as error:
             self._counters.events["configuration.malformed"] += 1
             log_change("configuration_malformed", source=source, error=str(error))
-            return
+            return False
         if changed:
             self._counters.events[f"configuration.from-{source}"] += 1
             log_change(
                 "configuration_in_force", version=self._holder.version, source=source
             )
             self._membership.hasten()
+        return changed
 
     def _note_store(self, answers: bool, error: str) -> None:
         if answers == self._store_answers:
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -0,0 +1,142 @@
+"""Sees to it that somebody asks the store whether there is something newer."""
+
+import asyncio
+from collections.abc import Sequence
+from random import Random
+
+from rattanfork_core.membership import NEVER, HeldVersions, Membership, duty_group
+from rattanfork_core.revision import ConfirmationSchedule
+from rattanfork_platform import PlatformDownError
+
+from rattanfork_node.config.follower import Follower
+from rattanfork_node.member import MemberTask
+from rattanfork_node.telemetry import Counters, log_change
+
+#: Seconds between two looks at the schedule.
+_TICK = 0.05
+#: Nodes of each data centre that ask in turn: enough that those of one data
+#: centre are not all down, paused or turned away at the same time.
+_ASKING = 4
+#: Most members that are told at once; the others hear from these.
+_MOST_TOLD = 16
+#: Seconds without a confirmation from which a node says that it has none: with a
+#: store that answers, twice what it takes in the worst case.
+_UNCONFIRMED = 3.0
+
+
+class ConfirmationTask:
+    """Asks the store when the schedule says so, and tells the others.
+
+    Parameters
+    ==========
+
+    random : Random
+        Source of the choice whom to tell.
+    schedule : ConfirmationSchedule
+        When to ask.
+    membership : Membership
+        Who is there.
+    member_task : MemberTask
+        Tells others, and hears them.
+    followers : sequence of Follower
+        What is kept up to date.
+    counters : Counters
+        What happened.
+    """
+
+    def __init__(
+        self,
+        random: Random,
+        schedule: ConfirmationSchedule,
+        membership: Membership,
+        member_task: MemberTask,
+        followers: Sequence[Follower],
+        counters: Counters,
+    ) -> None:
+        self._random = random
+        self._schedule = schedule
+        self._membership = membership
+        self._member_task = member_task
+        self._followers = followers
+        self._counters = counters
+        self._view = -1
+        self._group: list[str] = []
+        self._confirmed = True
+        self._task: asyncio.Task | None = None
+
+    @property
+    def age(self) -> float:
+        """Seconds since the store held nothing newer than this node."""
+        return self._schedule.age
+
+    def start(self) -> None:
+        """Begin."""
+        self._task = asyncio.ensure_future(self._run())
+
+    def close(self) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def confirmed_ms(self) -> int:
+        """Return what others are told of the age, in milliseconds."""
+        return NEVER if self._behind() else int(self._schedule.age * 1000)
+
+    def hear(self, held: HeldVersions) -> None:
+        """Take in what another node holds."""
+        task = self._member_task
+        older = (
+            held.configuration < task.newest_configuration
+            or held.rules < task.newest_rules
+        )
+        # A word about something older says nothing of the newest; and who is
+        # behind asks for itself until it has what the others hold.
+        if held.confirmed != NEVER and not older and not self._behind():
+            self._schedule.hear(held.confirmed / 1000)
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK)
+            self._note_age()
+            if self._membership.version != self._view:
+                self._regroup()
+            if self._schedule.due():
+                await self._ask()
+
+    async def _ask(self) -> None:
+        self._schedule.begin()
+        succeeded = False
+        try:
+            version = 0
+            for follower in self._followers:
+                version = await follower.look(version)
+            succeeded = True
+        except PlatformDownError:
+            self._counters.events["confirmation.unanswered"] += 1
+        finally:
+            self._schedule.end(succeeded)
+        if succeeded:
+            self._counters.events["confirmation.asked"] += 1
+            told = min(_MOST_TOLD, len(self._group))
+            self._member_task.tell(self._random.sample(self._group, told))
+
+    def _behind(self) -> bool:
+        return any(follower.behind for follower in self._followers)
+
+    def _regroup(self) -> None:
+        self._view = self._membership.version
+        centres: dict[str, list[str]] = {}
+        for member in self._membership.present():
+            centres.setdefault(member.data_centre, []).append(member.name)
+        groups = [duty_group(n, "confirmation", _ASKING) for n in centres.values()]
+        me = self._membership.me.name
+        self._group = [name for group in groups for name in group if name != me]
+        asks = any(me in group for group in groups)
+        fleet = sum(len(names) for names in centres.values())
+        self._schedule.join(len(self._group) + asks, fleet, asks)
+
+    def _note_age(self) -> None:
+        confirmed = self._schedule.age < _UNCONFIRMED
+        if confirmed != self._confirmed:
+            self._confirmed = confirmed
+            log_change("confirmation_regained" if confirmed else "confirmation_lost")
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
@@ -1,6 +1,7 @@
 """Keeps the ordered rules of a node up to date by watching the store."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 import orjson
@@ -8,13 +9,14 @@
 from rattanfork_core.revision import RevisionState, RulesRecord
 from rattanfork_core.revision.record import HEAD_KEY, history_key
 from rattanfork_platform import (
-    HistoryLostError,
     PlatformDownError,
     Row,
     Rows,
     WatchedPlatform,
 )
 
+from rattanfork_node.config.follower import Follower
+from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.peer import LinkLostError, PeerPool
 from rattanfork_node.telemetry import Counters, log_change
 
@@ -27,7 +29,7 @@
 _ASK_TIMEOUT = 0.6
 
 
-class RulesWatch:
+class RulesWatch(Follower):
     """Learns accepted rules by a watch of the store, or from peers without it.
 
     Parameters
@@ -45,6 +47,8 @@
         Connections to other nodes.
     counters : Counters
         What happened.
+    newest : callable
+        Returns the highest revision heard of on datagrams.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         membership: Membership,
         pool: PeerPool,
         counters: Counters,
+        newest: Callable[[], int] = lambda: 0,
     ) -> None:
         self._random = random
         self._state = state
@@ -62,56 +67,73 @@
         self._membership = membership
         self._pool = pool
         self._counters = counters
-        self._task: asyncio.Task | None = None
+        self._newest = newest
+        self._watch = RowWatch(platform, _TABLE, _HEAD, _WATCH_WAIT)
+        self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
         """Begin."""
-        self._task = asyncio.ensure_future(self._follow())
+        self._tasks = [
+            asyncio.ensure_future(self._follow()),
+            asyncio.ensure_future(self._follow_peers()),
+        ]
 
     def close(self) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+
+    @property
+    def behind(self) -> bool:
+        """Whether another node holds something newer."""
+        return self._newest() > self._state.revision
+
+    async def look(self, store_version: int) -> int:
+        """Ask the store whether it holds something newer; take it if so."""
+        if store_version and self._watch.known >= store_version:
+            return self._watch.known
+        if await self._take(await self._watch.look()):
+            self._watch.overtaken()
+        return self._watch.known
 
     async def _follow(self) -> None:
-        version: int | None = None
         while True:
             try:
-                if version is None:
-                    rows = await self._platform.scan(_TABLE, _HEAD)
-                else:
-                    rows = await self._platform.watch(_TABLE, version, _WATCH_WAIT)
-                await self._take(rows)
-                version = rows.version
-            except HistoryLostError:
-                version = None
+                rows = await self._watch.next()
+                if rows is not None:
+                    await self._take(rows)
             except PlatformDownError:
                 self._counters.events["rules.store-unanswered"] += 1
                 await self._ask_peer()
                 await asyncio.sleep(_PAUSE * self._random.uniform(0.7, 1.3))
 
-    async def _take(self, rows: Rows) -> None:
+    async def _follow_peers(self) -> None:
+        while True:
+            await asyncio.sleep(_PAUSE * self._random.uniform(0.7, 1.3))
+            if self.behind:
+                await self._ask_peer()
+
+    async def _take(self, rows: Rows) -> bool:
         head = rows.rows.get(_HEAD)
         if head is None:
             self._state.hear_from_store(None)
-            return
+            return False
         newest = self._read_record(head.value)
         if newest is None:
             # Written by somebody else: what is in force stays, and a node that
             # starts serves by the routes instead of waiting for ever.
             self._state.hear_from_store(None)
-            return
+            return False
         revision = newest.revision
         if revision <= self._state.revision:
             self._state.hear_from_store(None)
-            return
+            return False
         key = history_key(revision)
         text: Row | None = rows.rows.get(key.partition("/")[2])
         if text is None:
             text = await self._platform.read(key)
         record = self._read_record(text.value)
-        if record is not None:
-            self._offer("store", record)
+        return record is not None and self._offer("store", record)
 
     def _read_record(self, value: object) -> RulesRecord | None:
         """Return the record of a row's value, or None if it holds none."""
@@ -147,11 +169,12 @@
             record = RulesRecord(
                 reply.revision, reply.operation, reply.author, reply.comment, reply.text
             )
-        self._offer("peer", record, centre)
+        if self._offer("peer", record, centre):
+            self._watch.overtaken()
 
     def _offer(
         self, source: str, record: RulesRecord | None, data_centre: str = ""
-    ) -> None:
+    ) -> bool:
         try:
             if source == "store":
                 changed = self._state.hear_from_store(record)
@@ -159,6 +182,8 @@
                 changed = self._state.hear_from_peer(data_centre, record)
         except ValueError as error:
             self._note_malformed(source, error)
-            return
+            return False
         if changed:
             log_change("rules_in_force", revision=self._state.revision, source=source)
+            self._membership.hasten()
+        return changed
--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -81,6 +81,14 @@
         rows = self.tables.get(table, {})
         return Rows({k: Row(1, v) for k, v in rows.items()}, self.version)
 
+    async def changes(self, table: str, after: int) -> Rows:
+        self._call("changes")
+        if self.forgetful:
+            self.forgetful = False
+            raise HistoryLostError("gone")
+        rows = self.tables.get(table, {}) if self.version > after else {}
+        return Rows({k: Row(1, v) for k, v in rows.items()}, self.version)
+
     async def close(self) -> None:
         pass
 
@@ -118,6 +126,17 @@
         return SimpleNamespace(document=self.document if newer else b"")
 
 
+class FakeMemberTask:
+    """Hears what the test says, and tells nobody."""
+
+    def __init__(self) -> None:
+        self.newest_configuration = 0
+        self.newest_rules = 0
+
+    def tell(self, names) -> None:
+        pass
+
+
 def member(name: str) -> Member:
     """Return the record of another node."""
     return Member(name, "b", "s", "dc1", "127.0.0.1", 1, 2, 8)
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
@@ -3,15 +3,17 @@
 import asyncio
 from functools import wraps
 from random import Random
-from types import SimpleNamespace
 
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Membership
+from rattanfork_core.revision import ConfirmationSchedule
 from rattanfork_core.routes import Configuration
 
 from rattanfork_node.config.configuration_task import ConfigurationTask
+from rattanfork_node.config.confirmation_task import ConfirmationTask
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.tests.fakes import (
+    FakeMemberTask,
     FakePeers,
     FakePlatform,
     member,
@@ -32,7 +34,7 @@
         self.holder = ConfigurationHolder(lambda d: Configuration(int(d), (), {}))
         self.membership = Membership(MonotonicClock(), Random(1), member("me"))
         self.membership.merge([member("peer")])
-        self.heard = SimpleNamespace(newest_revision=0)
+        self.heard = FakeMemberTask()
         self.task = ConfigurationTask(
             MonotonicClock(),
             Random(1),
@@ -45,6 +47,25 @@
             self.peers,
             self.counters,
         )
+        self.followers = [self.task]
+        self.confirmation = ConfirmationTask(
+            Random(1),
+            ConfirmationSchedule(MonotonicClock(), Random(1)),
+            self.membership,
+            self.heard,
+            self.followers,
+            self.counters,
+        )
+
+    def start(self) -> None:
+        """Start all that the world has."""
+        self.task.start()
+        self.confirmation.start()
+
+    def close(self) -> None:
+        """Stop all."""
+        self.task.close()
+        self.confirmation.close()
 
     def write(self, document: bytes) -> None:
         self.platform.put("op", "config", document)
@@ -103,7 +124,7 @@
     await until(lambda: world.holder.version == 1)
     world.platform.cut()
     world.peers.version, world.peers.document = 4, b"4"
-    world.heard.newest_revision = 4
+    world.heard.newest_configuration = 4
     await until(lambda: world.holder.version == 4)
     assert world.holder.document == b"4"
 
@@ -122,7 +143,7 @@
     world.task.start()
     await until(lambda: world.holder.version == 9)
     world.peers.version, world.peers.document = 8, b"8"
-    world.heard.newest_revision = 10
+    world.heard.newest_configuration = 10
     await until(lambda: world.peers.asked >= 2)
     assert world.holder.version == 9
 
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_store_faults.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_store_faults.py
@@ -15,7 +15,13 @@
 from rattanfork_node.config.configuration_task import ConfigurationTask
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.rules_watch import RulesWatch
-from rattanfork_node.config.tests.fakes import FakePeers, FakePlatform, member, until
+from rattanfork_node.config.tests.fakes import (
+    FakeMemberTask,
+    FakePeers,
+    FakePlatform,
+    member,
+    until,
+)
 from rattanfork_node.member.join import JoinTask
 from rattanfork_node.telemetry import Counters
 
@@ -110,7 +116,7 @@
         "op",
         "config",
         Membership(MonotonicClock(), Random(1), member("n1")),
-        SimpleNamespace(newest_revision=0),
+        FakeMemberTask(),
         peers_without_answer(),
         Counters(),
     )
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
@@ -59,7 +59,7 @@
             try:
                 await test(world)
             finally:
-                world.task.close()
+                world.close()
 
         asyncio.run(inner())
 
@@ -71,7 +71,7 @@
 async def test_a_change_comes_into_force_though_the_watch_was_swallowed(world):
     world.write(b"1")
     world.platform.swallows = True
-    world.task.start()
+    world.start()
     await until(lambda: world.platform.swallowed == 1)
     world.write(b"2")
     await until(lambda: world.holder.version == 2)
@@ -85,7 +85,7 @@
     """
     world.write(b"1")
     world.platform.swallows = True
-    world.task.start()
+    world.start()
     await until(lambda: world.platform.swallowed == 1)
     world.write(b"2")
     await until(lambda: world.platform.swallowed == 2)
@@ -106,8 +106,9 @@
             world.peers,
             Counters(),
         )
+        world.followers.append(watch)
         watch.start()
-        world.task.start()
+        world.start()
         try:
             await until(lambda: state.ready and platform.swallowed == 2)
             text = "rules: []"
@@ -118,6 +119,6 @@
             await until(lambda: state.revision == 1)
         finally:
             watch.close()
-            world.task.close()
+            world.close()
 
     asyncio.run(inner())
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -1,11 +1,12 @@
 """Carries the membership protocol over UDP and the peers' streams."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.membership import (
+    HeldVersions,
     Member,
     Membership,
     Send,
@@ -65,7 +66,11 @@
         self._schedule = SyncSchedule(clock, random, seeds)
         self._background: set[asyncio.Task] = set()
         self._sent_bytes = 0
-        self.newest_revision = 0
+        #: The newest that any datagram told of.
+        self.newest_configuration = 0
+        self.newest_rules = 0
+        #: Told what the sender of each datagram holds.
+        self.on_held: Callable[[HeldVersions], None] = _ignore
 
     @property
     def sent_bytes(self) -> int:
@@ -98,6 +103,10 @@
         """Tell the others that this node is here."""
         self._send_all(self._membership.introduce())
 
+    def tell(self, names: Iterable[str]) -> None:
+        """Tell some members at once what this node holds of the store."""
+        self._send_all(self._membership.tell(names))
+
     def leave(self) -> None:
         """Tell the others that this node takes no new work."""
         self._send_all(self._membership.leave())
@@ -109,7 +118,10 @@
         except ValueError:
             self._counters.events["gossip.refused"] += 1
             return
-        self.newest_revision = max(self.newest_revision, message.revision)
+        held = message.held
+        self.newest_configuration = max(self.newest_configuration, held.configuration)
+        self.newest_rules = max(self.newest_rules, held.rules)
+        self.on_held(held)
         self._send_all(self._membership.on_message(message, addr))
 
     def records_differing(self, request: SyncRequest) -> list[Member]:
@@ -144,3 +156,7 @@
             self._schedule.end(membership.me, membership.present())
         if alone and len(membership.members) > 1:
             log_change("joined", members=len(membership.members))
+
+
+def _ignore(held: HeldVersions) -> None:
+    pass
--- a/packages/rattanfork-platform/rattanfork_platform/interface.py
+++ b/packages/rattanfork-platform/rattanfork_platform/interface.py
@@ -149,6 +149,19 @@
             If there is no answer.
         """
 
+    @abstractmethod
+    async def changes(self, table: str, after: int) -> Rows:
+        """Return the changes after a version that there are now, without waiting.
+
+        Raises
+        ======
+
+        HistoryLostError
+            If changes since ``after`` are no longer kept: scan again.
+        PlatformDownError
+            If there is no answer.
+        """
+
     @abstractmethod
     async def remove(self, key: str) -> None:
         """Remove a row.
