Report why callers' requests were lost, from the lines of nodes

Cause: where requests are lost was worked out by hand from tables, logs and counters. Change: rattanfork report losses (text, JSON, plot by the extra matplotlib): one cause for each caller's request that was not answered whole and in its objective, and the mean time by part for late ones. Ruled out: joining a caller's later attempt to its refusal; IDs don't tell.

--- a/packages/rattanfork-cli/rattanfork_cli/commands/logs.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/logs.py
@@ -1,26 +1,17 @@
 """Commands on the lines that nodes have written."""
 
-import sys
-from collections.abc import Iterator
-from datetime import UTC, datetime
-from pathlib import Path
 from typing import Annotated
 
 import typer
 from rattanfork_core.trace import count_reasons, read_lines, tell_story
 
 from rattanfork_cli.exits import BAD_INPUT, FAILED
+from rattanfork_cli.log_files import LogFiles, log_texts, time_of_day
 from rattanfork_cli.options import AsJson
 from rattanfork_cli.output import fail, print_json, print_table
 
 app = typer.Typer(no_args_is_help=True, help="Sum up the logs of nodes.")
 
-_STANDARD_INPUT = Path("-")
-LogFiles = Annotated[
-    list[Path] | None,
-    typer.Argument(help="Logs of any nodes; standard input without, or for '-'."),
-]
-
 
 def trace(
     request_id: Annotated[str, typer.Argument(help="ID of the request.")],
@@ -34,7 +25,7 @@
 
     Example: rattanfork trace 9c41d07be2a35f68 claims-1.log donors-2.log
     """
-    steps = tell_story(request_id, read_lines(_texts(files)))
+    steps = tell_story(request_id, read_lines(log_texts(files)))
     if not steps:
         raise fail(
             f"no line tells of {request_id!r}; it may have been left out under "
@@ -51,7 +42,7 @@
         return
     for step in steps:
         indent = "  " * step.depth
-        print(f"{_clock(step.at)}  {step.instance}  {indent}{step.text}")
+        print(f"{time_of_day(step.at)}  {step.instance}  {indent}{step.text}")
 
 
 @app.command()
@@ -67,7 +58,7 @@
     Example: rattanfork logs summary --every 5 *.log
     """
     try:
-        counts, left_out = count_reasons(read_lines(_texts(files)), every)
+        counts, left_out = count_reasons(read_lines(log_texts(files)), every)
     except ValueError as error:
         raise fail(f"--every: {error}", BAD_INPUT) from None
     if as_json:
@@ -76,26 +67,9 @@
         return
     columns = ["from", "kind", "route", "outcome", "reason", "lines"]
     rows = [
-        [_clock(c.begins), c.kind, c.route, c.outcome, c.reason, c.count]
+        [time_of_day(c.begins), c.kind, c.route, c.outcome, c.reason, c.count]
         for c in counts
     ]
     print_table("Ends of requests", columns, rows)
     for kind, count in sorted(left_out.items()):
         print(f"lines left out, {kind}: {count}")
-
-
-def _texts(files: list[Path] | None) -> Iterator[str]:
-    for file in files or [_STANDARD_INPUT]:
-        if file == _STANDARD_INPUT:
-            yield from sys.stdin
-            continue
-        try:
-            with file.open(errors="replace") as stream:
-                yield from stream
-        except OSError as error:
-            raise fail(f"{file}: {error.strerror}", BAD_INPUT) from None
-
-
-def _clock(at: float) -> str:
-    moment = datetime.fromtimestamp(at, UTC)
-    return moment.strftime("%H:%M:%S.%f")[:-3]
--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -6,10 +6,12 @@
 import typer
 from rattanfork_core.burn import BurnLine, burn_report
 from rattanfork_core.rules import ObjectiveModel
+from rattanfork_core.trace import LossReport, count_losses, read_lines
 
 from rattanfork_cli.burn_page import burn_page
 from rattanfork_cli.exits import BAD_INPUT, FAILED
 from rattanfork_cli.http import ask_node
+from rattanfork_cli.log_files import LogFiles, log_texts, time_of_day
 from rattanfork_cli.options import AsJson, Node
 from rattanfork_cli.output import fail, print_json, print_table
 
@@ -67,6 +69,60 @@
         print(f"{key}: {value}")
 
 
+@app.command()
+def losses(
+    files: LogFiles = None,
+    every: Annotated[float, typer.Option(help="Seconds of each span.")] = 1.0,
+    as_json: AsJson = False,
+    plot: Annotated[
+        Path | None,
+        typer.Option(help="Write a plot over time to this file; needs matplotlib."),
+    ] = None,
+) -> None:
+    """Say why callers' requests were not answered whole and in their objective.
+
+    Each such request counts once, at the node of its caller.  For those that
+    were late, the mean time by part follows.  What nodes left out under load is
+    counted at the end; it is lost to this report.
+
+    Example: rattanfork report losses --every 5 --plot losses.png *.log
+    """
+    try:
+        report = count_losses(read_lines(log_texts(files)), every)
+    except ValueError as error:
+        raise fail(f"--every: {error}", BAD_INPUT) from None
+    if plot is not None:
+        _plot_losses(report, plot)
+    if as_json:
+        entries = [{n: getattr(x, n) for n in x.__slots__} for x in report.losses]
+        rest = {n: getattr(report, n) for n in ("lost", "late", "left_out")}
+        print_json({"losses": entries, **rest})
+        return
+    rows = [
+        [time_of_day(x.begins), x.route, x.cause, x.place, x.count]
+        for x in report.losses
+    ]
+    print_table(
+        f"Lost requests: {report.lost}", ["from", "route", "cause", "at", "lost"], rows
+    )
+    for route, parts in report.late.items():
+        told = ", ".join(f"{part} {seconds:.3f}" for part, seconds in parts.items())
+        print(f"late on {route}, mean seconds: {told}")
+    for kind, count in sorted(report.left_out.items()):
+        print(f"lines left out, {kind}: {count}")
+
+
+def _plot_losses(report: LossReport, path: Path) -> None:
+    # Imported late: plots are an extra, and no other command needs them.
+    try:
+        from rattanfork_cli.loss_plot import draw_losses
+    except ImportError:
+        raise fail(
+            "--plot needs matplotlib: pip install 'rattanfork-cli[plot]'", BAD_INPUT
+        ) from None
+    draw_losses(report, path)
+
+
 def _by_rules(node: str) -> tuple[list[BurnLine], dict[str, object]]:
     answer = ask_node(node, "/burn")
     objectives = [ObjectiveModel(**entry) for entry in answer["objectives"]]
--- a/packages/rattanfork-cli/rattanfork_cli/tests/test_logs.py
+++ b/packages/rattanfork-cli/rattanfork_cli/tests/test_logs.py
@@ -70,3 +70,25 @@
 
 def test_a_span_of_nothing_is_bad_input(tmp_path):
     assert run("logs", "summary", written(tmp_path), "--every", 0).exit_code == 2
+
+
+def test_losses_are_told_by_cause_with_what_was_left_out(tmp_path):
+    result = run("report", "losses", written(tmp_path, REQUEST, COUNTED))
+    assert result.exit_code == 0
+    assert "Lost requests: 1" in result.stdout
+    assert "shed-early" in result.stdout
+    assert "n2@b" in result.stdout
+    assert "lines left out, plain: 9" in result.stdout
+
+
+def test_losses_are_drawn(tmp_path):
+    picture = tmp_path / "losses.png"
+    result = run("report", "losses", "--plot", picture, written(tmp_path, REQUEST))
+    assert result.exit_code == 0
+    assert picture.read_bytes().startswith(b"\x89PNG")
+
+
+def test_losses_of_a_span_of_nothing_are_bad_input(tmp_path):
+    result = run("report", "losses", "--every", "0", written(tmp_path, REQUEST))
+    assert result.exit_code == 2
+    assert "--every" in result.output
