Let each soak end with a store that forgets all watches, and one more change

Cause: the soak had no call that was taken and never answered while later ones were, and judged that a node does not go back, not that a change comes into force. Change: StoreForgets; at the end of each soak it strikes, a change is written, and every node must hold it (within 5 s where times are judged). Conclusion: the class is looked for from now on.

--- a/packages/rattanfork-soak/rattanfork_soak/faults.py
+++ b/packages/rattanfork-soak/rattanfork_soak/faults.py
@@ -55,6 +55,17 @@
         self.world.store.fault = ""
 
 
+class StoreForgets(Fault):
+    """The store ends all watches, and takes calls for a while that it forgets."""
+
+    async def strike(self) -> None:
+        """Be silent just while the nodes watch anew."""
+        self.world.store.fault = "silent"
+        self.world.store.end_feeds()
+        await self.wait()
+        self.world.store.fault = ""
+
+
 class StoreCut(Fault):
     """One node's connections to the store are harmed."""
 
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -5,12 +5,13 @@
 from pathlib import Path
 from random import Random
 
-from rattanfork_adapter.tests.fleet import until
+from rattanfork_adapter.tests.fleet import until, version_in_force
 
 from rattanfork_soak.checks import Checks
 from rattanfork_soak.client import Client
-from rattanfork_soak.faults import Fault, draw_fault
+from rattanfork_soak.faults import Fault, StoreForgets, draw_fault
 from rattanfork_soak.finding import Finding
+from rattanfork_soak.place import Place
 from rattanfork_soak.world import TIMEOUT, World
 
 #: Seconds between two looks at what arrived at workers.
@@ -19,6 +20,9 @@
 #: is then looked at.
 _SETTLE = 4.0
 _CALM = 3.0
+#: Seconds in which an accepted configuration is to be in force, and those that a
+#: store may need to be stable again after it was silent.
+_IN_FORCE = 2.0 + 3.0
 #: Two nodes are killed or stopped within seconds; a node starts in about one.
 _PATIENCE = 30.0
 
@@ -127,6 +131,7 @@
                 await until(place.is_ready)
             except TimeoutError:
                 checks.find("recovery", world.now(), f"{place.name} is not ready")
+        await self._check_in_force(world, checks)
         if not self._settings.judge_times:
             return
         await asyncio.sleep(_SETTLE)
@@ -134,6 +139,26 @@
         await asyncio.sleep(_CALM)
         checks.check_recovery(since)
 
+    async def _check_in_force(self, world: World, checks: Checks) -> None:
+        """A change comes into force although the store has forgotten all watches.
+
+        No other change follows that would wake the nodes, and what a watch may
+        last is longer than anybody waits here.
+        """
+        await StoreForgets(world, Random(self._random.getrandbits(64))).strike()
+        await world.change_configuration()
+        changed_at = world.now()
+        for place in world.places:
+            try:
+                await until(lambda place=place: _is_in_force(place, world.version))
+            except TimeoutError:
+                text = f"{place.name} does not hold version {world.version}"
+                checks.find("configuration", world.now(), text)
+        took = world.now() - changed_at
+        if self._settings.judge_times and took > _IN_FORCE:
+            text = f"version {world.version} was in force after {took:.2f} s"
+            checks.find("configuration", world.now(), text)
+
     async def _watch(self, world: World, checks: Checks) -> None:
         ended: set[int] = set()
         while True:
@@ -145,3 +170,7 @@
                     ended.add(place.pid)
                     text = f"{place.name} ended by itself with {status}"
                     checks.find("process", world.now(), text)
+
+
+async def _is_in_force(place: Place, version: int) -> bool:
+    return version_in_force(place.log) == version
