--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from rattanfork_core.membership import Member
+from rattanfork_core.revision import RulesRecord
 from rattanfork_platform import (
     HistoryLostError,
     PlatformDownError,
@@ -15,6 +16,9 @@
 
 from rattanfork_node.peer import LinkLostError
 
+#: Fields of a record of no rules at all.
+_NONE = (0, "", "", "", "")
+
 
 class FakePlatform(WatchedPlatform):
     """Tables in memory; ``down`` and ``forgetful`` are its faults."""
@@ -111,6 +115,7 @@
         self.document = b""
         self.reachable = True
         self.asked = 0
+        self.record = RulesRecord(*_NONE)
 
     async def open(self, address):
         self.asked += 1
@@ -121,6 +126,12 @@
     def next_number(self) -> int:
         return 1
 
+    async def ask_rules(self, address, known: int):
+        self.asked += 1
+        record = self.record if self.record.revision > known else RulesRecord(*_NONE)
+        reply = SimpleNamespace(ready=True, **record.as_row())
+        return "dc1", reply
+
     async def ask(self, request):
         newer = self.version > request.known
         return SimpleNamespace(document=self.document if newer else b"")
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
@@ -122,3 +122,32 @@
             world.close()
 
     asyncio.run(inner())
+
+
+def test_rules_that_another_node_holds_are_fetched_from_a_peer():
+    """A peer has looked and found newer rules; its datagram names their revision."""
+
+    async def inner():
+        world = SwallowingWorld()
+        world.platform.swallows = True
+        state = RevisionState(1)
+        watch = RulesWatch(
+            Random(1),
+            state,
+            world.platform,
+            world.membership,
+            world.peers,
+            Counters(),
+            lambda: world.heard.newest_rules,
+        )
+        watch.start()
+        try:
+            await until(lambda: world.platform.swallowed == 1)
+            world.peers.record = RulesRecord(3, "op-3", "me", "third", "rules: []")
+            world.heard.newest_rules = 3
+            await until(lambda: state.revision == 3)
+            await until(lambda: world.platform.swallowed == 2)
+        finally:
+            watch.close()
+
+    asyncio.run(inner())
