--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -6,15 +6,14 @@
 from collections.abc import Callable
 from random import Random
 
-from rattanfork_core.clock import BootClock, MonotonicClock
+from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import (
-    HeldVersions,
     Member,
     Membership,
     MembershipSettings,
 )
 from rattanfork_core.objectives import RouteObjectives
-from rattanfork_core.revision import ConfirmationSchedule, RevisionState
+from rattanfork_core.revision import RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LineBudget
 from rattanfork_platform import WatchedPlatform
@@ -25,16 +24,13 @@
 from rattanfork_node.app.readiness import ReadinessHandler
 from rattanfork_node.app.relay_settings import RelayNodeSettings
 from rattanfork_node.app.shutdown import Shutdown
+from rattanfork_node.app.store_tasks import StoreTasks
 from rattanfork_node.app.upstream_keeper import UpstreamKeeper
-from rattanfork_node.config.configuration_task import ConfigurationTask
-from rattanfork_node.config.confirmation_task import ConfirmationTask
 from rattanfork_node.config.holder import ConfigurationHolder
-from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.http1 import HttpServer, RequestLimits
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import MemberTask
 from rattanfork_node.member.directory import Directory
-from rattanfork_node.member.join import JoinTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import Departure, Gate, Journal, Relay, RelayPeerHandler
 from rattanfork_node.telemetry import (
@@ -125,7 +121,7 @@
     @property
     def ready(self) -> bool:
         """Whether new work of callers is taken."""
-        known = self._join.joined or len(self._membership.present()) > 1
+        known = self._store.joined or len(self._membership.present()) > 1
         held = self._configuration.current is not None and self._rules.ready
         return known and held and not self._draining.is_set()
 
@@ -173,11 +169,6 @@
             me,
             MembershipSettings(pushes=_PUSHES, push_interval=_TICK),
         )
-        self._membership.held = lambda: HeldVersions(
-            self._configuration.version,
-            self._rules.revision,
-            self._confirmation.confirmed_ms(),
-        )
         self._membership.on_status = lambda *news: self._observer.on_member(*news)
         self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
@@ -214,39 +205,18 @@
             self._counters,
         )
         self._handler.connect(self._member)
-        self._join = JoinTask(
-            self._random, self._platform, self._membership, self._member
-        )
-        self._config_task = ConfigurationTask(
+        self._store = StoreTasks(
             self._clock,
             self._random,
-            self._configuration,
             self._platform,
-            settings.configuration_table,
-            settings.configuration_key,
-            self._membership,
-            self._member,
-            self._pool,
-            self._counters,
-        )
-        self._rules_watch = RulesWatch(
-            self._random,
+            (settings.configuration_table, settings.configuration_key),
+            self._configuration,
             self._rules,
-            self._platform,
-            self._membership,
-            self._pool,
-            self._counters,
-            lambda: self._member.newest_rules,
-        )
-        self._confirmation = ConfirmationTask(
-            self._random,
-            ConfirmationSchedule(BootClock(), self._random),
             self._membership,
             self._member,
-            (self._config_task, self._rules_watch),
+            self._pool,
             self._counters,
         )
-        self._member.on_held = self._confirmation.hear
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
     def _make_servers(
@@ -276,7 +246,7 @@
             self._configuration,
             self._rules,
             self._platform,
-            lambda: self._confirmation.age,
+            lambda: self._store.confirmed_age,
             lambda: self.ready,
         )
         self._keeper = UpstreamKeeper(
@@ -328,10 +298,7 @@
         for (server_host, server_port), server in self._servers:
             await server.start(server_host, server_port)
         await self._start_metrics()
-        self._join.start()
-        self._config_task.start()
-        self._rules_watch.start()
-        self._confirmation.start()
+        self._store.start()
 
     async def _start_metrics(self) -> None:
         if self._settings.metrics is None:
@@ -382,16 +349,13 @@
         self._keeper.close()
         ends_at = shutdown.begin()
         self._relay.leave(Departure(self._clock, ends_at, shutdown.serves_until))
-        removal = asyncio.ensure_future(self._join.leave())
+        removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
         removal.cancel()
         return status
 
     def _stop(self) -> None:
-        self._config_task.close()
-        self._rules_watch.close()
-        self._confirmation.close()
-        self._join.close()
+        self._store.close()
         self._member.close()
         for _, server in self._servers:
             server.stop()
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -0,0 +1,128 @@
+"""The tasks of a node that speak to the store."""
+
+from random import Random
+
+from rattanfork_core.clock import BootClock, Clock
+from rattanfork_core.membership import HeldVersions, Membership
+from rattanfork_core.revision import ConfirmationSchedule, RevisionState
+from rattanfork_platform import WatchedPlatform
+
+from rattanfork_node.config.configuration_task import ConfigurationTask
+from rattanfork_node.config.confirmation_task import ConfirmationTask
+from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.rules_watch import RulesWatch
+from rattanfork_node.member import MemberTask
+from rattanfork_node.member.join import JoinTask
+from rattanfork_node.peer import PeerPool
+from rattanfork_node.telemetry import Counters
+
+
+class StoreTasks:
+    """What a node reads of the store and writes there, from start to stop.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Source of choices and jitter.
+    platform : WatchedPlatform
+        The store.
+    row : pair of str
+        Table and key of the configuration.
+    configuration : ConfigurationHolder
+        The configuration in force.
+    rules : RevisionState
+        The rules in force.
+    membership : Membership
+        Who is there.
+    member_task : MemberTask
+        Tells other nodes what this one holds, and hears them.
+    pool : PeerPool
+        Connections to other nodes.
+    counters : Counters
+        What happened.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        platform: WatchedPlatform,
+        row: tuple[str, str],
+        configuration: ConfigurationHolder,
+        rules: RevisionState,
+        membership: Membership,
+        member_task: MemberTask,
+        pool: PeerPool,
+        counters: Counters,
+    ) -> None:
+        self._configuration = configuration
+        self._rules = rules
+        self._join = JoinTask(random, platform, membership, member_task)
+        self._configuration_task = ConfigurationTask(
+            clock,
+            random,
+            configuration,
+            platform,
+            *row,
+            membership,
+            member_task,
+            pool,
+            counters,
+        )
+        self._rules_watch = RulesWatch(
+            random,
+            rules,
+            platform,
+            membership,
+            pool,
+            counters,
+            lambda: member_task.newest_rules,
+        )
+        self._confirmation = ConfirmationTask(
+            random,
+            ConfirmationSchedule(BootClock(), random),
+            membership,
+            member_task,
+            (self._configuration_task, self._rules_watch),
+            counters,
+        )
+        membership.held = self._held
+        member_task.on_held = self._confirmation.hear
+
+    @property
+    def joined(self) -> bool:
+        """Whether the store has this node's record, and this node the others'."""
+        return self._join.joined
+
+    @property
+    def confirmed_age(self) -> float:
+        """Seconds since the store held nothing newer than this node."""
+        return self._confirmation.age
+
+    def start(self) -> None:
+        """Begin."""
+        self._join.start()
+        self._configuration_task.start()
+        self._rules_watch.start()
+        self._confirmation.start()
+
+    async def leave(self) -> None:
+        """Remove this node's record."""
+        await self._join.leave()
+
+    def close(self) -> None:
+        """Stop."""
+        self._configuration_task.close()
+        self._rules_watch.close()
+        self._confirmation.close()
+        self._join.close()
+
+    def _held(self) -> HeldVersions:
+        return HeldVersions(
+            self._configuration.version,
+            self._rules.revision,
+            self._confirmation.confirmed_ms(),
+        )
--- a/packages/rattanfork-node/rattanfork_node/config/follower.py
+++ b/packages/rattanfork-node/rattanfork_node/config/follower.py
@@ -19,8 +19,8 @@
         ==========
 
         store_version : int
-            Version that the store is known to have reached.  Whoever knows the
-            store up to there need not ask.
+            Version that the store is known to have reached; 0 if nobody has asked
+            yet.  Whoever knows the store up to there need not ask.
 
         Returns
         =======
