Count lost requests at the nodes, by route and cause

Change: counters by route and cause, in the counted line and in the metrics; the report adds them up over restarts. The cause is worked out by one function for both.

--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -95,7 +95,7 @@
         _plot_losses(report, plot)
     if as_json:
         entries = [{n: getattr(x, n) for n in x.__slots__} for x in report.losses]
-        rest = {n: getattr(report, n) for n in ("lost", "late", "left_out")}
+        rest = {n: getattr(report, n) for n in ("lost", "counted", "late", "left_out")}
         print_json({"losses": entries, **rest})
         return
     rows = [
@@ -105,6 +105,8 @@
     print_table(
         f"Lost requests: {report.lost}", ["from", "route", "cause", "at", "lost"], rows
     )
+    for key, count in report.counted.items():
+        print(f"counted by the nodes, {key}: {count}")
     for route, parts in report.late.items():
         told = ", ".join(f"{part} {seconds:.3f}" for part, seconds in parts.items())
         print(f"late on {route}, mean seconds: {told}")
--- a/packages/rattanfork-core/rattanfork_core/trace/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/__init__.py
@@ -2,7 +2,7 @@
 
 from rattanfork_core.trace.budget import LineBudget
 from rattanfork_core.trace.line import LogLine, parse_line, read_lines
-from rattanfork_core.trace.losses import Loss, LossReport, count_losses
+from rattanfork_core.trace.losses import Loss, LossReport, count_losses, loss_cause
 from rattanfork_core.trace.story import Step, tell_story
 from rattanfork_core.trace.summary import ReasonCount, count_reasons
 
@@ -15,6 +15,7 @@
     "Step",
     "count_losses",
     "count_reasons",
+    "loss_cause",
     "parse_line",
     "read_lines",
     "tell_story",
--- a/packages/rattanfork-core/rattanfork_core/trace/losses.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/losses.py
@@ -53,6 +53,9 @@
         By span, route, cause and place; their counts add up to ``lost``.
     lost : int
         Callers' requests with a line that were lost.
+    counted : dict
+        All lost requests by ``route/cause``, as the nodes counted them up to their
+        last sum; lines are left out under load, counts are not.
     late : dict
         Mean seconds of a late request by route and part of :data:`PARTS`.
     left_out : dict
@@ -61,6 +64,7 @@
 
     losses: list[Loss]
     lost: int
+    counted: dict[str, int]
     late: dict[str, dict[str, float]]
     left_out: dict[str, int]
 
@@ -73,6 +77,57 @@
     runs: dict[str, LogLine] = field(default_factory=dict)
     calls: dict[str, list[LogLine]] = field(default_factory=lambda: defaultdict(list))
     left_out: Counter[str] = field(default_factory=Counter)
+    sums: "_Sums" = field(default_factory=lambda: _Sums())
+
+
+class _Sums:
+    """Adds up counts of processes that start anew from nothing."""
+
+    def __init__(self) -> None:
+        self._last: dict[tuple[str, str], int] = {}
+        self._totals: Counter[str] = Counter()
+
+    def add(self, instance: str, counts: dict[str, int]) -> None:
+        """Take what a process has counted since its start."""
+        for key, count in counts.items():
+            before = self._last.get((instance, key), 0)
+            self._totals[key] += count - before if count >= before else count
+            self._last[instance, key] = count
+
+    def totals(self) -> dict[str, int]:
+        """Return all counts, the largest first."""
+        return dict(self._totals.most_common())
+
+
+def loss_cause(status: int, reason: str, late: bool) -> str | None:
+    """Return why a caller's request is lost, as its first node knows it.
+
+    Parameters
+    ==========
+
+    status : int
+        Status of its final answer.
+    reason : str
+        Label of the reason of its outcome.
+    late : bool
+        Whether the answer came after the route's objective.
+
+    Examples
+    ========
+
+    >>> loss_cause(200, "none", late=True)
+    'late'
+    >>> loss_cause(500, "none", late=False)
+    'call-failed'
+    >>> loss_cause(503, "shed-early", late=False)
+    'shed-early'
+    >>> loss_cause(200, "none", late=False) is None
+    True
+    """
+    if 200 <= status < 300:
+        return LATE if late else None
+    # An upstream that fails by itself has a reason of its own.
+    return CALL_FAILED if reason == "none" and status >= 500 else reason
 
 
 def count_losses(lines: Iterable[LogLine], span: float) -> LossReport:
@@ -116,9 +171,10 @@
     counts: Counter[tuple[float, str, str, str]] = Counter()
     late: dict[str, list[dict[str, float]]] = defaultdict(list)
     for line in sorted_lines.callers:
-        if _is_good(line):
+        found = _cause(line, sorted_lines)
+        if found is None:
             continue
-        cause, place = _cause(line, sorted_lines)
+        cause, place = found
         route = line.get("route") or UNKNOWN_PLACE
         counts[line.at // span * span, route, cause, place] += 1
         if cause == LATE:
@@ -126,6 +182,7 @@
     return LossReport(
         [Loss(*key, count) for key, count in sorted(counts.items())],
         sum(counts.values()),
+        sorted_lines.sums.totals(),
         {route: _mean(parts) for route, parts in sorted(late.items())},
         dict(sorted_lines.left_out),
     )
@@ -141,6 +198,8 @@
                 found.callers.append(line)
         elif line.kind == "run":
             found.runs[line.request_id] = line
+        elif line.kind == "counted":
+            found.sums.add(line.instance, line.get("losses", {}))
         for kind, count in line.get("lines_left_out", {}).items():
             found.left_out[kind] += count
     return found
@@ -150,23 +209,25 @@
     return 200 <= line.get("status", 0) < 300
 
 
-def _is_good(line: LogLine) -> bool:
+def _is_late(line: LogLine) -> bool:
     objective = line.get("objective_ms", None)
-    return _is_success(line) and (objective is None or line.get("ms", 0) <= objective)
+    return objective is not None and line.get("ms", 0) > objective
 
 
-def _cause(line: LogLine, lines: _Lines) -> tuple[str, str]:
-    """Return why a request was lost, and what it comes down to."""
-    if _is_success(line):
-        return LATE, _slowest_part(_parts(line, lines))
+def _cause(line: LogLine, lines: _Lines) -> tuple[str, str] | None:
+    """Return why a request was lost and what it comes down to; None if it was not."""
     reason = str(line.get("reason", "none"))
+    cause = loss_cause(line.get("status", 0), reason, _is_late(line))
+    if cause is None:
+        return None
+    if cause == LATE:
+        return cause, _slowest_part(_parts(line, lines))
     thresholds = line.get("thresholds", {})
     if thresholds:
-        return reason, min(thresholds, key=lambda name: thresholds[name][0])
-    run = lines.runs.get(line.request_id)
-    if run is not None and run.get("failed_calls", 0):
-        return CALL_FAILED, _failed_service(line.request_id, lines)
-    return reason, str(line.get("service") or UNKNOWN_PLACE)
+        return cause, min(thresholds, key=lambda name: thresholds[name][0])
+    if cause == CALL_FAILED:
+        return cause, _failed_service(line.request_id, lines)
+    return cause, str(line.get("service") or UNKNOWN_PLACE)
 
 
 def _failed_service(request_id: str, lines: _Lines) -> str:
--- a/packages/rattanfork-core/rattanfork_core/trace/tests/test_losses.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/tests/test_losses.py
@@ -44,7 +44,7 @@
     That call failed because one of its own was refused two services deeper.
     """
     lines = (
-        request(status=500, reason="upstream-failed"),
+        request(status=500),
         run(failed_calls=1),
         request("r.1", status=200, service="fine", call=True),
         request("r.2", status=500, service="middle", call=True),
@@ -84,6 +84,16 @@
     assert count_losses([counted, counted], span=1).left_out == {"trouble": 6}
 
 
+def test_counts_of_processes_add_up_over_their_restarts():
+    """A node counts up to 5, is killed, and counts from nothing to 2."""
+
+    def counted(instance: str, count: int) -> LogLine:
+        return LogLine(1.0, instance, "counted", "", {"losses": {"a/late": count}})
+
+    lines = [counted("n1", 3), counted("n2", 1), counted("n1", 5), counted("n1", 2)]
+    assert count_losses(lines, span=1).counted == {"a/late": 8}
+
+
 def test_a_span_of_nothing_is_refused():
     with pytest.raises(ValueError, match="above 0"):
         count_losses([], span=0)
--- a/packages/rattanfork-node/rattanfork_node/app/observer.py
+++ b/packages/rattanfork-node/rattanfork_node/app/observer.py
@@ -91,6 +91,7 @@
         log_change(
             "counted",
             requests=snapshot["requests"],
+            losses=snapshot["losses"],
             events=snapshot["events"],
             store=snapshot["store"],
             store_silence_s=round(self._platform.silence, 2),
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -8,6 +8,7 @@
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.request import CallResult, Outcome, Reason
 from rattanfork_core.revision import RevisionState
+from rattanfork_core.trace import loss_cause
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.relay.admitted import Admitted, Attempted
@@ -77,6 +78,8 @@
         route = inputs.get("route")
         if route is not None and not is_call:
             self._objectives.add(route, good=False)
+        if not is_call:
+            self._counters.losses[str(route or "-"), reason.label] += 1
         request_id = exchange.request_id
         if self._log.wants(request_id, plain=False):
             fields = {
@@ -108,6 +111,11 @@
         good = 200 <= status < 300 and seconds <= route.target_latency
         if admitted.parent is None and result.reason is not Reason.CANCELLED:
             self._objectives.add(route.name, good)
+        if admitted.parent is None:
+            late = seconds > route.target_latency
+            cause = loss_cause(status, result.reason.label, late)
+            if cause is not None:
+                self._counters.losses[route.name, cause] += 1
         plain = good and len(attempts) == 1
         if not self._log.wants(exchange.request_id, plain):
             return
--- a/packages/rattanfork-node/rattanfork_node/telemetry/counters.py
+++ b/packages/rattanfork-node/rattanfork_node/telemetry/counters.py
@@ -29,6 +29,9 @@
         self.calls: Counter[tuple[str, str]] = Counter()
         #: Calls to the store by kind and result; kept by its client.
         self.store: Counter[tuple[str, str]] = Counter()
+        #: Callers' requests that were not answered whole and in their objective, by
+        #: route and cause.
+        self.losses: Counter[tuple[str, str]] = Counter()
         self.events: Counter[str] = Counter()
         #: Of requests at the node of their caller, by route and outcome.
         self.durations = DurationBuckets()
@@ -41,5 +44,6 @@
             "requests": {"/".join(key): n for key, n in self.requests.items()},
             "calls": {"/".join(key): n for key, n in self.calls.items()},
             "store": {"/".join(key): n for key, n in self.store.items()},
+            "losses": {"/".join(key): n for key, n in self.losses.items()},
             "events": dict(self.events),
         }
--- a/packages/rattanfork-node/rattanfork_node/telemetry/scrape.py
+++ b/packages/rattanfork-node/rattanfork_node/telemetry/scrape.py
@@ -66,6 +66,14 @@
         for labels, count in counters.store.items():
             calls.add_metric(labels, count)
         yield calls
+        losses = CounterMetricFamily(
+            "rattanfork_losses",
+            "Callers' requests not answered whole and in their objective",
+            labels=["route", "cause"],
+        )
+        for labels, count in counters.losses.items():
+            losses.add_metric(labels, count)
+        yield losses
         events = CounterMetricFamily(
             "rattanfork_events", "Other events by kind", labels=["kind"]
         )
