Add failing tests of a change that is fetched from who told of it

Cause: a node that hears of a newer version asks any peer, and while few hold it nearly all of those asked have nothing.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 SEEDS ?= 50
 FIRST ?= 0
-.PHONY: demo test bench speed starts shared matrix slopes soak lint format fuzz clean
+.PHONY: demo test bench speed starts shared matrix slopes confirmations soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -56,6 +56,9 @@
 soak: $(READY)
 	$(BIN)/python -m rattanfork_soak --seeds $(SEEDS) --first $(FIRST) --side-by-side 2
 
+confirmations: $(READY)
+	$(BIN)/python bench/confirmations.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -16,6 +16,7 @@
 from rattanfork_core.clock import ManualClock, MonotonicClock
 from rattanfork_core.hints import HintTable
 from rattanfork_core.membership import (
+    HeldVersions,
     Member,
     Membership,
     MemberStatus,
@@ -241,7 +242,9 @@
     import msgpack
 
     packed = msgpack.unpackb(encode_message(call))
-    gossip = Ping(1, a_member(1), "x@y", 3, tuple(a_member(i) for i in range(6)))
+    gossip = Ping(
+        1, a_member(1), "x@y", HeldVersions(3), tuple(a_member(i) for i in range(6))
+    )
     datagram = encode_gossip(gossip, b"k")
     none: frozenset[str] = frozenset()
     return {
--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -115,10 +115,12 @@
         self.document = b""
         self.reachable = True
         self.asked = 0
+        self.addresses: list[tuple[str, int]] = []
         self.record = RulesRecord(*_NONE)
 
     async def open(self, address):
         self.asked += 1
+        self.addresses.append(address)
         if not self.reachable:
             raise LinkLostError("nobody there")
         return self
@@ -143,6 +145,8 @@
     def __init__(self) -> None:
         self.newest_configuration = 0
         self.newest_rules = 0
+        self.configuration_teller: Member | None = None
+        self.rules_teller: Member | None = None
 
     def tell(self, names) -> None:
         pass
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
@@ -158,3 +158,31 @@
     assert world.holder.version == 1
     world.write(b"2")
     await until(lambda: world.holder.version == 2)
+
+
+@with_world
+async def test_who_told_of_a_change_is_asked_for_it_first(world):
+    """One of three hundred nodes holds a change, and has told this one.
+
+    The others have not heard yet; asked at random they would cost a fleet of that
+    size two and a half seconds until all hold it.
+    """
+    world.membership.merge(
+        member(f"n{n}")._replace(peer_port=100 + n) for n in range(300)
+    )
+    world.task.start()
+    world.peers.version, world.peers.document = 4, b"4"
+    world.heard.configuration_teller = member("n7")._replace(peer_port=107)
+    world.heard.newest_configuration = 4
+    await until(lambda: world.holder.version == 4)
+    assert world.peers.addresses == [("127.0.0.1", 107)]
+
+
+@with_world
+async def test_another_is_asked_when_who_told_does_not_answer(world):
+    world.task.start()
+    world.peers.reachable = False
+    world.heard.configuration_teller = member("n7")._replace(peer_port=107)
+    world.heard.newest_configuration = 4
+    await until(lambda: len(world.peers.addresses) >= 3)
+    assert world.peers.addresses[:2] == [("127.0.0.1", 107), ("127.0.0.1", 1)]
