Ask first for a change who told of it

Ruled out: to ask at once when told, not up to 0.2 s later: in calm times the watch brings the change first, and each node would fetch it twice.

--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -80,6 +80,7 @@
             pool,
             counters,
             lambda: member_task.newest_rules,
+            lambda: member_task.rules_teller,
         )
         self._confirmation = ConfirmationTask(
             random,
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -9,6 +9,7 @@
 
 from rattanfork_node.config.follower import Follower
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.peer_choice import PeerChoice
 from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.member import MemberTask
 from rattanfork_node.peer import ConfigurationRequest, LinkLostError, PeerPool
@@ -79,6 +80,7 @@
         self._watch = RowWatch(platform, table, key, _WATCH_WAIT)
         self._key = key
         self._membership = membership
+        self._peers = PeerChoice(random, membership)
         self._member_task = member_task
         self._pool = pool
         self._counters = counters
@@ -137,11 +139,9 @@
                 await self._ask_peer()
 
     async def _ask_peer(self) -> None:
-        me = self._membership.me.name
-        others = [m for m in self._membership.present() if m.name != me]
-        if not others:
+        member = self._peers.next(self._member_task.configuration_teller)
+        if member is None:
             return
-        member = self._random.choice(others)
         try:
             async with asyncio.timeout(_ASK_TIMEOUT):
                 link = await self._pool.open((member.host, member.peer_port))
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import orjson
-from rattanfork_core.membership import Membership
+from rattanfork_core.membership import Member, Membership
 from rattanfork_core.revision import RevisionState, RulesRecord
 from rattanfork_core.revision.record import HEAD_KEY, history_key
 from rattanfork_platform import (
@@ -16,6 +16,7 @@
 )
 
 from rattanfork_node.config.follower import Follower
+from rattanfork_node.config.peer_choice import PeerChoice
 from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.peer import LinkLostError, PeerPool
 from rattanfork_node.telemetry import Counters, log_change
@@ -49,6 +50,8 @@
         What happened.
     newest : callable
         Returns the highest revision heard of on datagrams.
+    teller : callable
+        Returns who told of it last.
     """
 
     def __init__(
@@ -60,14 +63,17 @@
         pool: PeerPool,
         counters: Counters,
         newest: Callable[[], int] = lambda: 0,
+        teller: Callable[[], Member | None] = lambda: None,
     ) -> None:
         self._random = random
         self._state = state
         self._platform = platform
         self._membership = membership
+        self._peers = PeerChoice(random, membership)
         self._pool = pool
         self._counters = counters
         self._newest = newest
+        self._teller = teller
         self._watch = RowWatch(platform, _TABLE, _HEAD, _WATCH_WAIT)
         self._tasks: list[asyncio.Task] = []
 
@@ -149,11 +155,9 @@
         log_change("rules_malformed", source=source, error=str(error))
 
     async def _ask_peer(self) -> None:
-        me = self._membership.me.name
-        others = [m for m in self._membership.present() if m.name != me]
-        if not others:
+        member = self._peers.next(self._teller())
+        if member is None:
             return
-        member = self._random.choice(others)
         try:
             async with asyncio.timeout(_ASK_TIMEOUT):
                 centre, reply = await self._pool.ask_rules(
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -69,6 +69,9 @@
         #: The newest that any datagram told of.
         self.newest_configuration = 0
         self.newest_rules = 0
+        #: Who told of them last; None while nobody has.
+        self.configuration_teller: Member | None = None
+        self.rules_teller: Member | None = None
         #: Told what the sender of each datagram holds.
         self.on_held: Callable[[HeldVersions], None] = _ignore
 
@@ -118,10 +121,7 @@
         except ValueError:
             self._counters.events["gossip.refused"] += 1
             return
-        held = message.held
-        self.newest_configuration = max(self.newest_configuration, held.configuration)
-        self.newest_rules = max(self.newest_rules, held.rules)
-        self.on_held(held)
+        self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
 
     def records_differing(self, request: SyncRequest) -> list[Member]:
@@ -136,6 +136,15 @@
         for task in self._background:
             task.cancel()
 
+    def _hear(self, sender: Member, held: HeldVersions) -> None:
+        if held.configuration and held.configuration >= self.newest_configuration:
+            self.newest_configuration = held.configuration
+            self.configuration_teller = sender
+        if held.rules and held.rules >= self.newest_rules:
+            self.newest_rules = held.rules
+            self.rules_teller = sender
+        self.on_held(held)
+
     def _send_all(self, sends: Iterable[Send]) -> None:
         for send in sends:
             data = encode_gossip(send.message, self._key)
