Take back that an attached upstream is told of at once

Conclusion: reverted; the time of a start itself, 0.69 s from the kill to "started", is what callers wait for (0.4 s of it importing, measured on this machine beside a load).

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -259,7 +259,6 @@
             settings.upstream,
             self._counters,
             self._relay.spawn,
-            self._member.introduce,
         )
         handlers = (
             (settings.callers, self._relay),
@@ -336,7 +335,6 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._observer.on_configuration()
-        self._keeper.on_configuration()
         self._callers.limits = RequestLimits(
             configuration.head_bytes,
             configuration.body_bytes,
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_keeper.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_keeper.py
@@ -51,8 +51,6 @@
         What happened.
     spawn : callable
         Runs what must wait.
-    tell : callable
-        Tells the others at once that the upstream takes work.
     """
 
     def __init__(
@@ -66,7 +64,6 @@
         address: tuple[str, int],
         counters: Counters,
         spawn: Callable[[Coroutine], None],
-        tell: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._gate = gate
@@ -77,7 +74,6 @@
         self._address = address
         self._counters = counters
         self._spawn = spawn
-        self._tell = tell
         self._book = AnnouncementBook()
         self._closed = False
         self._probing = False
@@ -117,10 +113,6 @@
         """Attach nothing any more: this node leaves."""
         self._closed = True
 
-    def on_configuration(self) -> None:
-        """Probe now if the upstream is not known: there is a path to probe it at."""
-        self.tick()
-
     def tick(self) -> None:
         """Probe the upstream if it is not known; call some times a second."""
         configuration = self._configuration.current
@@ -164,15 +156,10 @@
         if known is None or replaced:
             log_change("upstream_attached", upstream=name, slots=slots, born=born)
         me = self._membership.me
-        is_news = replaced or not me.ready
-        if is_news or me.slots != slots:
+        if replaced or not me.ready or me.slots != slots:
             self._membership.update_me(
                 ready=True, slots=slots, succession=me.succession + replaced
             )
-        if is_news:
-            # After a start of all nodes no caller is served until they know of each
-            # other's upstreams; waiting for a tick costs callers another try.
-            self._tell()
 
     def _release(self, why: str, upstream: str) -> None:
         if self._gate.accepting:
