--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -1,7 +1,7 @@
 """A store and peers that the test speaks for."""
 
 import asyncio
-from collections import Counter
+from collections import Counter, deque
 from types import SimpleNamespace
 
 from rattanfork_core.membership import Member
@@ -115,6 +115,7 @@
         self.document = b""
         self.reachable = True
         self.asked = 0
+        self.data_centres = deque(("dc1", "dc2"))
         self.addresses: list[tuple[str, int]] = []
         self.record = RulesRecord(*_NONE)
 
@@ -132,7 +133,9 @@
         self.asked += 1
         record = self.record if self.record.revision > known else RulesRecord(*_NONE)
         reply = SimpleNamespace(ready=True, **record.as_row())
-        return "dc1", reply
+        # Each answer comes from another data centre.
+        self.data_centres.rotate()
+        return self.data_centres[0], reply
 
     async def ask(self, request):
         newer = self.version > request.known
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_swallowed_watch.py
@@ -151,3 +151,43 @@
             watch.close()
 
     asyncio.run(inner())
+
+
+class SilentPlatform(FakePlatform):
+    """A store that takes calls and answers none."""
+
+    async def scan(self, table: str, key: str = "") -> Rows:
+        self._call("scan")
+        return await asyncio.Event().wait()
+
+
+class SilentWorld(World):
+    """A configuration task whose store is silent from the start."""
+
+    make_platform = SilentPlatform
+
+
+def test_a_fresh_node_does_not_wait_for_a_silent_store_before_it_asks_peers():
+    """Callers are refused by a node that was restarted while the store is silent.
+
+    Its peers hold the configuration and the rules.  A call to the store ends after
+    1.5 s; with a peer asked after each the node was of no use for four seconds.
+    """
+
+    async def inner():
+        world = SilentWorld()
+        world.peers.version, world.peers.document = 4, b"4"
+        state = RevisionState(2)
+        watch = RulesWatch(
+            Random(1), state, world.platform, world.membership, world.peers, Counters()
+        )
+        world.start()
+        watch.start()
+        try:
+            await until(lambda: world.holder.version == 4)
+            await until(lambda: state.ready)
+        finally:
+            watch.close()
+            world.close()
+
+    asyncio.run(inner())
