Ask peers at once where a fresh node has no configuration or rules

Change: a node without a configuration asks peers from its start on, not after the store has failed; one without rules asks each 0.15 s beside its call to the store. Ruled out: shorter calls to the store (a slow store answers after a quarter of a second).

--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -134,8 +134,9 @@
     async def _follow_peers(self) -> None:
         while True:
             await asyncio.sleep(_ASK_PAUSE * self._random.uniform(0.7, 1.3))
-            lost = not self._store_answers and self._holder.current is None
-            if self.behind or lost:
+            # A store that answers does so before the first of these; a silent one
+            # takes over a second to be known for it, and callers wait meanwhile.
+            if self.behind or self._holder.current is None:
                 await self._ask_peer()
 
     async def _ask_peer(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
@@ -27,6 +27,9 @@
 #: Seconds between tries while the store does not answer, and between questions
 #: to peers meanwhile.
 _PAUSE = 0.5
+#: Seconds between questions to peers of a node that knows no rules yet; the word of
+#: two data centres is needed, so some questions are.
+_FRESH_PAUSE = 0.15
 _ASK_TIMEOUT = 0.6
 
 
@@ -115,8 +118,12 @@
 
     async def _follow_peers(self) -> None:
         while True:
-            await asyncio.sleep(_PAUSE * self._random.uniform(0.7, 1.3))
-            if self.behind:
+            # A fresh node takes no work before it knows the rules, and a silent
+            # store takes over a second to be known for it.
+            fresh = not self._state.ready
+            pause = _FRESH_PAUSE if fresh else _PAUSE
+            await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
+            if self.behind or not self._state.ready:
                 await self._ask_peer()
 
     async def _take(self, rows: Rows) -> bool:
