--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -135,7 +135,8 @@
         """Take a request that was read whole."""
         configuration = self._configuration.current
         if configuration is None or not self._rules.ready:
-            self._refuse(exchange, Reason.NOT_READY, _NOT_READY_RETRY)
+            is_call = self.gate.parent_of(exchange.request_id) is not None
+            self._refuse(exchange, Reason.NOT_READY, _NOT_READY_RETRY, is_call=is_call)
             return
         route = configuration.table.find(exchange.host, exchange.path)
         if route is None:
