--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_confirmation_task.py
@@ -81,6 +81,19 @@
     assert world.task.confirmed_ms() == 200
 
 
+def test_a_fresh_node_has_no_word_to_pass_on():
+    """A node starts while the store is away, and gets what it holds from a peer.
+
+    Nobody knows whether that is the newest.  Told as if the store had said so at
+    the node's start, the others stop asking for a turn, and take it for confirmed.
+    """
+    world = World()
+    world.clock.advance(0.5)
+    assert world.task.confirmed_ms() == NEVER
+    world.hear(configuration=7, confirmed=200)
+    assert world.task.confirmed_ms() == 200
+
+
 def test_a_word_about_something_older_says_nothing():
     """A node that was paused says that version 7 was the newest a moment ago.
 
