Tell no age of the store's word before there was one

Change: a schedule knows whether it ever had the store's word; until then a node tells none. The first word heard counts from when it was the store's, also if that was before the node's start. Ruled out: nodes that are behind (they tell none already).

--- a/bench/confirmations.py
+++ b/bench/confirmations.py
@@ -102,8 +102,8 @@
 
     def held(self) -> HeldVersions:
         """Return what datagrams tell."""
-        behind = self.newest > self.version
-        age = NEVER if behind else int(self.schedule.age * 1000)
+        known = self.schedule.confirmed and self.newest == self.version
+        age = int(self.schedule.age * 1000) if known else NEVER
         return HeldVersions(self.version, 0, age)
 
     def tick(self) -> None:
--- a/packages/rattanfork-core/rattanfork_core/revision/confirmation.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/confirmation.py
@@ -77,6 +77,7 @@
         self._clock = clock
         self._random = random
         self._confirmed_at = clock.now()
+        self._confirmed = False
         self._group = 1
         self._outside_wait: float | None = None
         self._begun_at = clock.now()
@@ -85,6 +86,15 @@
         self._pause = _FIRST_PAUSE
         self._under_way = False
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether the store's word was ever had; without it no age may be told.
+
+        A node that starts while the store is away would pass its own start on as
+        the store's word, and the others would take it and ask less.
+        """
+        return self._confirmed
+
     @property
     def age(self) -> float:
         """Seconds since the store held nothing newer, or since the start."""
@@ -111,7 +121,8 @@
     def hear(self, age: float) -> None:
         """Take note that the store held nothing newer some seconds ago."""
         at = self._clock.now() - age
-        if at > self._confirmed_at:
+        if not self._confirmed or at > self._confirmed_at:
+            self._confirmed = True
             self._confirmed_at = at
             self._wait = self._draw()
 
--- a/packages/rattanfork-core/rattanfork_core/revision/tests/test_confirmation.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/tests/test_confirmation.py
@@ -130,6 +130,17 @@
     assert schedule.age == pytest.approx(0.1)
 
 
+def test_the_first_word_heard_counts_from_when_it_was_the_stores():
+    """It may be older than the node that hears it."""
+    clock = ManualClock()
+    schedule = ConfirmationSchedule(clock, Random(1))
+    clock.advance(0.1)
+    assert not schedule.confirmed
+    schedule.hear(0.4)
+    assert schedule.confirmed
+    assert schedule.age == pytest.approx(0.4)
+
+
 def test_who_does_not_ask_waits_for_those_who_do():
     """Of 17,000 nodes, sixty ask; the others would ask too if all were in turn."""
     clock = ManualClock()
--- a/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -80,7 +80,8 @@
 
     def confirmed_ms(self) -> int:
         """Return what others are told of the age, in milliseconds."""
-        return NEVER if self._behind() else int(self._schedule.age * 1000)
+        known = self._schedule.confirmed and not self._behind()
+        return int(self._schedule.age * 1000) if known else NEVER
 
     def hear(self, held: HeldVersions) -> None:
         """Take in what another node holds."""
