Let four nodes of each data centre watch the store for all

Change: the nodes that ask the store in turn are also those that watch it, four in each data centre by every node's own view (DutyRoster); the others read configuration and rules once and hear of changes on datagrams and from peers. Who takes over a duty watches from where it last looked. Nodes that are not in turn look at their schedule four times a second in place of twenty.

Ruled out: peers first at a start (callers of a fleet that starts together would wait for it, for two calls a node); readers by election or by a row.

--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -14,6 +14,7 @@
     decode_gossip,
     encode_gossip,
 )
+from rattanfork_core.membership.roster import DutyRoster
 from rattanfork_core.membership.rumours import RumourQueue
 from rattanfork_core.membership.settings import MembershipSettings
 from rattanfork_core.membership.sync_schedule import SyncSchedule
@@ -21,6 +22,7 @@
 __all__ = [
     "Ack",
     "BucketDigest",
+    "DutyRoster",
     "GossipMessage",
     "HeldVersions",
     "Member",
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/membership/roster.py
@@ -0,0 +1,83 @@
+"""The few nodes of each data centre that do a duty."""
+
+from rattanfork_core.membership.duty import duty_group
+from rattanfork_core.membership.membership import Membership
+
+
+class DutyRoster:
+    """Who does a duty, by this node's own view of the members.
+
+    Parameters
+    ==========
+
+    membership : Membership
+        The view.
+    duty : str
+        Name of the duty; others fall to other nodes.
+    per_centre : int
+        Nodes of each data centre that do it.
+
+    Examples
+    ========
+
+    >>> from random import Random
+    >>> from rattanfork_core.clock import ManualClock
+    >>> from rattanfork_core.membership import Member
+    >>> me = Member("n0", "b", "s", "dc", "127.0.0.1", 1, 2, 8)
+    >>> view = Membership(ManualClock(), Random(1), me)
+    >>> view.merge([me.replace(instance=f"n{i}") for i in range(1, 9)])
+    >>> roster = DutyRoster(view, "read", 2)
+    >>> len(roster.names), roster.fleet, roster.mine == (me.name in roster.names)
+    (2, 9, True)
+    """
+
+    def __init__(self, membership: Membership, duty: str, per_centre: int) -> None:
+        self._membership = membership
+        self._duty = duty
+        self._per_centre = per_centre
+        self._version = -1
+        self._names: list[str] = []
+        self._fleet = 0
+
+    @property
+    def version(self) -> int:
+        """Version of the view that the roster was made from."""
+        self._look()
+        return self._version
+
+    @property
+    def names(self) -> list[str]:
+        """All that do the duty."""
+        self._look()
+        return self._names
+
+    @property
+    def others(self) -> list[str]:
+        """All other nodes that do the duty."""
+        me = self._membership.me.name
+        return [name for name in self.names if name != me]
+
+    @property
+    def mine(self) -> bool:
+        """Whether this node does it."""
+        return self._membership.me.name in self.names
+
+    @property
+    def fleet(self) -> int:
+        """How many nodes there are."""
+        self._look()
+        return self._fleet
+
+    def _look(self) -> None:
+        if self._version == self._membership.version:
+            return
+        self._version = self._membership.version
+        centres: dict[str, list[str]] = {}
+        for member in self._membership.present():
+            centres.setdefault(member.data_centre, []).append(member.name)
+        self._fleet = sum(len(names) for names in centres.values())
+        groups = (
+            duty_group(names, self._duty, self._per_centre)
+            for names in centres.values()
+        )
+        self._names = [name for group in groups for name in group]
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from rattanfork_core.clock import BootClock, Clock
-from rattanfork_core.membership import HeldVersions, Membership
+from rattanfork_core.membership import DutyRoster, HeldVersions, Membership
 from rattanfork_core.revision import ConfirmationSchedule, RevisionState
 from rattanfork_platform import WatchedPlatform
 
@@ -16,6 +16,10 @@
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.telemetry import Counters
 
+#: Nodes of each data centre that watch the store and ask it in turn: enough that
+#: those of one data centre are not all down, paused or turned away at a time.
+_READERS = 4
+
 
 class StoreTasks:
     """What a node reads of the store and writes there, from start to stop.
@@ -60,6 +64,7 @@
     ) -> None:
         self._configuration = configuration
         self._rules = rules
+        roster = DutyRoster(membership, "confirmation", _READERS)
         self._join = JoinTask(random, platform, membership, member_task)
         self._configuration_task = ConfigurationTask(
             clock,
@@ -71,6 +76,7 @@
             member_task,
             pool,
             counters,
+            lambda: roster.mine,
         )
         self._rules_watch = RulesWatch(
             random,
@@ -81,11 +87,12 @@
             counters,
             lambda: member_task.newest_rules,
             lambda: member_task.rules_teller,
+            lambda: roster.mine,
         )
         self._confirmation = ConfirmationTask(
             random,
             ConfirmationSchedule(BootClock(), random),
-            membership,
+            roster,
             member_task,
             (self._configuration_task, self._rules_watch),
             counters,
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -1,6 +1,7 @@
 """Keeps the configuration of a node up to date."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 
 from rattanfork_core.clock import Clock
@@ -32,7 +33,8 @@
     Explanation
     ===========
 
-    One watch waits at the store, so a change costs each node one call.  The
+    A few nodes of each data centre watch the store, so that what a change costs
+    there does not grow with the fleet.  The
     version held rides on the datagrams of the membership; a node that hears
     of a newer one than its own asks a peer for it.  So a node that the store
     turns away, or whose watch has gone silent, is behind by a datagram only.
@@ -59,6 +61,8 @@
         Connections to other nodes.
     counters : Counters
         What happened.
+    on_duty : callable
+        Whether this node watches the store now.
     """
 
     def __init__(
@@ -73,11 +77,12 @@
         member_task: MemberTask,
         pool: PeerPool,
         counters: Counters,
+        on_duty: Callable[[], bool] = lambda: True,
     ) -> None:
         self._clock = clock
         self._random = random
         self._holder = holder
-        self._watch = RowWatch(platform, table, key, _WATCH_WAIT)
+        self._watch = RowWatch(platform, table, key, _WATCH_WAIT, on_duty)
         self._key = key
         self._membership = membership
         self._peers = PeerChoice(random, membership)
--- a/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 from random import Random
 
-from rattanfork_core.membership import NEVER, HeldVersions, Membership, duty_group
+from rattanfork_core.membership import NEVER, DutyRoster, HeldVersions
 from rattanfork_core.revision import ConfirmationSchedule
 from rattanfork_platform import PlatformDownError
 
@@ -12,11 +12,10 @@
 from rattanfork_node.member import MemberTask
 from rattanfork_node.telemetry import Counters, log_change
 
-#: Seconds between two looks at the schedule.
+#: Seconds between two looks at the schedule; of a node outside the group, which waits
+#: for seconds, it would be most of what an idle node does.
 _TICK = 0.05
-#: Nodes of each data centre that ask in turn: enough that those of one data
-#: centre are not all down, paused or turned away at the same time.
-_ASKING = 4
+_OUTSIDE_TICK = 0.25
 #: Most members that are told at once; the others hear from these.
 _MOST_TOLD = 16
 #: Seconds without a confirmation from which a node says that it has none: with a
@@ -34,8 +33,8 @@
         Source of the choice whom to tell.
     schedule : ConfirmationSchedule
         When to ask.
-    membership : Membership
-        Who is there.
+    roster : DutyRoster
+        Who asks in turn.
     member_task : MemberTask
         Tells others, and hears them.
     followers : sequence of Follower
@@ -48,19 +47,18 @@
         self,
         random: Random,
         schedule: ConfirmationSchedule,
-        membership: Membership,
+        roster: DutyRoster,
         member_task: MemberTask,
         followers: Sequence[Follower],
         counters: Counters,
     ) -> None:
         self._random = random
         self._schedule = schedule
-        self._membership = membership
+        self._roster = roster
         self._member_task = member_task
         self._followers = followers
         self._counters = counters
         self._view = -1
-        self._group: list[str] = []
         self._confirmed = True
         self._task: asyncio.Task | None = None
 
@@ -97,9 +95,9 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(_TICK)
+            await asyncio.sleep(_TICK if self._roster.mine else _OUTSIDE_TICK)
             self._note_age()
-            if self._membership.version != self._view:
+            if self._roster.version != self._view:
                 self._regroup()
             if self._schedule.due():
                 await self._ask()
@@ -118,23 +116,17 @@
             self._schedule.end(succeeded)
         if succeeded:
             self._counters.events["confirmation.asked"] += 1
-            told = min(_MOST_TOLD, len(self._group))
-            self._member_task.tell(self._random.sample(self._group, told))
+            others = self._roster.others
+            told = min(_MOST_TOLD, len(others))
+            self._member_task.tell(self._random.sample(others, told))
 
     def _behind(self) -> bool:
         return any(follower.behind for follower in self._followers)
 
     def _regroup(self) -> None:
-        self._view = self._membership.version
-        centres: dict[str, list[str]] = {}
-        for member in self._membership.present():
-            centres.setdefault(member.data_centre, []).append(member.name)
-        groups = [duty_group(n, "confirmation", _ASKING) for n in centres.values()]
-        me = self._membership.me.name
-        self._group = [name for group in groups for name in group if name != me]
-        asks = any(me in group for group in groups)
-        fleet = sum(len(names) for names in centres.values())
-        self._schedule.join(len(self._group) + asks, fleet, asks)
+        roster = self._roster
+        self._view = roster.version
+        self._schedule.join(len(roster.names), roster.fleet, roster.mine)
 
     def _note_age(self) -> None:
         confirmed = self._schedule.age < _UNCONFIRMED
--- a/packages/rattanfork-node/rattanfork_node/config/row_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/row_watch.py
@@ -1,9 +1,18 @@
 """Follows one row of the store."""
 
 import asyncio
+from collections.abc import Callable
 
 from rattanfork_platform import HistoryLostError, Rows, WatchedPlatform
 
+#: Seconds between two looks whether the watch has become this node's duty; until
+#: then the others of the group ask the store in turn.
+_DUTY_LOOK = 1.0
+
+
+def _always() -> bool:
+    return True
+
 
 class RowWatch:
     """Learns what becomes of one row, by a watch and by looking.
@@ -16,6 +25,10 @@
     waiting for its whole time.  Who learns of a change by another way therefore
     says so by :meth:`overtaken`, and the watch is made anew.
 
+    Each watch is a call to the store for every change and every end of its wait.  A
+    few nodes of a large fleet watch for all; the others read the row once, when
+    they start, and hear of changes from their peers.
+
     Parameters
     ==========
 
@@ -25,15 +38,23 @@
         The row.
     wait : float
         Seconds for which one watch waits.
+    on_duty : callable
+        Whether this node watches now.
     """
 
     def __init__(
-        self, platform: WatchedPlatform, table: str, key: str, wait: float
+        self,
+        platform: WatchedPlatform,
+        table: str,
+        key: str,
+        wait: float,
+        on_duty: Callable[[], bool] = _always,
     ) -> None:
         self._platform = platform
         self._table = table
         self._key = key
         self._wait = wait
+        self._on_duty = on_duty
         self._known: int | None = None
         self._watch: asyncio.Future[Rows] | None = None
 
@@ -43,7 +64,7 @@
         return self._known or 0
 
     async def next(self) -> Rows | None:
-        """Wait for a change; None if the watch was overtaken.
+        """Wait for a change; None if the watch was overtaken or is others' duty.
 
         Raises
         ======
@@ -53,6 +74,9 @@
         """
         if self._known is None:
             return self._take(await self._scan())
+        if not self._on_duty():
+            await asyncio.sleep(_DUTY_LOOK)
+            return None
         self._watch = asyncio.ensure_future(
             self._platform.watch(self._table, self._known, self._wait)
         )
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
@@ -55,6 +55,8 @@
         Returns the highest revision heard of on datagrams.
     teller : callable
         Returns who told of it last.
+    on_duty : callable
+        Whether this node watches the store now.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         counters: Counters,
         newest: Callable[[], int] = lambda: 0,
         teller: Callable[[], Member | None] = lambda: None,
+        on_duty: Callable[[], bool] = lambda: True,
     ) -> None:
         self._random = random
         self._state = state
@@ -77,7 +80,7 @@
         self._counters = counters
         self._newest = newest
         self._teller = teller
-        self._watch = RowWatch(platform, _TABLE, _HEAD, _WATCH_WAIT)
+        self._watch = RowWatch(platform, _TABLE, _HEAD, _WATCH_WAIT, on_duty)
         self._tasks: list[asyncio.Task] = []
 
     def start(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_configuration_task.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from rattanfork_core.clock import MonotonicClock
-from rattanfork_core.membership import Membership
+from rattanfork_core.membership import DutyRoster, Membership
 from rattanfork_core.revision import ConfirmationSchedule
 from rattanfork_core.routes import Configuration
 
@@ -35,6 +35,7 @@
         self.membership = Membership(MonotonicClock(), Random(1), member("me"))
         self.membership.merge([member("peer")])
         self.heard = FakeMemberTask()
+        self.on_duty = True
         self.task = ConfigurationTask(
             MonotonicClock(),
             Random(1),
@@ -46,12 +47,13 @@
             self.heard,
             self.peers,
             self.counters,
+            lambda: self.on_duty,
         )
         self.followers = [self.task]
         self.confirmation = ConfirmationTask(
             Random(1),
             ConfirmationSchedule(MonotonicClock(), Random(1)),
-            self.membership,
+            DutyRoster(self.membership, "confirmation", 4),
             self.heard,
             self.followers,
             self.counters,
@@ -113,6 +115,40 @@
     await until(lambda: world.holder.version == 2)
 
 
+@with_world
+async def test_who_is_not_on_duty_reads_once_and_does_not_watch(world):
+    """Seventeen thousand nodes with a watch each are as many calls a change.
+
+    The store allows two thousand reads a second.  A node that others watch for
+    reads the row when it starts, and hears of a change from a peer.
+    """
+    world.on_duty = False
+    world.write(b"1")
+    world.task.start()
+    await until(lambda: world.holder.version == 1)
+    world.write(b"2")
+    world.peers.version, world.peers.document = 2, b"2"
+    world.heard.newest_configuration = 2
+    await until(lambda: world.holder.version == 2)
+    assert world.platform.calls == ["scan"]
+
+
+@with_world
+async def test_a_duty_that_comes_later_finds_what_was_missed(world):
+    """The nodes that watched are killed together, and a change falls between.
+
+    Nobody has told of it.  Who takes over watches from where it last looked, so
+    the first watch brings the change.
+    """
+    world.on_duty = False
+    world.write(b"1")
+    world.task.start()
+    await until(lambda: world.holder.version == 1)
+    world.write(b"2")
+    world.on_duty = True
+    await until(lambda: world.holder.version == 2)
+
+
 @with_world
 async def test_a_peer_tells_what_the_store_does_not(world):
     """The store turns this node away while the operator makes a change.
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_confirmation_task.py
@@ -5,7 +5,7 @@
 
 import pytest
 from rattanfork_core.clock import ManualClock, MonotonicClock
-from rattanfork_core.membership import NEVER, HeldVersions, Membership
+from rattanfork_core.membership import NEVER, DutyRoster, HeldVersions, Membership
 from rattanfork_core.revision import ConfirmationSchedule
 from rattanfork_platform import PlatformDownError
 
@@ -60,7 +60,7 @@
         self.task = ConfirmationTask(
             Random(1),
             ConfirmationSchedule(self.clock, Random(1)),
-            self.membership,
+            DutyRoster(self.membership, "confirmation", 4),
             self.heard,
             (self.held, self.other),
             self.counters,
