Remember the demand above a threshold as it was last seen

Cause: a threshold that rises took the demand above it to be as dense as that just below. Below lie searches, few, and above lookups, many: it rose by a quarter of a rank at a time and let twice too many in, fell again, and so on with a period of five seconds.

Change: counts above the threshold are remembered as they were when they were last seen, and the threshold rises by as many arrivals as there is room for.

--- a/packages/rattanfork-core/rattanfork_core/admission/cut.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/cut.py
@@ -16,6 +16,7 @@
 _IDLE_GAIN = 0.5
 _MOSTLY_IDLE = 0.5
 _LEAST_TRIM = 1.0 / 256
+_MOST_TRIM = 0.25
 _QUEUE_LOW = 0.25
 _QUEUE_HIGH = 0.75
 #: Arrivals looked at for a surge, and how much faster than served they come.
@@ -148,18 +149,14 @@
             elif queue_share < _QUEUE_LOW:
                 self._trim(capacity * _TRIM)
         self._value = min(float(RANKS), max(_LEAST_CUT, self._value))
-        self._demand.age()
+        self._demand.age(self._value)
 
     def _trim(self, per_tick: float) -> None:
         demand = self._demand
-        count = demand.below(self._value) + per_tick / demand.per_tick
+        count = per_tick / demand.per_tick
         if per_tick < 0:
-            moved = demand.rank_at(max(0.0, count))
+            moved = demand.rank_at(max(0.0, demand.below(self._value) + count))
             self._value = min(self._value - _LEAST_TRIM, moved)
         else:
-            # Demand above the cut is mostly refused elsewhere and not seen
-            # here: its density is taken to be that just below the cut.
-            width = 0.25
-            near = demand.below(self._value) - demand.below(self._value - width)
-            density = max(near / width, 1e-9) * demand.per_tick
-            self._value += min(0.25, max(_LEAST_TRIM, per_tick / density))
+            rise = demand.rank_above(self._value, count) - self._value
+            self._value += min(_MOST_TRIM, max(_LEAST_TRIM, rise))
--- a/packages/rattanfork-core/rattanfork_core/admission/demand.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/demand.py
@@ -4,11 +4,21 @@
 
 _PER_RANK = 32
 _BUCKETS = RANKS * _PER_RANK
+#: Share of a remembered count that is left after one tick.
+_MEMORY = 0.99
 
 
 class DemandHistogram:
     """Decayed count of arrivals by rank.
 
+    Explanation
+    ===========
+
+    What is refused at first nodes does not arrive here any more.  If it were
+    forgotten, the demand above a cut would look like none, and a cut that rises a
+    little would let all of it in at once.  So counts above the cut are remembered
+    as they were when they were last seen.
+
     Examples
     ========
 
@@ -24,15 +34,21 @@
     def __init__(self, decay: float = 0.9) -> None:
         self._decay = decay
         self._counts = [0.0] * _BUCKETS
+        self._remembered = [0.0] * _BUCKETS
 
     def add(self, rank: float) -> None:
         """Count one arrival."""
         self._counts[min(_BUCKETS - 1, int(rank * _PER_RANK))] += 1.0
 
-    def age(self) -> None:
-        """Let older arrivals count for less."""
+    def age(self, cut: float = float(RANKS)) -> None:
+        """Let older arrivals count for less; remember those above a cut."""
         decay = self._decay
-        self._counts = [count * decay for count in self._counts]
+        self._counts = counts = [count * decay for count in self._counts]
+        place = min(_BUCKETS, int(cut * _PER_RANK))
+        above = zip(counts[place:], self._remembered[place:], strict=True)
+        self._remembered = counts[:place] + [
+            max(count, known * _MEMORY) for count, known in above
+        ]
 
     @property
     def per_tick(self) -> float:
@@ -48,6 +64,17 @@
             total += self._counts[whole] * (place - whole)
         return total
 
+    def rank_above(self, cut: float, count: float) -> float:
+        """Return the rank below which ``count`` arrivals lie beside those of a cut."""
+        place = min(_BUCKETS - 1, int(cut * _PER_RANK))
+        left = count + self._remembered[place] * (cut * _PER_RANK - place)
+        for bucket in range(place, _BUCKETS):
+            seen = self._remembered[bucket]
+            if seen and left <= seen:
+                return (bucket + left / seen) / _PER_RANK
+            left -= seen
+        return float(RANKS)
+
     def rank_at(self, count: float) -> float:
         """Return the rank below which ``count`` arrivals lie."""
         left = count
