Tell the fleet how the gates fare, and let gates grant repeats

Cause: a node decided by what its own replies had taught it. At 194 nodes it makes six requests a second over sixteen instances a service: thresholds are believed for 0.4 s and heard again after seconds, and a failing upstream is learned by each caller anew.

Change: gates report the rank from which they shed and whether their upstream fails or has become slow, ten times a second while that is so; every node passes on to two others (GateReports, GateNewsTask). First nodes learn from answers which services lie behind an operation (ChainReach) and refuse what the chain would shed (ChainThresholds); calls and requests are led round gates that shed them or are impaired (UpstreamHealth). Repeats are granted by the gates of the called service, each its part of the bound (RepeatGrants); streams between nodes say whether an earlier attempt may have arrived (version 2).

Taken out: the threshold for runs whose deeper calls are refused (RefusalCut) with its tests. The test of pairs of faults lets gates grant now, and demands besides that each repeat says so.

Ruled out: datagrams of the membership (5 s to all of 194), thresholds hop by hop, mean age of runs as a sign of slowness (2 in 100 false, and 5.6 s late).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 SEEDS ?= 50
 FIRST ?= 0
-.PHONY: demo test bench speed starts shared matrix slopes confirmations soak lint format fuzz clean
+.PHONY: demo test bench speed starts shared matrix slopes confirmations reports soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -59,6 +59,9 @@
 confirmations: $(READY)
 	$(BIN)/python bench/confirmations.py
 
+reports: $(READY)
+	$(BIN)/python bench/reports.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/packages/rattanfork-core/rattanfork_core/account/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/account/__init__.py
@@ -4,6 +4,7 @@
 from rattanfork_core.account.budget import RetryBudget
 from rattanfork_core.account.callers import CallerBook
 from rattanfork_core.account.context import RunContext
+from rattanfork_core.account.grants import RepeatGrants
 from rattanfork_core.account.hop import HopAccount
 from rattanfork_core.account.rate import RateLimit
 from rattanfork_core.account.repeats import RepeatBudget
@@ -14,6 +15,7 @@
     "HopAccount",
     "RateLimit",
     "RepeatBudget",
+    "RepeatGrants",
     "RetryBudget",
     "RunContext",
 ]
--- a/packages/rattanfork-core/rattanfork_core/account/repeats.py
+++ b/packages/rattanfork-core/rattanfork_core/account/repeats.py
@@ -150,6 +150,14 @@
         self._repeats[0] += 1
         return True
 
+    def take_back(self) -> None:
+        """Give back a repeat that did not arrive after all."""
+        self._move()
+        for part, count in enumerate(self._repeats):
+            if count:
+                self._repeats[part] -= 1
+                return
+
     def _pace(self, spread: float) -> float:
         """Return the repeats in a second that use up the budget in a time."""
         return max(0.0, self.allowed - self.spent) / (spread * self._window)
--- a/packages/rattanfork-core/rattanfork_core/admission/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/__init__.py
@@ -7,7 +7,6 @@
 from rattanfork_core.admission.estimate import ServiceEstimate
 from rattanfork_core.admission.limit import ConcurrencyLimit
 from rattanfork_core.admission.queue import WaitQueue
-from rattanfork_core.admission.refusals import RefusalCut
 from rattanfork_core.admission.settings import AdmissionSettings
 from rattanfork_core.admission.waiter import Waiter
 
@@ -17,7 +16,6 @@
     "ConcurrencyLimit",
     "Decision",
     "DemandHistogram",
-    "RefusalCut",
     "Refuse",
     "ServiceEstimate",
     "ShedCut",
--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -7,6 +7,7 @@
 from rattanfork_core.membership.membership import Membership
 from rattanfork_core.membership.messages import (
     Ack,
+    GateNews,
     GossipMessage,
     Ping,
     PingRequest,
@@ -35,6 +36,7 @@
     "RumourQueue",
     "Send",
     "SyncSchedule",
+    "GateNews",
     "decode_gossip",
     "duty_group",
     "encode_gossip",
--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -356,10 +356,14 @@
         self._rumours.add(member, len(self._members))
         self._has_news = True
 
-    def _push(self, count: int) -> list[Send]:
+    def some(self, count: int) -> list[Member]:
+        """Return up to so many other members that are not dead, drawn at random."""
         drawn = self._living.sample(self._random, count + 1)
         chosen = [name for name in drawn if name != self._me.name][:count]
-        return [self._ping(self._members[name]) for name in chosen]
+        return [self._members[name] for name in chosen]
+
+    def _push(self, count: int) -> list[Send]:
+        return [self._ping(member) for member in self.some(count)]
 
     def _put(self, member: Member) -> None:
         known = self._members.get(member.name)
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -6,6 +6,7 @@
 
 import msgpack
 
+from rattanfork_core.hints import GateReport, ServiceReports
 from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member
 
@@ -13,6 +14,7 @@
 #: Longest datagram; below the usual MTU so that none is fragmented.
 LONGEST_DATAGRAM = 1400
 _MOST_RUMOURS = 16
+_LONGEST_NAME = 200
 
 
 class Ping(NamedTuple):
@@ -45,8 +47,14 @@
     rumours: tuple[Member, ...]
 
 
+class GateNews(NamedTuple):
+    """Tells what gates have reported, by service; nobody answers it."""
+
+    reports: ServiceReports
+
+
 GossipMessage = Ping | Ack | PingRequest
-_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest)
+_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews)
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,13 +65,13 @@
     message: GossipMessage
 
 
-def encode_gossip(message: GossipMessage, key: bytes) -> bytes:
+def encode_gossip(message: GossipMessage | GateNews, key: bytes) -> bytes:
     """Return a message as an authenticated datagram."""
     body = msgpack.packb((_KINDS.index(type(message)), *message))
     return hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES] + body
 
 
-def decode_gossip(data: bytes, key: bytes) -> GossipMessage:
+def decode_gossip(data: bytes, key: bytes) -> GossipMessage | GateNews:
     """Return the message of a datagram.
 
     Raises
@@ -89,9 +97,11 @@
     if not hmac.compare_digest(mac, expected):
         raise ValueError("datagram of a stranger")
     try:
-        fields = msgpack.unpackb(body, use_list=False)
-        kind, number, sender, target, held, rumours = fields
+        kind, *fields = msgpack.unpackb(body, use_list=False)
         message_type = _KINDS[kind]
+        if message_type is GateNews:
+            return _gate_news(*fields)
+        number, sender, target, held, rumours = fields
     except Exception as error:
         raise ValueError("malformed datagram") from error
     if type(number) is not int:
@@ -105,3 +115,12 @@
         HeldVersions.from_fields(held),
         tuple(Member.from_fields(rumour) for rumour in rumours[:_MOST_RUMOURS]),
     )
+
+
+def _gate_news(reports: dict) -> GateNews:
+    told: dict[str, list[GateReport]] = {}
+    for service, several in reports.items():
+        if not isinstance(service, str) or len(service) > _LONGEST_NAME:
+            raise ValueError("name of a service expected")
+        told[service] = [GateReport.from_fields(fields) for fields in several]
+    return GateNews(told)
--- a/packages/rattanfork-core/rattanfork_core/request/machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/machine.py
@@ -18,6 +18,10 @@
 Picker = Callable[[frozenset[str]], str | None]
 
 
+#: Refusals of an attempt that an upstream can't have begun.
+_REACHED_NOBODY = frozenset((Reason.UPSTREAM_SHED, Reason.NO_REPEAT))
+
+
 class RequestMachine:
     """Decides every step of a request from its arrival to its final answer.
 
@@ -204,7 +208,7 @@
         return other
 
     def _retry_or_finish(self, attempt: Attempt, result: CallResult) -> list[Command]:
-        self._upstream_refused = result.reason is Reason.UPSTREAM_SHED
+        self._upstream_refused = result.reason in _REACHED_NOBODY
         if result.retry_elsewhere and self._can_retry(attempt):
             return self._retry(attempt)
         return self._finish(self._judge(result))
--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -73,6 +73,8 @@
     UPSTREAM_FAILED = 23
     #: No route covers the request.
     NO_ROUTE = 24
+    #: The gate has no repeat left for a request that had arrived before.
+    NO_REPEAT = 25
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-core/rattanfork_core/request/result.py
+++ b/packages/rattanfork-core/rattanfork_core/request/result.py
@@ -43,6 +43,9 @@
         Whether another instance may do better.
     retry_after : float
         Seconds until the caller should come back; 0 if not known.
+    reach : tuple of str
+        Services that runs of the operation call, at any depth, as the guard has
+        learned.
     """
 
     outcome: Outcome
@@ -54,3 +57,4 @@
     retry_elsewhere: bool = False
     retry_after: float = 0.0
     block: bytes = b""
+    reach: tuple[str, ...] = ()
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable
 from random import Random
 
+from rattanfork_core.account import RepeatGrants
 from rattanfork_core.clock import MonotonicClock
+from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import (
     Member,
     Membership,
@@ -31,6 +33,7 @@
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import MemberTask
 from rattanfork_node.member.directory import Directory
+from rattanfork_node.member.gate_news import GateNewsTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import Departure, Gate, Journal, Relay, RelayPeerHandler
 from rattanfork_node.telemetry import (
@@ -169,6 +172,7 @@
             me,
             MembershipSettings(pushes=_PUSHES, push_interval=_TICK),
         )
+        self._reports = GateReports(self._clock, me.name)
         self._membership.on_status = lambda *news: self._observer.on_member(*news)
         self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
@@ -179,8 +183,16 @@
             self._rules,
             self._objectives,
         )
+        relay = settings.relay
         self._gate = Gate(
-            self._clock, self._boot, settings.names, self._counters, self._journal
+            self._clock,
+            self._boot,
+            settings.names,
+            self._counters,
+            self._journal,
+            RepeatGrants(
+                self._clock, relay.repeat_ratio, relay.repeat_extra, relay.repeat_window
+            ),
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -205,6 +217,9 @@
             self._counters,
         )
         self._handler.connect(self._member)
+        self._gate_news = GateNewsTask(
+            self._reports, self._membership, self._member, self._gate
+        )
         self._store = StoreTasks(
             self._clock,
             self._random,
@@ -223,6 +238,9 @@
         self, announcement_handler: Callable[["RelayNode"], RequestHandler]
     ) -> None:
         settings = self._settings
+        self._directory = Directory(
+            self._clock, self._random, self._membership, _LOCAL_LOAD
+        )
         self._relay = Relay(
             self._clock,
             self._random,
@@ -230,12 +248,13 @@
             settings.names,
             self._configuration,
             self._rules,
-            Directory(self._clock, self._random, self._membership, _LOCAL_LOAD),
+            self._directory,
             self._membership,
             self._pool,
             self._gate,
             self._counters,
             self._journal,
+            self._reports,
         )
         self._observer = Observer(
             self._clock,
@@ -316,6 +335,7 @@
             ticks += 1
             self._gate.tick()
             self._member.tick()
+            self._gate_news.tick()
             self._pool.heartbeat()
             self._keeper.tick()
             self._log.flush()
@@ -331,7 +351,8 @@
         for _, server in self._servers:
             server.sweep()
         self._metrics.sweep()
-        self._relay.budgets.share_among(len(self._membership.present()))
+        gates = self._directory.size(self._settings.relay.service)
+        self._gate.grants.share_among(gates)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._observer.on_configuration()
--- a/packages/rattanfork-node/rattanfork_node/member/directory.py
+++ b/packages/rattanfork-node/rattanfork_node/member/directory.py
@@ -44,6 +44,11 @@
             self._rebuild()
         return self._pickers.get(service)
 
+    def size(self, service: str) -> int:
+        """Return how many instances a service has."""
+        picker = self.picker(service)
+        return 0 if picker is None else len(picker.states)
+
     def member(self, name: str) -> Member | None:
         """Return a member by name."""
         return self._membership.members.get(name)
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/member/gate_news.py
@@ -0,0 +1,75 @@
+"""Tells the fleet how this node's gate fares, and passes on what others tell."""
+
+from rattanfork_core.hints import MOST_REPORTERS, GateReports
+from rattanfork_core.membership import GateNews, Member, Membership, duty_group
+
+from rattanfork_node.member.task import MemberTask
+from rattanfork_node.relay.gate import Gate
+from rattanfork_node.telemetry import log_change
+
+#: Members that are told at each tick: news is half a second old at most for nine in
+#: ten of 300 nodes so.
+_TOLD = 2
+
+
+class GateNewsTask:
+    """Carries the reports of gates over datagrams.
+
+    Parameters
+    ==========
+
+    reports : GateReports
+        What is known.
+    membership : Membership
+        Who is there.
+    member_task : MemberTask
+        Sends datagrams, and hears them.
+    gate : Gate
+        This node's gate.
+    """
+
+    def __init__(
+        self,
+        reports: GateReports,
+        membership: Membership,
+        member_task: MemberTask,
+        gate: Gate,
+    ) -> None:
+        self._reports = reports
+        self._membership = membership
+        self._member_task = member_task
+        self._gate = gate
+        self._view = -1
+        self._tells_threshold = False
+        self._impaired = False
+        member_task.on_reports = reports.hear
+
+    def tick(self) -> None:
+        """Report on the own gate and pass news on; call ten times a second."""
+        if self._membership.version != self._view:
+            self._regroup()
+        if self._gate.accepting:
+            self._report()
+        told = self._reports.news()
+        if told:
+            self._member_task.pass_on(GateNews(told), _TOLD)
+
+    def _report(self) -> None:
+        gate = self._gate
+        impaired = gate.health.impaired
+        if impaired != self._impaired:
+            self._impaired = impaired
+            log_change("upstream_impaired" if impaired else "upstream_sound")
+        cut = gate.own_cut if self._tells_threshold else None
+        self._reports.report(self._membership.me.service, cut, impaired)
+
+    def _regroup(self) -> None:
+        self._view = self._membership.version
+        me = self._membership.me
+        names = [m.name for m in self._membership.present() if _serves(m, me.service)]
+        reporters = duty_group(names, "thresholds", MOST_REPORTERS)
+        self._tells_threshold = me.name in reporters
+
+
+def _serves(member: Member, service: str) -> bool:
+    return member.service == service and member.ready and member.slots > 0
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -5,7 +5,9 @@
 from random import Random
 
 from rattanfork_core.clock import Clock
+from rattanfork_core.hints import ServiceReports
 from rattanfork_core.membership import (
+    GateNews,
     HeldVersions,
     Member,
     Membership,
@@ -74,6 +76,8 @@
         self.rules_teller: Member | None = None
         #: Told what the sender of each datagram holds.
         self.on_held: Callable[[HeldVersions], None] = _ignore
+        #: Told of reports of gates that others pass on.
+        self.on_reports: Callable[[ServiceReports], None] = _ignore
 
     @property
     def sent_bytes(self) -> int:
@@ -121,9 +125,18 @@
         except ValueError:
             self._counters.events["gossip.refused"] += 1
             return
+        if isinstance(message, GateNews):
+            self.on_reports(message.reports)
+            return
         self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
 
+    def pass_on(self, news: GateNews, count: int) -> None:
+        """Send news of gates to so many members drawn at random."""
+        data = encode_gossip(news, self._key)
+        for member in self._membership.some(count):
+            self._send(data, member.address)
+
     def records_differing(self, request: SyncRequest) -> list[Member]:
         """Return the records in which another's view differs from this one."""
         buckets = self._membership.digest.differing(request.digest)
@@ -147,10 +160,12 @@
 
     def _send_all(self, sends: Iterable[Send]) -> None:
         for send in sends:
-            data = encode_gossip(send.message, self._key)
-            self._sent_bytes += len(data)
-            if self._transport is not None and not self._transport.is_closing():
-                self._transport.sendto(data, send.address)
+            self._send(encode_gossip(send.message, self._key), send.address)
+
+    def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        self._sent_bytes += len(data)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.sendto(data, address)
 
     async def _sync(self, address: tuple[str, int] | None) -> None:
         membership = self._membership
@@ -167,5 +182,5 @@
             log_change("joined", members=len(membership.members))
 
 
-def _ignore(held: HeldVersions) -> None:
+def _ignore(told: object) -> None:
     pass
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -10,7 +10,7 @@
 
 from rattanfork_node.peer.errors import FrameError
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 #: Longest text in a message.
 _LONGEST_TEXT = 16_384
 _MOST_HEADERS = 200
@@ -86,7 +86,9 @@
 
     ``boot`` is the incarnation of the guard the sender means, ``route`` the
     name of the request's route, ``block`` its header lines, ``rank`` its
-    place in the order of shedding, ``repeated`` whether it was sent before.
+    place in the order of shedding.  ``attempt`` counts what was sent for it;
+    ``arrived`` tells whether an earlier attempt may have reached an upstream, and
+    ``repeated`` whether the run that made it had been sent before.
     """
 
     number: int
@@ -101,12 +103,15 @@
     time_left: int
     idempotent: bool
     repeated: bool
+    arrived: bool
+    attempt: int
 
 
 class RunReply(NamedTuple):
     """What a run came to, with the guard's threshold and load.
 
-    ``busy`` counts the requests that wait or run at the guard.
+    ``busy`` counts the requests that wait or run at the guard; ``reach`` names the
+    services that runs of the operation call, at any depth.
     """
 
     number: int
@@ -118,6 +123,7 @@
     retry_elsewhere: bool
     cut: float
     busy: int
+    reach: list
 
 
 class ConfigurationRequest(NamedTuple):
@@ -342,6 +348,8 @@
                 raise FrameError("a header is a pair of texts")
             if len(pair[0]) + len(pair[1]) > _LONGEST_TEXT:
                 raise FrameError("a header is too long")
+    if type(message) is RunReply and any(type(s) is not str for s in message.reach):
+        raise FrameError("the name of a service is a text")
     if type(message) is Call and len(message.path) > _LONGEST_TEXT:
         raise FrameError("the path is too long")
 
--- a/packages/rattanfork-node/rattanfork_node/relay/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/__init__.py
@@ -4,7 +4,6 @@
 decides what the system costs.
 """
 
-from rattanfork_node.relay.arrivals import ArrivalBudgets
 from rattanfork_node.relay.departure import Departure
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
@@ -14,7 +13,6 @@
 from rattanfork_node.relay.settings import RelaySettings
 
 __all__ = [
-    "ArrivalBudgets",
     "Departure",
     "Gate",
     "Job",
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -39,7 +39,10 @@
 #: decides who is; of runs with four calls one in nine that it carried failed for
 #: want of a sixth repeat, at upstreams that refused 55 of 100 requests.
 _FREE_REFUSALS = 15
-#: Results that say that the request was at a worker: another attempt is a
+#: Gates that may deny one request a repeat before it is given up: their parts of
+#: the bound fill alike, and each that is asked costs a message.
+_MOST_DENIED = 2
+#: Results that say that the request was at an upstream: another attempt is a
 #: repeated arrival there.
 _ARRIVED = frozenset(
     (
@@ -77,9 +80,11 @@
 
     __slots__ = (
         "_admitted",
+        "_arrived",
         "_attempt",
         "_attempted",
         "_blocked",
+        "_denied",
         "_exchange",
         "_job",
         "_last_reason",
@@ -101,7 +106,9 @@
         self._admitted = admitted
         self._parent = admitted.parent
         self._blocked = admitted.blocked | admitted.ruled_out
-        self._repeated = admitted.parent is not None and admitted.parent.repeated
+        self._repeated = admitted.parent is not None and admitted.parent.is_repeat
+        self._arrived = False
+        self._denied = 0
         self._attempt = 0
         self._attempted: list[Attempted] = []
         self._last_reason = Reason.NONE
@@ -153,9 +160,8 @@
             # one that may have run; now it is known that nothing has.
             left = admitted.deadline - self._relay.clock.now()
             return left > admitted.picker.best_latency
-        if self._last_reason not in _ARRIVED:
-            return True
-        return self._relay.budgets.spend(admitted.service, admitted.rank)
+        # The gate that is asked next decides on a repeated arrival.
+        return self._denied < _MOST_DENIED
 
     def _on_deadline(self) -> None:
         state = self._state
@@ -186,20 +192,19 @@
         if self._state is not None:
             self._state.on_sent(self._sent_at)
         self._sent_to = command.instance
-        repeated = self._repeated or command.attempt > 1
         if command.attempt > 1:
             relay.counters.events["relay.retry"] += 1
         if member is not None and member.name == relay.my_name:
-            self._run_here(member, repeated)
+            self._run_here(member)
             return
         self._job = None
         link = relay.pool.ready(member) if member is not None else None
         if link is None:
-            self._open(member, command.attempt, repeated)
+            self._open(member, command.attempt)
         else:
-            self._run_there(link, member, repeated)
+            self._run_there(link, member)
 
-    def _run_here(self, member: Member, repeated: bool) -> None:
+    def _run_here(self, member: Member) -> None:
         exchange = self._exchange
         admitted = self._admitted
         attempt = self._attempt
@@ -217,12 +222,14 @@
             admitted.rank,
             admitted.deadline,
             admitted.route.idempotent,
-            repeated,
+            self._repeated,
+            self._arrived,
+            attempt,
             lambda result: self._on_result(attempt, result),
         )
         self._relay.gate.submit(self._job)
 
-    def _run_there(self, link: PeerLink, member: Member, repeated: bool) -> None:
+    def _run_there(self, link: PeerLink, member: Member) -> None:
         exchange = self._exchange
         admitted = self._admitted
         attempt = self._attempt
@@ -241,11 +248,13 @@
             float(admitted.rank),
             max(0, int(left * 1000)),
             admitted.route.idempotent,
-            repeated,
+            self._repeated,
+            self._arrived,
+            attempt,
         )
         link.run(run, lambda reply: self._on_reply(attempt, member.name, reply))
 
-    def _open(self, member: Member | None, attempt: int, repeated: bool) -> None:
+    def _open(self, member: Member | None, attempt: int) -> None:
         """Make a connection first; the attempt may be over by then."""
 
         async def connect() -> None:
@@ -262,7 +271,7 @@
                 self._relay.bury(member.name)
                 self._on_unsent(attempt, member)
                 return
-            self._run_there(link, member, repeated)
+            self._run_there(link, member)
 
         self._link = None
         self._number = 0
@@ -278,8 +287,8 @@
         if reply is None:
             self._settle(failed=True)
             self._note(Reason.CONNECTION)
-            self._relay.budgets.on_attempt(self._admitted.service, lost=True)
             self._last_reason = Reason.CONNECTION
+            self._arrived = True
             self._carry_out(self._machine.on_link_lost(attempt))
             return
         self._relay.early.hear(self._admitted.operation, name, reply.cut)
@@ -292,6 +301,7 @@
             body=reply.body,
             retry_elsewhere=reply.retry_elsewhere,
             block=reply.block,
+            reach=tuple(reply.reach),
         )
         self._on_result(attempt, result)
 
@@ -302,17 +312,24 @@
         self._settle(failed=result.reason in _FAILED)
         self._note(result.reason, result.status)
         self._last_reason = result.reason
-        lost = result.reason in _ARRIVED
-        self._relay.budgets.on_attempt(self._admitted.service, lost)
-        if self._parent is not None:
-            refused = result.reason is Reason.UPSTREAM_SHED
-            self._relay.gate.deeper.refusals(self._parent.operation).on_attempt(refused)
+        self._arrived |= result.reason in _ARRIVED
+        self._denied += result.reason is Reason.NO_REPEAT
+        if 200 <= result.status < 300:
+            self._note_reach(result)
         if result.reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
             # A failure that another instance may do better; should none be
             # asked, the upstream's own answer is what the caller gets.
             result.outcome = Outcome.UNKNOWN
         self._carry_out(self._machine.on_result(attempt, result))
 
+    def _note_reach(self, result: CallResult) -> None:
+        admitted = self._admitted
+        if self._parent is None:
+            self._relay.reach.on_run(admitted.operation, result.reach)
+        else:
+            self._parent.reached.add(admitted.service)
+            self._parent.reached.update(result.reach)
+
     def _settle(self, failed: bool, counted: bool = True) -> None:
         state, self._state = self._state, None
         if state is None:
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from rattanfork_core.account import RepeatGrants
 from rattanfork_core.admission import (
     AdmissionController,
     AdmissionSettings,
@@ -10,7 +11,7 @@
     Waiter,
 )
 from rattanfork_core.clock import Clock
-from rattanfork_core.hints import DeeperThresholds
+from rattanfork_core.hints import ChainReach, HintTable, UpstreamHealth
 from rattanfork_core.request import CallResult, Outcome, Reason
 
 from rattanfork_node.http1 import (
@@ -49,8 +50,20 @@
         Reason.UPSTREAM_DOWN,
         Reason.UPSTREAM_SHED,
         Reason.NO_INSTANCE,
+        Reason.NO_REPEAT,
     )
 )
+#: Reasons for which an arrival at the upstream came to nothing.
+_LOST = frozenset(
+    (
+        Reason.UPSTREAM_SHED,
+        Reason.UPSTREAM_FAILED,
+        Reason.CONNECTION,
+        Reason.STALE_INSTANCE,
+    )
+)
+#: The only instance whose deeper services are kept here: the gate's own upstream.
+_HERE = ""
 
 
 class Gate:
@@ -80,6 +93,8 @@
         What happened.
     journal : Journal
         Told what became of each request.
+    grants : RepeatGrants
+        Decides which repeats may arrive.
     """
 
     def __init__(
@@ -89,8 +104,10 @@
         names: HeaderNames,
         counters: Counters,
         journal: Journal,
+        grants: RepeatGrants,
     ) -> None:
         self._clock = clock
+        self.grants = grants
         self._journal = journal
         self._boot = boot
         self._names = names
@@ -109,8 +126,12 @@
                 surge_sample=_SURGE_SAMPLE,
             ),
         )
-        #: What runs at the upstream have met at the services they call.
-        self.deeper = DeeperThresholds(clock)
+        #: Thresholds that runs of the upstream have met at the services they call.
+        self._deeper = HintTable(clock)
+        #: Whether the upstream fails or has become slow.
+        self.health = UpstreamHealth(clock)
+        #: Services that runs of the upstream reach, as their own calls show.
+        self.reach = ChainReach()
         self._jobs: dict[int, Job] = {}
         self._running: dict[bytes, Job] = {}
         self._next_key = 0
@@ -181,7 +202,7 @@
 
     def cut(self, operation: str) -> float:
         """Return the threshold to announce: the gate's or a deeper one."""
-        return min(self._admission.cut, self.deeper.cut(operation))
+        return min(self._admission.cut, self._deeper.cut(operation, _HERE))
 
     def submit(self, job: Job) -> None:
         """Take a request; its ``done`` is called once."""
@@ -192,6 +213,9 @@
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
+        if not self._count_arrival(job):
+            self._refuse(job, Reason.NO_REPEAT)
+            return
         self._next_key += 1
         now = self._clock.now()
         waiter = Waiter(self._next_key, job.rank, job.operation, job.deadline, now)
@@ -233,6 +257,22 @@
         if self._pool is not None:
             self._pool.close()
 
+    def _count_arrival(self, job: Job) -> bool:
+        """Count a request as new or as a repeat; return whether it may arrive.
+
+        A call that a repeated run makes again can't be denied: without it all that
+        the run has done so far would be lost.
+        """
+        if job.arrived:
+            job.granted = self.grants.grant(job.rank)
+            return job.granted
+        if job.repeated:
+            self.grants.count_repeat()
+        elif job.attempt == 1:
+            # What other gates have shed was counted there.
+            self.grants.count_request()
+        return True
+
     def _stop_calls(self, job: Job) -> None:
         """Stop the calls of a run, for upstreams that take no note of a close.
 
@@ -248,6 +288,7 @@
             self._pool.retire()
         self._pool = self._make_pool(upstream, connections)
         self._admission.restart()
+        self.health = UpstreamHealth(self._clock)
 
     def _make_pool(self, upstream: Upstream, connections: int) -> UpstreamPool:
         return UpstreamPool(
@@ -306,6 +347,7 @@
         )
         head = render_head(job.method, job.target, job.block, len(job.body), extra)
         job.connection = connection
+        self.health.on_started(job.waiter.key, job.operation)
         connection.send(
             head + job.body,
             job.request_id,
@@ -339,13 +381,28 @@
             return
         self._jobs.pop(job.waiter.key, None)
         self._running.pop(job.request_id, None)
+        if job.connection is not None:
+            lost = result.reason in _LOST
+            self.grants.on_attempt(lost)
+            self.health.on_ended(
+                job.waiter.key, lost, counts=result.reason is not Reason.CANCELLED
+            )
+        if succeeded:
+            self._note_reach(job, result)
         if job.heard_cut != float("inf"):
-            self.deeper.hear(job.operation, job.heard_cut)
+            self._deeper.hear(job.operation, _HERE, job.heard_cut)
         self._finish(job, result)
         self._apply(self._admission.finish(job.waiter.key, succeeded))
 
+    def _note_reach(self, job: Job, result: CallResult) -> None:
+        if result.status < 300:
+            self.reach.on_run(job.operation, job.reached)
+        result.reach = self.reach.services(job.operation)
+
     def _refuse(self, job: Job, reason: Reason) -> None:
         self._counters.events[f"gate.{reason.label}"] += 1
+        if job.granted:
+            self.grants.take_back()
         self._finish(job, _not_run(reason))
 
     def _finish(self, job: Job, result: CallResult) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -35,7 +35,11 @@
     idempotent : bool
         Whether running it twice does no harm.
     repeated : bool
-        Whether it, or the run that made it, was sent before.
+        Whether the run that made it was itself a repeat.
+    arrived : bool
+        Whether an earlier attempt may have reached an upstream.
+    attempt : int
+        Counts what was sent for it, from 1 on.
     done : callable
         Gets the result, once.
     may_hand_over : callable
@@ -53,6 +57,8 @@
     deadline: float
     idempotent: bool
     repeated: bool
+    arrived: bool
+    attempt: int
     done: Callable[[CallResult], None]
     may_hand_over: Callable[[], bool] = _always
     #: Name of the node that sent it; "" for this one.
@@ -61,9 +67,18 @@
     connection: UpstreamConnection | None = None
     handed_over: bool = False
     ended: bool = False
+    #: Whether a repeat was granted to it.
+    granted: bool = False
     #: Lowest threshold heard from the services that the run has called.
     heard_cut: float = float("inf")
+    #: Services that the run has called with success, and those behind them.
+    reached: set[str] = field(default_factory=set)
     #: Calls of the run that did not get a success.
     failed_calls: int = 0
     #: Stops the calls that the run has made.
     cancels: dict[int, Callable[[], None]] = field(default_factory=dict)
+
+    @property
+    def is_repeat(self) -> bool:
+        """Whether it, or the run that made it, has arrived before."""
+        return self.repeated or self.arrived
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -170,7 +170,7 @@
             "run_ms": _milliseconds(ran),
             "left_ms": _milliseconds(job.deadline - now),
             "rank": round(job.rank, 3),
-            "repeated": job.repeated,
+            "repeated": job.is_repeat,
             "running": admission.running,
             "waiting": admission.waiting,
             "slots": admission.limit.current,
--- a/packages/rattanfork-node/rattanfork_node/relay/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peers.py
@@ -76,6 +76,8 @@
             self._clock.now() + run.time_left / 1000,
             run.idempotent,
             run.repeated,
+            run.arrived,
+            run.attempt,
             self._replier(link, run.number, run.route),
             lambda: ledger.hand_over(run.number),
             link.peer,
@@ -138,6 +140,7 @@
                     result.retry_elsewhere,
                     float(self._gate.cut(operation)),
                     self._gate.busy,
+                    list(result.reach),
                 )
             )
 
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -8,7 +8,13 @@
 from typing import TYPE_CHECKING
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.hints import EarlyRefusal, HintTable
+from rattanfork_core.hints import (
+    ChainReach,
+    ChainThresholds,
+    EarlyRefusal,
+    GateReports,
+    HintTable,
+)
 from rattanfork_core.membership import Membership
 from rattanfork_core.request import (
     CallResult,
@@ -28,7 +34,6 @@
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted import Admitted, Attempted
-from rattanfork_node.relay.arrivals import ArrivalBudgets
 from rattanfork_node.relay.departure import Departure
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
@@ -92,6 +97,8 @@
         What happened.
     journal : Journal
         Told what was decided on each request.
+    reports : GateReports
+        What the gates of the fleet tell.
     """
 
     def __init__(
@@ -108,6 +115,7 @@
         gate: Gate,
         counters: Counters,
         journal: Journal,
+        reports: GateReports,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
@@ -116,7 +124,10 @@
         self.gate = gate
         self.counters = counters
         self.early = EarlyRefusal(clock)
-        self.budgets = ArrivalBudgets(clock, settings)
+        #: Services behind the operations that callers ask for here.
+        self.reach = ChainReach()
+        self._reports = reports
+        self._chain = ChainThresholds(reports, self.reach, directory.size)
         self.my_name = membership.me.name
         self._journal = journal
         self._random = random
@@ -147,10 +158,6 @@
         exchange.block += self._caller_line
         parent = self.gate.parent_of(exchange.request_id)
         service = self._configuration.next_service(route)
-        if parent is not None and parent.repeated:
-            self.budgets.count_repeat(service)
-        else:
-            self.budgets.count_request(service)
         picker = self.directory.picker(service)
         if picker is None or not picker.subset:
             after = self._settings.retry_after
@@ -163,7 +170,7 @@
             )
         elif parent is not None:
             rank = parent.rank
-            blocked = self.early.blocked(picker, self.operation(route, service), rank)
+            blocked = self._blocked(picker, route, service, rank)
             self._forward(
                 exchange, route, service, rank, parent, picker, blocked or _NOBODY
             )
@@ -193,7 +200,9 @@
             return
         rank = self._rank(exchange, route)
         operation = self.operation(route, service)
-        blocked = self.early.blocked(picker, operation, rank)
+        blocked = None
+        if rank < self._chain.cut(operation, service):
+            blocked = self._blocked(picker, route, service, rank)
         if blocked is None:
             self._refuse(
                 exchange,
@@ -202,12 +211,25 @@
                 route=route.name,
                 rank=round(rank, 3),
                 thresholds=self.early.told(picker, operation),
+                chain=self._chain.told(operation, service),
             )
             return
         self._forward(
             exchange, route, service, rank, None, picker, blocked, elsewhere, rule
         )
 
+    def _blocked(
+        self, picker: InstancePicker, route: Route, service: str, rank: float
+    ) -> frozenset[str] | None:
+        """Return the instances to leave out for a rank; None if all would shed it."""
+        blocked = self.early.blocked(picker, self.operation(route, service), rank)
+        if blocked is None or not len(self._reports):
+            return blocked
+        names = [state.name for state in picker.subset]
+        avoided = self._reports.avoided(service, names, rank)
+        # Each gate may be asked if all are to be avoided: it judges for itself.
+        return blocked | avoided if len(avoided) < len(names) else blocked
+
     def leave(self, departure: Departure) -> None:
         """Take only what a departing node does.
 
@@ -333,11 +355,6 @@
             parent.heard_cut = min(parent.heard_cut, cut)
         if result.status < 200 or result.status >= 300:
             parent.failed_calls += 1
-        if result.reason is Reason.UPSTREAM_SHED:
-            # Nobody is left to ask again: runs like this one only cost the
-            # services before it, until fewer of them are begun.
-            carried = self.budgets.carried(admitted.service)
-            self.gate.deeper.refusals(parent.operation).on_failed(parent.rank, carried)
 
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -4,7 +4,9 @@
 from functools import wraps
 from random import Random
 
+from rattanfork_core.account import RepeatGrants
 from rattanfork_core.clock import ManualClock
+from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.request import CallResult
@@ -98,7 +100,10 @@
         self.log = FakeLog(self.clock)
         holder, rules = ConfigurationHolder(lambda _: None), RevisionState()
         journal = Journal(self.clock, self.log, Counters(), holder, rules)
-        self.gate = Gate(self.clock, "b1", HeaderNames(), Counters(), journal)
+        self.grants = RepeatGrants(self.clock, ratio=0.2, extra=48, window=10)
+        self.gate = Gate(
+            self.clock, "b1", HeaderNames(), Counters(), journal, self.grants
+        )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
 
@@ -116,6 +121,8 @@
             "deadline": self.clock.now() + 2.0,
             "idempotent": True,
             "repeated": False,
+            "arrived": False,
+            "attempt": 1,
             "done": results.append,
         }
         job = Job(**{**fields, **changes})
@@ -158,6 +165,7 @@
             "retry_elsewhere": False,
             "cut": 5.0,
             "busy": 1,
+            "reach": [],
             **more,
         }
         done(RunReply(run.number, outcome, reason, status, b"", b"body", **fields))
@@ -222,6 +230,7 @@
         holder.offer(b"-")
         self.rules = RevisionState()
         self.rules.hear_from_store(None)
+        self.reports = GateReports(self.clock, me.name)
         self.relay = Relay(
             self.clock,
             Random(1),
@@ -242,6 +251,7 @@
                 self.rules,
                 self.objectives,
             ),
+            self.reports,
         )
 
     def accept_rules(self, text: str) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_fault_pairs.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_fault_pairs.py
@@ -5,6 +5,7 @@
 from itertools import product
 
 import pytest
+from rattanfork_core.account import RepeatGrants
 from rattanfork_core.request import FenceVerdict, Outcome, Reason
 
 from rattanfork_node.relay.tests.fakes import FakeLink, RelayWorld, on_loop
@@ -64,6 +65,30 @@
 AT_WORKER = (Reason.UPSTREAM_SHED, Reason.STALE_INSTANCE)
 
 
+class Gates:
+    """Stands for the gates of the service: they count arrivals and grant repeats."""
+
+    def __init__(self, world: RelayWorld) -> None:
+        self.grants = RepeatGrants(world.clock, ratio=0.2, extra=48, window=10)
+        self.granted = 0
+
+    def take(self, link: FakeLink, place: int) -> bool:
+        """Return whether an attempt may arrive; deny it if not."""
+        run = link.runs[place][0]
+        if not run.arrived:
+            self.grants.count_request()
+            return True
+        if self.grants.grant(run.rank):
+            self.granted += 1
+            return True
+        link.reply(place, NOT_RUN, Reason.NO_REPEAT, retry_elsewhere=True)
+        return False
+
+    @property
+    def allowed(self) -> float:
+        return self.grants._budget.allowed
+
+
 def _next_attempt(world: RelayWorld, seen: set) -> tuple[FakeLink, int] | None:
     for link, place in world.runs:
         if (link.peer, place) not in seen:
@@ -77,12 +102,18 @@
     exchange = world.ask()
     seen: set = set()
     struck: list[Fault] = []
+    gates = Gates(world)
     for step in range(30):
         for _ in range(4):
             await asyncio.sleep(0)
         attempt = _next_attempt(world, seen)
         if attempt is None:
             break
+        if any(fault.may_run or fault.reason in AT_WORKER for fault in struck):
+            link, place = attempt
+            assert link.runs[place][0].arrived, "a repeat that does not say so"
+        if not gates.take(*attempt):
+            continue
         fault = faults[min(step, len(faults) - 1)]
         struck.append(fault)
         fault.strike(world, *attempt)
@@ -96,10 +127,9 @@
         assert may_have_run == 0, "'not run' may be false"
     if status == 200:
         assert struck[-1].name == "answered"
-    budget = world.relay.budgets._budget("t")
     arrivals = sum(fault.may_run or fault.reason in AT_WORKER for fault in struck)
-    assert arrivals - 1 <= budget.spent <= budget.allowed, "a repeat not paid for"
-    assert len(struck) <= 2 + budget.spent, "sent too often"
+    assert arrivals - 1 <= gates.granted <= gates.allowed, "a repeat not paid for"
+    assert len(struck) <= 2 + gates.granted, "sent too often"
     assert world.gate.busy == 0
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -177,3 +177,42 @@
     assert results[0].outcome is Outcome.ANSWERED
     assert results[0].reason is Reason.UPSTREAM_FAILED
     assert not results[0].retry_elsewhere
+
+
+def repeat(world: World, number: int):
+    """Send a request that has arrived at another upstream before."""
+    return world.submit(f"r{number}", arrived=True, attempt=2)[1]
+
+
+def test_a_gate_denies_repeats_beyond_its_part_of_the_bound():
+    """Every request fails elsewhere and is sent here again.
+
+    The upstream is handed as many as the gate grants; the others are told at once
+    that they did not run here.
+    """
+    world = World(slots=500)
+    allowed = int(world.grants.allowed)
+    results = [repeat(world, number) for number in range(allowed + 5)]
+    denied = [r[0] for r in results if r]
+    assert [r.reason for r in denied] == [Reason.NO_REPEAT] * 5
+    assert all(r.outcome is Outcome.NOT_RUN and r.retry_elsewhere for r in denied)
+    assert len(world.pool.connections) == allowed
+
+
+def test_a_repeat_that_was_shed_is_not_paid_for():
+    """A repeat is granted, waits, and is withdrawn: the upstream never gets it."""
+    world = World(slots=1)
+    world.submit("running")
+    job, _ = world.submit("waiting", arrived=True, attempt=2)
+    assert world.grants.spent == 1
+    world.gate.cancel(job)
+    assert world.grants.spent == 0
+
+
+def test_calls_of_a_repeated_run_are_counted_and_never_denied():
+    """Denied, they would break a run that was let in as a repeat already."""
+    world = World(slots=500)
+    for number in range(int(world.grants.allowed) + 5):
+        _, results = world.submit(f"r{number}", repeated=True)
+        assert not results
+    assert world.grants.spent > world.grants.allowed
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 
+from rattanfork_core.hints import GateReports
 from rattanfork_core.request import FenceVerdict, Outcome, Reason
 
 from rattanfork_node.http1 import Exchange
@@ -83,7 +84,7 @@
     first.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
     assert exchange.output is None
     second, place = next(r for r in world.runs if r[0] is not first)
-    assert second.runs[place][0].repeated
+    assert (second.runs[place][0].arrived, second.runs[place][0].attempt) == (True, 2)
     second.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
     assert exchange.output == (500, b"", b"body")
 
@@ -146,6 +147,79 @@
     assert world.ask("/a/x", request_id="run.0123456789abcdef").output is None
 
 
+@on_loop
+async def test_what_a_deeper_service_sheds_is_refused_where_it_comes_in():
+    """A service two levels down sheds; no reply of this node's own has said so.
+
+    One answer has told which services lie behind the route, its gates have told the
+    fleet what they shed.  The next request would break there after all other work
+    was done, so it is refused at once; one of higher importance is not.
+    """
+    world = RelayWorld(peers=1)
+    world.ask()
+    world.links[0].reply(0, ANSWERED, status=200, reach=["deep"])
+    world.reports.report("deep", 1.5, impaired=False)
+    exchange = world.ask(request_id="r2")
+    assert exchange.output[0] == 503
+    assert world.log.lines[-1]["chain"] == {"t": 5.0, "deep": 1.5}
+    world.clock.advance(9.0)
+    assert world.ask(request_id="r3").output is None
+
+
+@on_loop
+async def test_a_call_goes_to_a_gate_that_does_not_shed_it():
+    """One of two gates has told the fleet that it sheds; the other has room."""
+    world = RelayWorld(peers=2)
+    told = GateReports(world.clock, world.links[0].peer)
+    told.report("t", 1.0, impaired=False)
+    world.reports.hear(told.news())
+    for number in range(10):
+        world.ask(request_id=f"r{number}")
+    assert not world.links[0].runs
+
+
+@on_loop
+async def test_the_services_that_a_run_has_reached_are_told_with_its_answer():
+    """An upstream calls a service, whose answer tells of one further down."""
+    world = RelayWorld(peers=1)
+    run, results = world.gate_world.submit("run")
+    world.ask("/i/x", request_id="run.0123456789abcdef")
+    world.links[0].reply(0, ANSWERED, status=200, reach=["deep"])
+    world.gate_world.answer(0)
+    assert results[0].reach == ("deep", "t")
+
+
+@on_loop
+async def test_a_run_that_broke_off_teaches_nothing_of_its_chain():
+    world = RelayWorld(peers=1)
+    run, results = world.gate_world.submit("run")
+    world.ask("/i/x", request_id="run.0123456789abcdef")
+    world.links[0].reply(0, ANSWERED, status=200)
+    world.gate_world.answer(0, status=500)
+    assert results[0].reach == ()
+
+
+@on_loop
+async def test_a_request_that_two_gates_deny_a_repeat_is_given_up():
+    """An upstream fails, and the gates of the others have no repeat left.
+
+    The caller gets the upstream's own failure, and no third gate is asked.
+    """
+    world = RelayWorld(peers=4, most_upstreams=2)
+    exchange = world.ask()
+    [(first, place)] = world.runs
+    failed = Reason.UPSTREAM_FAILED
+    first.reply(place, ANSWERED, failed, 500, retry_elsewhere=True)
+    asked = {first.peer}
+    for _ in range(2):
+        assert exchange.output is None
+        denying, place = next(r for r in world.runs if r[0].peer not in asked)
+        asked.add(denying.peer)
+        denying.reply(place, NOT_RUN, Reason.NO_REPEAT, retry_elsewhere=True)
+    assert exchange.output == (500, b"", b"body")
+    assert len(world.runs) == 3
+
+
 @on_loop
 async def test_a_call_ends_with_the_run_that_made_it():
     """The caller of a run leaves while the run waits for a call of its own.
