Lead work round impaired upstreams only while the others have room

Cause: an instance whose gate says that its upstream is impaired was left out altogether.

Change: it is left out while another that is sound has a load below 0.7 as last heard, and counts as four times as busy otherwise. What has not changed is told once a second, and each report passed on three times: one impaired upstream costs a node 6 datagrams a second in place of 20.

--- a/packages/rattanfork-core/rattanfork_core/admission/demand.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/demand.py
@@ -44,7 +44,11 @@
         """Let older arrivals count for less; remember those above a cut."""
         decay = self._decay
         self._counts = counts = [count * decay for count in self._counts]
-        place = min(_BUCKETS, int(cut * _PER_RANK))
+        place = int(cut * _PER_RANK)
+        if place >= _BUCKETS:
+            # Open, as nearly always: all that there is arrives.
+            self._remembered = counts
+            return
         above = zip(counts[place:], self._remembered[place:], strict=True)
         self._remembered = counts[:place] + [
             max(count, known * _MEMORY) for count, known in above
--- a/packages/rattanfork-core/rattanfork_core/hints/reports.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/reports.py
@@ -20,6 +20,9 @@
 #: Seconds for which a report is believed as it is; several times what news takes
 #: through a fleet of thousands.
 _FRESH = 1.0
+#: Seconds for which an upstream is taken to be impaired.  One that is sound again is
+#: said to be so at once.
+_IMPAIRED_FOR = 2.5
 #: Ranks by which a threshold rises in a second after that: a first node that is cut
 #: off from all news neither stays shut nor opens to everything at once.
 _RISE = 1.0
@@ -27,8 +30,12 @@
 _FORGOTTEN_AFTER = _FRESH + RANKS / _RISE
 #: Seconds for which a gate goes on telling that nothing is wrong any more.
 _SOUND_TOLD_FOR = 2.0
-#: Seconds for which a node passes a report on.
+#: Seconds for which a node passes a report on, and how many times: each node that
+#: hears it does the same, so that six tellings leave out hardly anybody.
 _PASSED_ON_FOR = 1.0
+_TOLD_TIMES = 3
+#: Seconds after which a gate that sheds nothing says again what has not changed.
+_SAID_AGAIN_AFTER = 1.0
 #: Reports in one datagram, and those that are kept.
 _MOST_TOLD = 48
 _MOST_KEPT = 4096
@@ -88,6 +95,7 @@
     cut: float
     impaired: bool
     said_at: float
+    told: list[int]
 
 
 class GateReports:
@@ -99,10 +107,10 @@
     A node of a large fleet makes few requests, so what its own replies taught it of
     a deep service is seconds old: it lets in what the deep service then sheds, after
     all the work above is done, and goes on sending to an upstream that fails.  Here
-    the gates say so themselves, ten times a second for as long as they shed or their
-    upstream is impaired, and every node passes on to a few others what it has heard.
-    So a first node knows without a request of its own, and what it costs depends
-    neither on the traffic nor on the size of the fleet; on a calm day it is nothing.
+    the gates say so themselves, for as long as they shed or their upstream is impaired,
+    and every node passes on to a few others what it has heard.  So a first node knows
+    without a request of its own, and what it costs depends neither on the traffic nor
+    on the size of the fleet; on a calm day it is nothing.
 
     Reports age by the clock of who made them: each datagram tells how old they were
     when it left.
@@ -125,8 +133,8 @@
     >>> first.hear(gate.news())
     >>> first.cut("donors", instances=1), first.cut("donors", instances=3)
     (2.5, 5.0)
-    >>> first.avoided("donors", ["donors-1@b", "donors-2@b"], rank=3.0)
-    frozenset({'donors-1@b'})
+    >>> first.about("donors", "donors-1@b")
+    (2.5, 0.0)
     """
 
     def __init__(self, clock: Clock, me: str) -> None:
@@ -159,11 +167,17 @@
             self._troubled_at = now
         if self._troubled_at is None or now - self._troubled_at > _SOUND_TOLD_FOR:
             return
+        last = self._known.get((service, self._me))
+        if last is not None and _says_the_same(last, cut, impaired, now):
+            return
         self._number += 1
-        self._keep(service, self._me, _Known(self._number, cut, impaired, now))
+        self._keep(service, self._me, _Known(self._number, cut, impaired, now, [0]))
 
     def news(self) -> dict[str, list[GateReport]]:
-        """Return what is to be told to others now, by service."""
+        """Return what is to be told to others now, by service; call it each tick.
+
+        What was heard since the last few calls is told, and nothing if that is none.
+        """
         if not self._known:
             return {}
         now = self._clock.now()
@@ -171,10 +185,11 @@
         fresh = sorted(
             (now - known.said_at, key, known)
             for key, known in self._known.items()
-            if now - known.said_at < _PASSED_ON_FOR
+            if known.told[0] < _TOLD_TIMES and now - known.said_at < _PASSED_ON_FOR
         )
         told: dict[str, list[GateReport]] = {}
         for age, (service, gate), known in fresh[:_MOST_TOLD]:
+            known.told[0] += 1
             cut = round(known.cut * _PARTS)
             milliseconds = int(age * 1000)
             report = GateReport(gate, known.number, cut, known.impaired, milliseconds)
@@ -190,7 +205,7 @@
                 known = self._known.get((service, gate))
                 if known is None or number > known.number:
                     said_at = now - age / 1000
-                    known = _Known(number, cut / _PARTS, impaired, said_at)
+                    known = _Known(number, cut / _PARTS, impaired, said_at, [0])
                     self._keep(service, gate, known)
 
     def cut(self, service: str, instances: int) -> float:
@@ -219,16 +234,17 @@
         place = ceil(_MOST_SHED * reporters) - 1
         return cuts[place] if place < len(cuts) else _OPEN
 
-    def avoided(
-        self, service: str, names: Iterable[str], rank: float
-    ) -> frozenset[str]:
-        """Return those of some gates that shed a rank or whose upstream is impaired."""
+    def about(self, service: str, name: str) -> tuple[float, float]:
+        """Return the rank from which a gate sheds, and until when it is impaired.
+
+        A gate that says nothing is open, and impaired until 0.
+        """
         told = self._by_service.get(service)
-        if not told:
-            return frozenset()
-        now = self._clock.now()
-        shut = {gate for gate, known in told.items() if _avoids(known, now, rank)}
-        return frozenset(name for name in names if shut and gate_hash(name) in shut)
+        known = told.get(gate_hash(name)) if told else None
+        if known is None:
+            return _OPEN, 0.0
+        until = known.said_at + _IMPAIRED_FOR if known.impaired else 0.0
+        return _aged(known, self._clock.now()), until
 
     def _keep(self, service: str, gate: int, known: _Known) -> None:
         if len(self._known) >= _MOST_KEPT and (service, gate) not in self._known:
@@ -268,6 +284,7 @@
     return known.cut if stale <= 0 else min(_OPEN, known.cut + stale * _RISE)
 
 
-def _avoids(known: _Known, now: float, rank: float) -> bool:
-    impaired = known.impaired and now - known.said_at <= _FRESH
-    return impaired or _aged(known, now) <= rank
+def _says_the_same(known: _Known, cut: float, impaired: bool, now: float) -> bool:
+    if cut < _OPEN or known.cut < _OPEN or known.impaired != impaired:
+        return False
+    return now - known.said_at < _SAID_AGAIN_AFTER
--- a/packages/rattanfork-core/rattanfork_core/hints/tests/deep_fleet.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/tests/deep_fleet.py
@@ -231,7 +231,7 @@
         shut = self.deeper.blocked(self.picker, kind, rank) or frozenset()
         names = self.picker.states
         if self.fleet.told:
-            shedding = self.reports.avoided(DEEP, names, rank)
+            shedding = {n for n in names if self.reports.about(DEEP, n)[0] <= rank}
             shut = shut | shedding if len(shedding) < len(names) else shut
         return self.picker.pick(call.tried | shut) or self.picker.pick(call.tried)
 
--- a/packages/rattanfork-core/rattanfork_core/routing/instance.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/instance.py
@@ -48,6 +48,8 @@
     leaving: bool = False
     suspect: bool = False
     busy: int = 0
+    #: Until when its gate says that its upstream fails or has become slow.
+    impaired_until: float = 0.0
     #: Sum of the times at which the calls in flight were sent.
     sent_sum: float = 0.0
     _latencies: dict[str, _Latency] = field(default_factory=dict)
--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -13,6 +13,9 @@
 #: An instance of another data centre counts as this much busier.
 _REMOTE_FACTOR = 1.5
 _COLD_SHARE = 0.1
+#: An instance whose upstream is impaired counts as this much busier once the others
+#: have no room; until then it is left out.
+_IMPAIRED_FACTOR = 4.0
 #: Latency, as a multiple of the fastest instance's, from which an instance is
 #: taken to be in trouble.  Instances of one service differ by a factor of two
 #: and a half when all is well.
@@ -159,12 +162,24 @@
         healthy = [s for s in candidates if not s.suspect]
         # If all are suspect the fault is more likely on this side.
         candidates = healthy or candidates
+        candidates = self._sound(candidates) or candidates
         if patience < inf:
             candidates = self._quick(candidates, operation, patience)
         if self._local_load:
             candidates = self._local(candidates) or candidates
         return self._pick_two(candidates).name
 
+    def _sound(self, candidates: list[InstanceState]) -> list[InstanceState]:
+        """Return the instances that are not impaired and have room.
+
+        Were those that are impaired left out whatever the others' load, their work
+        would fill up a service that has little room, and all of it would shed.
+        """
+        now = self._clock.now()
+        if all(s.impaired_until <= now for s in candidates):
+            return candidates
+        return [s for s in candidates if s.impaired_until <= now and s.load < _ROOM]
+
     def _quick(
         self, candidates: list[InstanceState], operation: str, patience: float
     ) -> list[InstanceState]:
@@ -211,6 +226,7 @@
             if s.data_centre == self._data_centre
             and s.load < self._local_load
             and s.failures < _SOME_FAILURES
+            and s.impaired_until <= now
             and (not slow or s.latency_at(now) <= slow)
             and now - s.known_since >= self._warmup
         ]
@@ -248,6 +264,8 @@
         score = (state.in_flight + 1) * latency * (1.0 + 10.0 * state.failures)
         if state.data_centre != self._data_centre:
             score *= _REMOTE_FACTOR
+        if state.impaired_until > now:
+            score *= _IMPAIRED_FACTOR
         age = now - state.known_since
         if age < self._warmup:
             score /= max(_COLD_SHARE, age / self._warmup)
--- a/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
@@ -266,3 +266,24 @@
     patient = shares_beside_one_that_hangs(60.0)
     assert hasty["hung"] <= patient["hung"]
     assert hasty["fast"] > 0.8 * 2600
+
+
+def test_an_impaired_instance_is_used_only_when_the_others_are_much_busier():
+    """One of four gates tells that its upstream has become slow.
+
+    Left out altogether, its work would fill up the other three where a service has
+    little room, and they would shed for it.
+    """
+    clock = ManualClock(100.0)
+    picker = InstancePicker("n", "dc", clock, Random(1), local_load=0.85)
+    picker.update([InstanceState(f"i{n}", "dc", slots=10) for n in range(4)])
+    impaired = picker.states["i0"]
+    impaired.impaired_until = 102.0
+    assert "i0" not in {picker.pick(frozenset()) for _ in range(100)}
+    for name in ("i1", "i2", "i3"):
+        picker.states[name].in_flight = 9
+    assert "i0" in {picker.pick(frozenset()) for _ in range(100)}
+    for name in ("i1", "i2", "i3"):
+        picker.states[name].in_flight = 0
+    clock.advance(3.0)
+    assert "i0" in {picker.pick(frozenset()) for _ in range(100)}
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -225,10 +225,13 @@
         blocked = self.early.blocked(picker, self.operation(route, service), rank)
         if blocked is None or not len(self._reports):
             return blocked
-        names = [state.name for state in picker.subset]
-        avoided = self._reports.avoided(service, names, rank)
-        # Each gate may be asked if all are to be avoided: it judges for itself.
-        return blocked | avoided if len(avoided) < len(names) else blocked
+        shedding = set()
+        for state in picker.subset:
+            cut, state.impaired_until = self._reports.about(service, state.name)
+            if cut <= rank:
+                shedding.add(state.name)
+        # Each gate may be asked if all shed: it judges for itself.
+        return blocked | shedding if len(shedding) < len(picker.subset) else blocked
 
     def leave(self, departure: Departure) -> None:
         """Take only what a departing node does.
