Give a gate's results a file of their own, and name what is kept of a report

Change: results.py; a data class. Nothing is decided differently. Figures: tests of relay, member and hints as before.

--- a/packages/rattanfork-core/rattanfork_core/hints/reports.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/reports.py
@@ -1,6 +1,7 @@
 """What the gates of the fleet tell of themselves."""
 
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 from math import ceil
 from typing import NamedTuple
 
@@ -90,12 +91,14 @@
 ServiceReports = Mapping[str, Iterable[GateReport]]
 
 
-class _Known(NamedTuple):
+@dataclass(slots=True)
+class _Known:
     number: int
     cut: float
     impaired: bool
     said_at: float
-    told: list[int]
+    #: How many times this node has passed it on.
+    told: int = 0
 
 
 class GateReports:
@@ -171,7 +174,7 @@
         if last is not None and _says_the_same(last, cut, impaired, now):
             return
         self._number += 1
-        self._keep(service, self._me, _Known(self._number, cut, impaired, now, [0]))
+        self._keep(service, self._me, _Known(self._number, cut, impaired, now))
 
     def news(self) -> dict[str, list[GateReport]]:
         """Return what is to be told to others now, by service; call it each tick.
@@ -183,13 +186,14 @@
         now = self._clock.now()
         self._drop_old(now)
         fresh = sorted(
-            (now - known.said_at, key, known)
+            (now - known.said_at, key)
             for key, known in self._known.items()
-            if known.told[0] < _TOLD_TIMES and now - known.said_at < _PASSED_ON_FOR
+            if known.told < _TOLD_TIMES and now - known.said_at < _PASSED_ON_FOR
         )
         told: dict[str, list[GateReport]] = {}
-        for age, (service, gate), known in fresh[:_MOST_TOLD]:
-            known.told[0] += 1
+        for age, (service, gate) in fresh[:_MOST_TOLD]:
+            known = self._known[service, gate]
+            known.told += 1
             cut = round(known.cut * _PARTS)
             milliseconds = int(age * 1000)
             report = GateReport(gate, known.number, cut, known.impaired, milliseconds)
@@ -205,7 +209,7 @@
                 known = self._known.get((service, gate))
                 if known is None or number > known.number:
                     said_at = now - age / 1000
-                    known = _Known(number, cut / _PARTS, impaired, said_at, [0])
+                    known = _Known(number, cut / _PARTS, impaired, said_at)
                     self._keep(service, gate, known)
 
     def cut(self, service: str, instances: int) -> float:
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -23,6 +23,7 @@
 )
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.journal import Journal
+from rattanfork_node.relay.results import answered, not_run
 from rattanfork_node.relay.upstream import Upstream
 from rattanfork_node.telemetry import Counters
 
@@ -40,19 +41,6 @@
 _SURGE_SAMPLE = 100
 #: Misdirected Request: another incarnation listens at the address.
 _MISDIRECTED = 421
-#: Reasons for which another instance may do better.
-_ELSEWHERE = frozenset(
-    (
-        Reason.LEAVING,
-        Reason.STALE_INSTANCE,
-        Reason.SHED,
-        Reason.TOO_LATE,
-        Reason.UPSTREAM_DOWN,
-        Reason.UPSTREAM_SHED,
-        Reason.NO_INSTANCE,
-        Reason.NO_REPEAT,
-    )
-)
 #: Reasons for which an arrival at the upstream came to nothing.
 _LOST = frozenset(
     (
@@ -230,7 +218,7 @@
         if not job.handed_over:
             self._withdraw(job, Reason.CANCELLED)
         elif job.connection is None:
-            self._end(job, _not_run(Reason.CANCELLED), False)
+            self._end(job, not_run(Reason.CANCELLED), False)
         elif job.idempotent:
             # Closing is what makes an upstream stop.  A run that must not be
             # repeated goes on, and so do its calls: cut off half-way, nobody
@@ -332,11 +320,11 @@
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
         time_left = job.deadline - self._clock.now()
         if connection is None:
-            self._end(job, _not_run(Reason.UPSTREAM_DOWN), False)
+            self._end(job, not_run(Reason.UPSTREAM_DOWN), False)
             return
         if job.ended or time_left <= 0 or not job.may_hand_over():
             self._pool.give_back(connection)
-            self._end(job, _not_run(Reason.TOO_LATE), False)
+            self._end(job, not_run(Reason.TOO_LATE), False)
             return
         names = self._names
         extra = b"%b: %d\r\n%b: %b\r\n" % (
@@ -365,11 +353,11 @@
             self._end(job, result, False)
         elif answer.status == _MISDIRECTED:
             self.misdirected = True
-            self._end(job, _not_run(Reason.STALE_INSTANCE), False)
+            self._end(job, not_run(Reason.STALE_INSTANCE), False)
         elif self._not_run_name in answer.headers:
-            self._end(job, _not_run(Reason.UPSTREAM_SHED), False)
+            self._end(job, not_run(Reason.UPSTREAM_SHED), False)
         else:
-            self._end(job, _answered(job, answer), True)
+            self._end(job, answered(job, answer), True)
 
     def _withdraw(self, job: Job, reason: Reason) -> None:
         self._admission.withdraw(job.waiter)
@@ -403,29 +391,10 @@
         self._counters.events[f"gate.{reason.label}"] += 1
         if job.granted:
             self.grants.take_back()
-        self._finish(job, _not_run(reason))
+        self._finish(job, not_run(reason))
 
     def _finish(self, job: Job, result: CallResult) -> None:
         job.ended = True
         upstream = self._upstream.name if self._upstream is not None else ""
         self._journal.on_run(job, result, self._admission, upstream)
         job.done(result)
-
-
-def _not_run(reason: Reason) -> CallResult:
-    elsewhere = reason in _ELSEWHERE
-    return CallResult(Outcome.NOT_RUN, reason, retry_elsewhere=elsewhere)
-
-
-def _answered(job: Job, answer: UpstreamAnswer) -> CallResult:
-    result = CallResult(
-        Outcome.ANSWERED, status=answer.status, block=answer.block, body=answer.body
-    )
-    if answer.status >= 500 and not job.failed_calls:
-        # The upstream failed by itself, which speaks against it: one that has
-        # turned slow fails posting after posting at its deadline, and was sent
-        # its full share as long as only reads counted.  Where a deeper call
-        # failed, another instance would make the same call and fail as well.
-        result.reason = Reason.UPSTREAM_FAILED
-        result.retry_elsewhere = job.idempotent
-    return result
