Tell at most sixteen reports in a datagram

Change: 16, the freshest. A service of twelve gates that sheds still fits. Ruled out: the marks and counts of each run, a few microseconds each. Figures: 151 and 123 us to tell and to hear a datagram of 48, 65 and 49 us of 16 (80 reports known, one run). Ages at 12 to 1,000 nodes with twelve gates are unchanged by it (test).

--- a/packages/rattanfork-core/rattanfork_core/hints/reports.py
+++ b/packages/rattanfork-core/rattanfork_core/hints/reports.py
@@ -37,8 +37,10 @@
 _TOLD_TIMES = 3
 #: Seconds after which a gate that sheds nothing says again what has not changed.
 _SAID_AGAIN_AFTER = 1.0
-#: Reports in one datagram, and those that are kept.
-_MOST_TOLD = 48
+#: Reports in one datagram, the freshest, and those that are kept.  Where a third of a
+#: fleet is impaired, all that is known of it in each datagram would cost more than the
+#: requests do.
+_MOST_TOLD = 16
 _MOST_KEPT = 4096
 
 
