--- a/packages/rattanfork-node/rattanfork_node/member/gate_news.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gate_news.py
@@ -7,8 +7,8 @@
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.telemetry import log_change
 
-#: Members that are told at each tick: news is half a second old at most for nine in
-#: ten of 300 nodes so.
+#: Members that are told at each tick: one alone would leave a fleet of hundreds
+#: without news for most of a second.
 _TOLD = 2
 
 
