Put a fingerprint on the lines of requests

Change: lines of requests and runs hold a hash of method, host, path, body and credentials, computed only where a line is written. No decision changes.

--- a/packages/rattanfork-core/rattanfork_core/request/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/request/__init__.py
@@ -9,6 +9,10 @@
     SendFence,
 )
 from rattanfork_core.request.fate import request_fate, request_rank
+from rattanfork_core.request.fingerprint import (
+    fingerprint_text,
+    request_fingerprint,
+)
 from rattanfork_core.request.importance import Importance
 from rattanfork_core.request.machine import RequestMachine
 from rattanfork_core.request.outcome import Outcome, Reason
@@ -29,7 +33,9 @@
     "SendCall",
     "SendCancel",
     "SendFence",
+    "fingerprint_text",
     "request_fate",
+    "request_fingerprint",
     "request_rank",
     "spread_retry_after",
 ]
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -6,12 +6,13 @@
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.objectives import RouteObjectives
-from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_core.request import CallResult, Outcome, Reason, fingerprint_text
 from rattanfork_core.revision import RevisionState
 from rattanfork_core.trace import loss_cause
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.relay.admitted import Admitted, Attempted
+from rattanfork_node.relay.fingerprints import fingerprint_of
 from rattanfork_node.telemetry import Counters, RequestLog
 
 if TYPE_CHECKING:
@@ -83,6 +84,7 @@
         request_id = exchange.request_id
         if self._log.wants(request_id, plain=False):
             fields = {
+                "fingerprint": _fingerprint(exchange),
                 "outcome": Outcome.NOT_RUN.label,
                 "reason": reason.label,
                 "status": status,
@@ -122,6 +124,7 @@
         fields = {
             "route": route.name,
             "service": admitted.service,
+            "fingerprint": _fingerprint(exchange),
             "outcome": outcome,
             "reason": result.reason.label,
             "status": status,
@@ -163,6 +166,7 @@
         fields: dict[str, Any] = {
             "operation": job.operation,
             "origin": job.origin,
+            "fingerprint": _fingerprint(job),
             "outcome": outcome,
             "reason": result.reason.label,
             "status": result.status,
@@ -187,5 +191,12 @@
         }
 
 
+def _fingerprint(request: Exchange | Job) -> str:
+    fingerprint = fingerprint_of(
+        request.method, request.target, request.block, request.body
+    )
+    return fingerprint_text(fingerprint)
+
+
 def _milliseconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_journal.py
@@ -115,3 +115,32 @@
     world = RelayWorld()
     world.ask()
     assert counted(world) == {"r": (0, 1)}
+
+
+@on_loop
+async def test_attempts_of_one_caller_share_a_fingerprint():
+    """Guards against lines by which nobody sees that a request has come again."""
+    world = RelayWorld(peers=1)
+    world.ask("/a/x", request_id="r1")
+    world.links[0].reply(0, UNKNOWN, Reason.CONNECTION)
+    world.ask("/a/x", request_id="r2")
+    world.links[0].reply(1, UNKNOWN, Reason.CONNECTION)
+    world.ask("/a/y", request_id="r3")
+    world.links[0].reply(2, UNKNOWN, Reason.CONNECTION)
+    first, again, other = (line["fingerprint"] for line in world.log.lines)
+    assert first == again != other
+
+
+@on_loop
+async def test_gate_and_first_node_give_a_request_the_same_fingerprint():
+    """Guards against lines of two nodes that can't be put together."""
+    world = RelayWorld(peers=1)
+    world.ask("/a/x")
+    run = world.links[0].runs[0][0]
+    world.links[0].reply(0, UNKNOWN, Reason.CONNECTION)
+    gate = GateWorld()
+    gate.submit(target=run.target, block=run.block, body=run.body)
+    gate.pool.connections[0].done(None)
+    [at_first_node] = world.log.lines
+    [at_gate] = gate.log.lines
+    assert at_first_node["fingerprint"] == at_gate["fingerprint"]
