Tell that an upstream has crashed, and what was under way

Change: after a lost answer the gate looks whether connections are left and, if not, whether the upstream takes new ones; a silent one is told by its successor. The line names the requests that were under way and that have not succeeded there lately. Who left in an orderly way accuses nobody. No decision about a request changes.

--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -83,6 +83,13 @@
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
+    async def accepts(self) -> bool:
+        """Return whether the upstream takes a new connection, and keep that idle."""
+        connection = await self._open_connection()
+        if connection is not None:
+            self._on_idle(connection)
+        return connection is not None
+
     def give_back(self, connection: UpstreamConnection) -> None:
         """Take back a connection on which nothing was sent."""
         self._on_idle(connection)
@@ -146,6 +153,9 @@
     async def _connect(
         self, taken: Callable[[UpstreamConnection | None], None]
     ) -> None:
+        taken(await self._open_connection())
+
+    async def _open_connection(self) -> UpstreamConnection | None:
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT):
@@ -160,10 +170,9 @@
                     *self._address,
                 )
         except (OSError, TimeoutError):
-            taken(None)
-            return
+            return None
         self._open.add(connection)
-        taken(connection)
+        return connection
 
     def _on_idle(self, connection: UpstreamConnection) -> None:
         if self._closed:
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -12,7 +12,8 @@
 )
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ChainReach, HintTable, UpstreamHealth
-from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_core.quarantine import CrashWitness
+from rattanfork_core.request import CallResult, Outcome, Reason, fingerprint_text
 
 from rattanfork_node.http1 import (
     HeaderNames,
@@ -21,11 +22,12 @@
     UpstreamPool,
     render_head,
 )
+from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.journal import Journal
 from rattanfork_node.relay.results import answered, not_run
 from rattanfork_node.relay.upstream import Upstream
-from rattanfork_node.telemetry import Counters
+from rattanfork_node.telemetry import Counters, log_change
 
 #: Part of an upstream's slots that is used.  Some upstreams slow down when they
 #: are nearly full: one that takes 1.3 times as long from 95% on does a fifth
@@ -50,6 +52,8 @@
         Reason.STALE_INSTANCE,
     )
 )
+#: Requests named on the line of a crash.
+_MOST_LOGGED = 32
 #: The only instance whose deeper services are kept here: the gate's own upstream.
 _HERE = ""
 
@@ -127,6 +131,8 @@
         self._leaving = False
         #: Set when the upstream turned out to be another incarnation.
         self.misdirected = False
+        self._witness = CrashWitness(clock)
+        self._crash_detector = CrashDetector(self._witness, self._on_crash)
 
     @property
     def upstream(self) -> Upstream | None:
@@ -162,6 +168,9 @@
         """Take new work for an upstream that announced itself."""
         known = self._upstream
         if known is None or not upstream.continues(known):
+            if known is not None and self._accepting:
+                under_way = (j for j in self._jobs.values() if j.connection is not None)
+                self._crash_detector.on_replaced([j.fingerprint for j in under_way])
             self._replace(upstream, connections)
             if known is not None and known.name == upstream.name:
                 self._end_runs_of_predecessor()
@@ -242,6 +251,7 @@
 
     def close(self) -> None:
         """Close all connections to the upstream."""
+        self._crash_detector.close()
         if self._pool is not None:
             self._pool.close()
 
@@ -275,6 +285,7 @@
         if self._pool is not None:
             self._pool.retire()
         self._pool = self._make_pool(upstream, connections)
+        self._crash_detector.watch(self._pool)
         self._admission.restart()
         self.health = UpstreamHealth(self._clock)
 
@@ -351,6 +362,8 @@
                 Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True
             )
             self._end(job, result, False)
+            if self._accepting:
+                self._crash_detector.on_lost(job.fingerprint)
         elif answer.status == _MISDIRECTED:
             self.misdirected = True
             self._end(job, not_run(Reason.STALE_INSTANCE), False)
@@ -359,6 +372,15 @@
         else:
             self._end(job, answered(job, answer), True)
 
+    def _on_crash(self, accused: frozenset[int]) -> None:
+        self._counters.events["gate.upstream-crashed"] += 1
+        log_change(
+            "upstream_crashed",
+            upstream=self._upstream.name,
+            accused=len(accused),
+            fingerprints=[fingerprint_text(f) for f in sorted(accused)[:_MOST_LOGGED]],
+        )
+
     def _withdraw(self, job: Job, reason: Reason) -> None:
         self._admission.withdraw(job.waiter)
         self._jobs.pop(job.waiter.key, None)
@@ -384,6 +406,7 @@
 
     def _note_reach(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
+            self._witness.on_success(job.fingerprint)
             self.reach.on_run(job.operation, job.reached)
         result.reach = self.reach.services(job.operation)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -7,6 +7,7 @@
 from rattanfork_core.request import CallResult
 
 from rattanfork_node.http1 import UpstreamConnection
+from rattanfork_node.relay.fingerprints import fingerprint_of
 
 
 def _always() -> bool:
@@ -78,6 +79,11 @@
     #: Stops the calls that the run has made.
     cancels: dict[int, Callable[[], None]] = field(default_factory=dict)
 
+    @property
+    def fingerprint(self) -> int:
+        """What the request asks for, the same for all attempts at it."""
+        return fingerprint_of(self.method, self.target, self.block, self.body)
+
     @property
     def is_repeat(self) -> bool:
         """Whether it, or the run that made it, has arrived before."""
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -166,7 +166,7 @@
         fields: dict[str, Any] = {
             "operation": job.operation,
             "origin": job.origin,
-            "fingerprint": _fingerprint(job),
+            "fingerprint": fingerprint_text(job.fingerprint),
             "outcome": outcome,
             "reason": result.reason.label,
             "status": result.status,
@@ -191,9 +191,9 @@
         }
 
 
-def _fingerprint(request: Exchange | Job) -> str:
+def _fingerprint(exchange: Exchange) -> str:
     fingerprint = fingerprint_of(
-        request.method, request.target, request.block, request.body
+        exchange.method, exchange.target, exchange.block, exchange.body
     )
     return fingerprint_text(fingerprint)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -62,6 +62,12 @@
         self.broken = False
         self.held: list = []
         self.holding = False
+        #: Connections that are open, and whether the upstream takes new ones.
+        self.open = 1
+        self.accepting = True
+
+    async def accepts(self) -> bool:
+        return self.accepting
 
     def acquire(self, taken, repeatable=True) -> None:
         if self.holding:
@@ -106,6 +112,7 @@
         )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
+        self.gate._crash_detector.watch(self.pool)
 
     def submit(self, request_id: str = "r1", rank: float = 2.5, **changes):
         results: list[CallResult] = []
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -3,7 +3,7 @@
 import pytest
 from rattanfork_core.request import Outcome, Reason
 
-from rattanfork_node.relay.tests.fakes import FakeConnection
+from rattanfork_node.relay.tests.fakes import FakeConnection, on_loop
 from rattanfork_node.relay.tests.fakes import GateWorld as World
 
 
@@ -48,7 +48,8 @@
 
 
 @pytest.mark.parametrize("idempotent", [True, False])
-def test_after_a_lost_connection_nobody_knows_whether_it_ran(idempotent):
+@on_loop
+async def test_after_a_lost_connection_nobody_knows_whether_it_ran(idempotent):
     world = World()
     _, results = world.submit(idempotent=idempotent)
     world.pool.connections[0].done(None)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate_faults.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate_faults.py
@@ -12,6 +12,7 @@
     FakeConnection,
     FakeUpstreamPool,
     GateWorld,
+    on_loop,
 )
 from rattanfork_node.relay.upstream import Upstream
 
@@ -134,7 +135,10 @@
 
 @pytest.mark.parametrize("idempotent", [True, False])
 @pytest.mark.parametrize("holding", [True, False])
-def test_any_three_events_leave_one_true_result_and_no_slot_lost(idempotent, holding):
+@on_loop
+async def test_any_three_events_leave_one_true_result_and_no_slot_lost(
+    idempotent, holding
+):
     """Two requests are at a gate with one slot; three things happen to them.
 
     Whatever they are and in whatever order, each request has one result; it is
