Quarantine requests that end the upstreams that run them

What callers saw: receipt lookups refused or failed for 3 to 4 s at a time, as all three instances of their service ended within half a second, again and again; 12 and 17 incarnations ended under two requests.

Cause: a query of death. Each attempt of its caller has a new ID and enters at another node; nothing that a node or gate keeps outlived the attempt, so the request was as good as any other to each of them, and after each lost run went to a second upstream at once. Its class: failures were counted against who failed, never against what was asked.

Change: a gate whose upstream has crashed reports what was under way there and has not succeeded there lately, by fingerprint; reports travel as datagrams, pushed at once and passed on; a request under which two incarnations have ended is refused as not run by first nodes and gates for 300 s, and four times as long with each further end, then tried at one upstream. What is held is told again each second, and kept in the store by those whose upstream ended, in the table that each start reads anyway, so that it outlives all nodes and adds no read. One attempt loses two upstreams at most.

--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -7,8 +7,10 @@
 from rattanfork_core.membership.membership import Membership
 from rattanfork_core.membership.messages import (
     Ack,
+    CrashNews,
     GateNews,
     GossipMessage,
+    News,
     Ping,
     PingRequest,
     Send,
@@ -23,6 +25,7 @@
 __all__ = [
     "Ack",
     "BucketDigest",
+    "CrashNews",
     "DutyRoster",
     "GossipMessage",
     "HeldVersions",
@@ -31,6 +34,7 @@
     "Membership",
     "MembershipSettings",
     "NEVER",
+    "News",
     "Ping",
     "PingRequest",
     "RumourQueue",
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -9,6 +9,7 @@
 from rattanfork_core.hints import GateReport, ServiceReports
 from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member
+from rattanfork_core.quarantine import CrashReport
 
 _MAC_BYTES = 12
 #: Longest datagram; below the usual MTU so that none is fragmented.
@@ -53,8 +54,16 @@
     reports: ServiceReports
 
 
+class CrashNews(NamedTuple):
+    """Tells which requests were under way when upstreams crashed; nobody answers it."""
+
+    reports: tuple[CrashReport, ...]
+
+
+#: What is passed on by anybody who receives it, and answered by nobody.
+News = GateNews | CrashNews
 GossipMessage = Ping | Ack | PingRequest
-_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews)
+_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews, CrashNews)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,13 +74,13 @@
     message: GossipMessage
 
 
-def encode_gossip(message: GossipMessage | GateNews, key: bytes) -> bytes:
+def encode_gossip(message: GossipMessage | News, key: bytes) -> bytes:
     """Return a message as an authenticated datagram."""
     body = msgpack.packb((_KINDS.index(type(message)), *message))
     return hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES] + body
 
 
-def decode_gossip(data: bytes, key: bytes) -> GossipMessage | GateNews:
+def decode_gossip(data: bytes, key: bytes) -> GossipMessage | News:
     """Return the message of a datagram.
 
     Raises
@@ -101,6 +110,9 @@
         message_type = _KINDS[kind]
         if message_type is GateNews:
             return _gate_news(*fields)
+        if message_type is CrashNews:
+            [reports] = fields
+            return CrashNews(tuple(CrashReport.from_fields(r) for r in reports))
         number, sender, target, held, rumours = fields
     except Exception as error:
         raise ValueError("malformed datagram") from error
--- a/packages/rattanfork-core/rattanfork_core/quarantine/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/__init__.py
@@ -1,5 +1,15 @@
 """Requests that end the upstreams that run them."""
 
+from rattanfork_core.quarantine.quarantine import Quarantine
+from rattanfork_core.quarantine.record import from_row, to_row
+from rattanfork_core.quarantine.report import CrashReport, incarnation_hash
 from rattanfork_core.quarantine.witness import CrashWitness
 
-__all__ = ["CrashWitness"]
+__all__ = [
+    "CrashReport",
+    "CrashWitness",
+    "Quarantine",
+    "from_row",
+    "incarnation_hash",
+    "to_row",
+]
--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -75,6 +75,8 @@
     NO_ROUTE = 24
     #: The gate has no repeat left for a request that had arrived before.
     NO_REPEAT = 25
+    #: Upstreams that ran the request have ended, so no other one gets it.
+    QUARANTINED = 26
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-node/rattanfork_node/app/observer.py
+++ b/packages/rattanfork-node/rattanfork_node/app/observer.py
@@ -5,6 +5,7 @@
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.membership import Member, Membership, MemberStatus
+from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.revision import RevisionState
 from rattanfork_platform import WatchedPlatform
 
@@ -30,6 +31,8 @@
         Who is there.
     gate : Gate
         This node's gate.
+    quarantine : Quarantine
+        The requests that no upstream may run.
     configuration : ConfigurationHolder
         The configuration in force.
     rules : RevisionState
@@ -49,6 +52,7 @@
         counters: Counters,
         membership: Membership,
         gate: Gate,
+        quarantine: Quarantine,
         configuration: ConfigurationHolder,
         rules: RevisionState,
         platform: WatchedPlatform,
@@ -60,6 +64,7 @@
         self._counters = counters
         self._membership = membership
         self._gate = gate
+        self._quarantine = quarantine
         self._configuration = configuration
         self._rules = rules
         self._platform = platform
@@ -126,6 +131,7 @@
             "slots": self._gate.slots,
             "cut": self._gate.own_cut,
             "accepting": int(self._gate.accepting),
+            "quarantined": len(self._quarantine.held),
             "impaired": int(self._gate.health.impaired),
             "repeats_granted": self._gate.grants.spent,
             "repeats_allowed": self._gate.grants.allowed,
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -15,6 +15,7 @@
     MembershipSettings,
 )
 from rattanfork_core.objectives import RouteObjectives
+from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.revision import RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LineBudget
@@ -34,6 +35,7 @@
 from rattanfork_node.member import MemberTask
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.member.gate_news import GateNewsTask
+from rattanfork_node.member.quarantine_task import QuarantineTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import Departure, Gate, Journal, Relay, RelayPeerHandler
 from rattanfork_node.telemetry import (
@@ -173,6 +175,7 @@
             MembershipSettings(pushes=_PUSHES, push_interval=_TICK),
         )
         self._reports = GateReports(self._clock, me.name)
+        self._quarantine = Quarantine(self._clock)
         self._membership.on_status = lambda *news: self._observer.on_member(*news)
         self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
@@ -193,6 +196,7 @@
             RepeatGrants(
                 self._clock, relay.repeat_ratio, relay.repeat_extra, relay.repeat_window
             ),
+            self._quarantine,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -220,6 +224,15 @@
         self._gate_news = GateNewsTask(
             self._reports, self._membership, self._member, self._gate
         )
+        self._quarantine_task = QuarantineTask(
+            self._quarantine,
+            self._membership,
+            self._member,
+            self._platform,
+            self._random,
+            time.time,
+        )
+        self._gate.on_crash = self._quarantine_task.on_crash
         self._store = StoreTasks(
             self._clock,
             self._random,
@@ -231,6 +244,7 @@
             self._member,
             self._pool,
             self._counters,
+            self._quarantine_task.read_record,
         )
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
@@ -255,6 +269,7 @@
             self._counters,
             self._journal,
             self._reports,
+            self._quarantine,
         )
         self._observer = Observer(
             self._clock,
@@ -262,6 +277,7 @@
             self._counters,
             self._membership,
             self._gate,
+            self._quarantine,
             self._configuration,
             self._rules,
             self._platform,
@@ -336,6 +352,7 @@
             self._gate.tick()
             self._member.tick()
             self._gate_news.tick()
+            self._quarantine_task.tick()
             self._pool.heartbeat()
             self._keeper.tick()
             self._log.flush()
@@ -376,6 +393,7 @@
         return status
 
     def _stop(self) -> None:
+        self._quarantine_task.close()
         self._store.close()
         self._member.close()
         for _, server in self._servers:
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -1,5 +1,6 @@
 """The tasks of a node that speak to the store."""
 
+from collections.abc import Callable
 from random import Random
 
 from rattanfork_core.clock import BootClock, Clock
@@ -47,6 +48,8 @@
         Connections to other nodes.
     counters : Counters
         What happened.
+    on_quarantine : callable
+        Gets what instances have kept of the quarantine.
     """
 
     def __init__(
@@ -61,11 +64,12 @@
         member_task: MemberTask,
         pool: PeerPool,
         counters: Counters,
+        on_quarantine: Callable[[object], None],
     ) -> None:
         self._configuration = configuration
         self._rules = rules
         roster = DutyRoster(membership, "confirmation", _READERS)
-        self._join = JoinTask(random, platform, membership, member_task)
+        self._join = JoinTask(random, platform, membership, member_task, on_quarantine)
         self._configuration_task = ConfigurationTask(
             clock,
             random,
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -8,6 +8,7 @@
 
 from rattanfork_node.http1.client import HttpClient
 from rattanfork_node.http1.exchange import Exchange
+from rattanfork_node.http1.fingerprints import fingerprint_of
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
@@ -28,6 +29,7 @@
     "UpstreamAnswer",
     "UpstreamConnection",
     "UpstreamPool",
+    "fingerprint_of",
     "render_answer",
     "render_head",
 ]
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from rattanfork_node.http1.fingerprints import fingerprint_of
+
 
 class Exchange:
     """One request that was read whole, and the place for its answer.
@@ -75,6 +77,11 @@
         """The path without its query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def fingerprint(self) -> int:
+        """What the request asks for, the same for all attempts at it."""
+        return fingerprint_of(self.method, self.target, self.block, self.body)
+
     def answer(self, status: int, block: bytes = b"", body: bytes = b"") -> None:
         """Give the final answer; later calls do nothing.
 
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -1,22 +1,29 @@
 """How a node finds the others through the store."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable
 from random import Random
 
 import orjson
 from rattanfork_core.membership import Member, Membership
-from rattanfork_platform import PlatformDownError, Row, WatchedPlatform
+from rattanfork_platform import PlatformDownError, Rows, WatchedPlatform
 
 from rattanfork_node.member.task import MemberTask
 from rattanfork_node.telemetry import log_change
 
 _TABLE = "members"
+#: Begins the keys of rows that hold what instances know of the quarantine.  They stand
+#: beside the members' records so that the one read at a start brings both.
+_QUARANTINE = "quarantine:"
 #: Seconds between tries while the store does not answer: first and longest.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 2.0
 
 
+def _ignore(value: object) -> None:
+    pass
+
+
 class JoinTask:
     """Writes this node's record to the store, then reads those of others.
 
@@ -42,6 +49,8 @@
         The view to fill.
     member_task : MemberTask
         Told of addresses to compare views with.
+    on_quarantine : callable
+        Gets the value of each row that holds what an instance knows of the quarantine.
     """
 
     def __init__(
@@ -50,11 +59,13 @@
         platform: WatchedPlatform,
         membership: Membership,
         member_task: MemberTask,
+        on_quarantine: Callable[[object], None] = _ignore,
     ) -> None:
         self._random = random
         self._platform = platform
         self._membership = membership
         self._member_task = member_task
+        self._on_quarantine = on_quarantine
         self._task: asyncio.Task | None = None
         self._joined = False
 
@@ -91,16 +102,20 @@
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
                 continue
-            self._take(rows.rows.values())
+            self._take(rows)
             self._joined = True
         log_change("joined", members=len(self._membership.members))
 
-    def _take(self, rows: Iterable[Row]) -> None:
+    def _take(self, rows: Rows) -> None:
         me = self._membership.me
         members = []
-        for row in rows:
+        for key, row in rows.rows.items():
             try:
-                member = Member.from_fields(orjson.loads(row.value))
+                value = orjson.loads(row.value)
+                if key.startswith(_QUARANTINE):
+                    self._on_quarantine(value)
+                    continue
+                member = Member.from_fields(value)
             except ValueError as error:
                 log_change("record_malformed", error=str(error))
                 continue
@@ -112,3 +127,8 @@
 
     def _row_key(self) -> str:
         return f"{_TABLE}/{self._membership.me.instance}"
+
+
+def quarantine_key(instance: str) -> str:
+    """Return the key of the row in which an instance keeps its quarantine."""
+    return f"{_TABLE}/{_QUARANTINE}{instance}"
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -7,15 +7,18 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ServiceReports
 from rattanfork_core.membership import (
+    CrashNews,
     GateNews,
     HeldVersions,
     Member,
     Membership,
+    News,
     Send,
     SyncSchedule,
     decode_gossip,
     encode_gossip,
 )
+from rattanfork_core.quarantine import CrashReport
 
 from rattanfork_node.peer import LinkLostError, PeerPool, SyncRequest
 from rattanfork_node.telemetry import Counters, log_change
@@ -78,6 +81,8 @@
         self.on_held: Callable[[HeldVersions], None] = _ignore
         #: Told of reports of gates that others pass on.
         self.on_reports: Callable[[ServiceReports], None] = _ignore
+        #: Told of crashes of upstreams that others pass on.
+        self.on_crashes: Callable[[tuple[CrashReport, ...]], None] = _ignore
 
     @property
     def sent_bytes(self) -> int:
@@ -128,11 +133,14 @@
         if isinstance(message, GateNews):
             self.on_reports(message.reports)
             return
+        if isinstance(message, CrashNews):
+            self.on_crashes(message.reports)
+            return
         self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
 
-    def pass_on(self, news: GateNews, count: int) -> None:
-        """Send news of gates to so many members drawn at random."""
+    def pass_on(self, news: News, count: int) -> None:
+        """Send news to so many members drawn at random."""
         data = encode_gossip(news, self._key)
         for member in self._membership.some(count):
             self._send(data, member.address)
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -42,6 +42,8 @@
 #: Gates that may deny one request a repeat before it is given up: their parts of
 #: the bound fill alike, and each that is asked costs a message.
 _MOST_DENIED = 2
+#: Runs of one request that may end with the connection to their upstream.
+_MOST_LOST_RUNS = 2
 #: Results that say that the request was at an upstream: another attempt is a
 #: repeated arrival there.
 _ARRIVED = frozenset(
@@ -89,6 +91,7 @@
         "_job",
         "_last_reason",
         "_link",
+        "_lost_runs",
         "_machine",
         "_number",
         "_parent",
@@ -109,6 +112,7 @@
         self._repeated = admitted.parent is not None and admitted.parent.is_repeat
         self._arrived = False
         self._denied = 0
+        self._lost_runs = 0
         self._attempt = 0
         self._attempted: list[Attempted] = []
         self._last_reason = Reason.NONE
@@ -155,6 +159,8 @@
 
     def _may_retry(self) -> bool:
         admitted = self._admitted
+        if self._last_reason is Reason.CONNECTION and not self._may_retry_lost():
+            return False
         if self._last_reason is Reason.TOO_LATE:
             # Cut off by the timeout, the next attempt would have to be called
             # one that may have run; now it is known that nothing has.
@@ -163,6 +169,13 @@
         # The gate that is asked next decides on a repeated arrival.
         return self._denied < _MOST_DENIED
 
+    def _may_retry_lost(self) -> bool:
+        """Return whether another upstream may get what one was lost under."""
+        if self._lost_runs >= _MOST_LOST_RUNS:
+            return False
+        quarantine = self._relay.quarantine
+        return not len(quarantine) or quarantine.may_retry(self._exchange.fingerprint)
+
     def _on_deadline(self) -> None:
         state = self._state
         if state is not None and state.latency:
@@ -314,6 +327,7 @@
         self._last_reason = result.reason
         self._arrived |= result.reason in _ARRIVED
         self._denied += result.reason is Reason.NO_REPEAT
+        self._lost_runs += result.reason is Reason.CONNECTION
         if 200 <= result.status < 300:
             self._note_reach(result)
         if result.reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -1,6 +1,6 @@
 """The gate in front of this node's upstream."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from rattanfork_core.account import RepeatGrants
 from rattanfork_core.admission import (
@@ -12,7 +12,7 @@
 )
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ChainReach, HintTable, UpstreamHealth
-from rattanfork_core.quarantine import CrashWitness
+from rattanfork_core.quarantine import CrashWitness, Quarantine, incarnation_hash
 from rattanfork_core.request import CallResult, Outcome, Reason, fingerprint_text
 
 from rattanfork_node.http1 import (
@@ -87,6 +87,8 @@
         Told what became of each request.
     grants : RepeatGrants
         Decides which repeats may arrive.
+    quarantine : Quarantine
+        Knows the requests that no upstream may run.
     """
 
     def __init__(
@@ -97,9 +99,14 @@
         counters: Counters,
         journal: Journal,
         grants: RepeatGrants,
+        quarantine: Quarantine,
     ) -> None:
         self._clock = clock
         self.grants = grants
+        self._quarantine = quarantine
+        #: Gets the incarnation of the upstream that has crashed, and the requests
+        #: that may have ended it.
+        self.on_crash: Callable[[int, frozenset[int]], None] = quarantine.report
         self._journal = journal
         self._boot = boot
         self._names = names
@@ -337,6 +344,10 @@
             self._pool.give_back(connection)
             self._end(job, not_run(Reason.TOO_LATE), False)
             return
+        if self._quarantine.active and self._quarantine.holds(job.fingerprint):
+            self._pool.give_back(connection)
+            self._end(job, not_run(Reason.QUARANTINED), False)
+            return
         names = self._names
         extra = b"%b: %d\r\n%b: %b\r\n" % (
             names.deadline,
@@ -380,6 +391,9 @@
             accused=len(accused),
             fingerprints=[fingerprint_text(f) for f in sorted(accused)[:_MOST_LOGGED]],
         )
+        if accused:
+            upstream = self._upstream
+            self.on_crash(incarnation_hash(upstream.name, upstream.born), accused)
 
     def _withdraw(self, job: Job, reason: Reason) -> None:
         self._admission.withdraw(job.waiter)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -6,8 +6,7 @@
 from rattanfork_core.admission import Waiter
 from rattanfork_core.request import CallResult
 
-from rattanfork_node.http1 import UpstreamConnection
-from rattanfork_node.relay.fingerprints import fingerprint_of
+from rattanfork_node.http1 import UpstreamConnection, fingerprint_of
 
 
 def _always() -> bool:
--- a/packages/rattanfork-node/rattanfork_node/relay/journal.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/journal.py
@@ -12,7 +12,6 @@
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.relay.admitted import Admitted, Attempted
-from rattanfork_node.relay.fingerprints import fingerprint_of
 from rattanfork_node.telemetry import Counters, RequestLog
 
 if TYPE_CHECKING:
@@ -84,7 +83,7 @@
         request_id = exchange.request_id
         if self._log.wants(request_id, plain=False):
             fields = {
-                "fingerprint": _fingerprint(exchange),
+                "fingerprint": fingerprint_text(exchange.fingerprint),
                 "outcome": Outcome.NOT_RUN.label,
                 "reason": reason.label,
                 "status": status,
@@ -124,7 +123,7 @@
         fields = {
             "route": route.name,
             "service": admitted.service,
-            "fingerprint": _fingerprint(exchange),
+            "fingerprint": fingerprint_text(exchange.fingerprint),
             "outcome": outcome,
             "reason": result.reason.label,
             "status": status,
@@ -191,12 +190,5 @@
         }
 
 
-def _fingerprint(exchange: Exchange) -> str:
-    fingerprint = fingerprint_of(
-        exchange.method, exchange.target, exchange.block, exchange.body
-    )
-    return fingerprint_text(fingerprint)
-
-
 def _milliseconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -16,6 +16,7 @@
     HintTable,
 )
 from rattanfork_core.membership import Membership
+from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.request import (
     CallResult,
     Outcome,
@@ -99,6 +100,8 @@
         Told what was decided on each request.
     reports : GateReports
         What the gates of the fleet tell.
+    quarantine : Quarantine
+        Knows the requests that no upstream may run.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         counters: Counters,
         journal: Journal,
         reports: GateReports,
+        quarantine: Quarantine,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
@@ -123,6 +127,7 @@
         self.pool = pool
         self.gate = gate
         self.counters = counters
+        self.quarantine = quarantine
         self.early = EarlyRefusal(clock)
         #: Services behind the operations that callers ask for here.
         self.reach = ChainReach()
@@ -155,8 +160,17 @@
             self._journal.on_refused(exchange, 404, Reason.NO_ROUTE)
             exchange.answer(404, self._id_line(exchange))
             return
-        exchange.block += self._caller_line
         parent = self.gate.parent_of(exchange.request_id)
+        if self.quarantine.active and self.quarantine.holds(exchange.fingerprint):
+            self._refuse(
+                exchange,
+                Reason.QUARANTINED,
+                self.quarantine.seconds_left(exchange.fingerprint),
+                is_call=parent is not None,
+                route=route.name,
+            )
+            return
+        exchange.block += self._caller_line
         service = self._configuration.next_service(route)
         picker = self.directory.picker(service)
         if picker is None or not picker.subset:
@@ -285,7 +299,10 @@
         if result.status:
             exchange.answer(status, result.block, result.body)
         elif outcome is Outcome.NOT_RUN:
-            self._answer_not_run(exchange, reason, self._return_after(admitted.rank))
+            after = self._return_after(admitted.rank)
+            if reason is Reason.QUARANTINED:
+                after = self.quarantine.seconds_left(exchange.fingerprint)
+            self._answer_not_run(exchange, reason, after)
         else:
             exchange.answer(status, self._id_line(exchange))
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -9,6 +9,7 @@
 from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.objectives import RouteObjectives
+from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.request import CallResult
 from rattanfork_core.revision import RevisionState, RulesRecord
 from rattanfork_core.routes import Configuration, Route, Share
@@ -107,8 +108,15 @@
         holder, rules = ConfigurationHolder(lambda _: None), RevisionState()
         journal = Journal(self.clock, self.log, Counters(), holder, rules)
         self.grants = RepeatGrants(self.clock, ratio=0.2, extra=48, window=10)
+        self.quarantine = Quarantine(self.clock)
         self.gate = Gate(
-            self.clock, "b1", HeaderNames(), Counters(), journal, self.grants
+            self.clock,
+            "b1",
+            HeaderNames(),
+            Counters(),
+            journal,
+            self.grants,
+            self.quarantine,
         )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
@@ -231,6 +239,8 @@
         self.gate_world = GateWorld(8)
         self.gate = self.gate_world.gate
         self.gate._clock = self.clock
+        self.quarantine = self.gate_world.quarantine = Quarantine(self.clock)
+        self.gate._quarantine = self.quarantine
         holder = ConfigurationHolder(
             lambda _: Configuration(1, (self.route, self.inner), {})
         )
@@ -259,6 +269,7 @@
                 self.objectives,
             ),
             self.reports,
+            self.quarantine,
         )
 
     def accept_rules(self, text: str) -> None:
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_quarantine.py
@@ -0,0 +1,138 @@
+"""What a node does with requests that end the upstreams that run them."""
+
+from rattanfork_core.request import Outcome, Reason
+
+from rattanfork_node.relay.tests.fakes import GateWorld, RelayWorld, on_loop
+
+ANSWERED, NOT_RUN, UNKNOWN = Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN
+
+
+def convict(world, fingerprint: int) -> None:
+    """Let two upstreams have ended under a request."""
+    world.quarantine.report(1, [fingerprint])
+    world.quarantine.report(2, [fingerprint])
+
+
+@on_loop
+async def test_first_node_refuses_what_is_quarantined():
+    world = RelayWorld(peers=1)
+    first = world.ask("/a/x")
+    convict(world, first.fingerprint)
+    refused = world.ask("/a/x", request_id="r2")
+    other = world.ask("/a/y", request_id="r3")
+    status, block, _ = refused.output
+    assert status == 503
+    assert b"Retry-After: 300" in block
+    assert len(world.links[0].runs) == 2
+    assert other.output is None
+    assert world.log.lines[-1]["reason"] == "quarantined"
+
+
+@on_loop
+async def test_quarantined_request_is_let_in_after_its_time():
+    world = RelayWorld(peers=1)
+    first = world.ask("/a/x")
+    convict(world, first.fingerprint)
+    world.clock.advance(301)
+    world.ask("/a/x", request_id="r2")
+    assert len(world.links[0].runs) == 2
+
+
+def test_gate_does_not_run_what_is_quarantined():
+    """Guards against a first node that has not received the report yet."""
+    world = GateWorld(slots=4)
+    probe, _ = world.submit("r0")
+    convict(world, probe.fingerprint)
+    _, results = world.submit("r1")
+    assert [(r.outcome, r.reason) for r in results] == [(NOT_RUN, Reason.QUARANTINED)]
+    assert not results[0].retry_elsewhere
+    assert [c.sent for c in world.pool.connections[1:]] == [b""]
+    assert world.gate.busy == 1
+
+
+def test_waiting_request_is_not_run_once_it_is_quarantined():
+    world = GateWorld(slots=1)
+    world.submit("r0", target=b"/other")
+    waiting, results = world.submit("r1")
+    convict(world, waiting.fingerprint)
+    world.answer(0)
+    assert results[0].reason is Reason.QUARANTINED
+
+
+@on_loop
+async def test_caller_of_a_request_refused_at_a_gate_learns_when_to_return():
+    world = RelayWorld(peers=1)
+    exchange = world.ask("/a/x")
+    convict(world, exchange.fingerprint)
+    world.links[0].reply(0, NOT_RUN, Reason.QUARANTINED)
+    status, block, _ = exchange.output
+    assert status == 503
+    assert b"Retry-After: 300" in block
+
+
+@on_loop
+async def test_request_that_lost_two_upstreams_is_not_sent_to_a_third():
+    """Guards against one attempt that ends every instance of a service."""
+    world = RelayWorld(peers=4, most_upstreams=4)
+    exchange = world.ask("/a/x")
+    for _ in range(4):
+        for link, place in world.runs:
+            if place == len(link.runs) - 1 and not exchange.answered:
+                link.reply(place, UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
+    assert len(world.runs) == 2
+    assert exchange.output[0] == 502
+
+
+@on_loop
+async def test_lost_run_is_sent_to_a_second_upstream_beside_other_suspects():
+    """Guards against reads that fail whenever an upstream ends by itself."""
+    world = RelayWorld(peers=2, most_upstreams=2)
+    exchange = world.ask("/a/x")
+    world.quarantine.report(1, [exchange.fingerprint])
+    [(link, place)] = world.runs
+    link.reply(place, UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
+    assert len(world.runs) == 2
+
+
+@on_loop
+async def test_request_on_trial_ends_one_upstream_at_most():
+    world = RelayWorld(peers=2, most_upstreams=2)
+    probe = world.ask("/a/x")
+    convict(world, probe.fingerprint)
+    world.clock.advance(301)
+    exchange = world.ask("/a/x", request_id="r2")
+    ran = len(world.runs)
+    link, place = next(
+        (link, place)
+        for link, place in world.runs
+        if link.runs[place][0].request_id == b"r2"
+    )
+    link.reply(place, UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
+    assert len(world.runs) == ran
+    assert exchange.output[0] == 502
+
+
+@on_loop
+async def test_crash_of_the_own_upstream_is_reported_with_what_was_under_way():
+    world = GateWorld(slots=4)
+    reports = []
+    world.gate.on_crash = lambda *report: reports.append(report)
+    job, _ = world.submit("r1")
+    world.pool.open, world.pool.accepting = 0, False
+    world.pool.connections[0].done(None)
+    await world.gate._crash_detector._task
+    assert [accused for _, accused in reports] == [{job.fingerprint}]
+
+
+@on_loop
+async def test_what_this_gate_has_seen_succeed_is_not_reported():
+    world = GateWorld(slots=4)
+    reports = []
+    world.gate.on_crash = lambda *report: reports.append(report)
+    world.submit("r1")
+    world.answer(0)
+    world.submit("r2")
+    world.pool.open, world.pool.accepting = 0, False
+    world.pool.connections[1].done(None)
+    await world.gate._crash_detector._task
+    assert reports == []
