Let the soak send a request that ends the workers that run it

Change: a client of its own sends one at any node throughout a soak; workers that it has ended come back a second later. It has draws of its own, so the plans of faults of all seeds are those of before. Its check: three further runs at most, from three seconds after the third worker ended.

--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -4,7 +4,7 @@
 
 from rattanfork_soak.finding import Finding
 from rattanfork_soak.record import Record
-from rattanfork_soak.worker import Arrival, SoakWorker
+from rattanfork_soak.worker import DEADLY_PATH, Arrival, SoakWorker
 
 #: Statuses that promise that a request did not run and never will.
 _NOT_RUN = frozenset((408, 421, 429, 503))
@@ -14,6 +14,11 @@
 #: Seconds beyond a route's time at which an answer is late: this process reads
 #: the answers of all clients, and has pauses of its own.
 _LATE = 1.0
+#: Workers that a request has to end before it counts as deadly, seconds in which all
+#: nodes learn that, and runs of it that are allowed to the fleet from then on.
+_DEADLY_ENDS = 3
+_DEADLY_KNOWN = 3.0
+_DEADLY_RUNS = 3
 #: Share of the requests that is served once all faults have ended.
 _RECOVERED = 0.9
 
@@ -87,6 +92,24 @@
             text = f"{served} of {len(late)} served; {'; '.join(statuses)}"
             self._find("recovery", since, text)
 
+    def check_deadly(self) -> None:
+        """Judge how often a request that ends workers was run."""
+        runs = sorted(
+            arrival.at
+            for worker in self._workers
+            for arrival in worker.arrivals
+            if arrival.fingerprint.split()[1] == DEADLY_PATH
+        )
+        if len(runs) < _DEADLY_ENDS:
+            return
+        known = runs[_DEADLY_ENDS - 1] + _DEADLY_KNOWN
+        after = [at for at in runs if at > known]
+        if len(after) > _DEADLY_RUNS:
+            times = ", ".join(f"{at:.2f}" for at in runs)
+            self._find(
+                "budget", after[_DEADLY_RUNS], f"deadly request ran at {times} s"
+            )
+
     def find(self, promise: str, at: float, text: str) -> None:
         """Add a finding of somebody else's."""
         self._find(promise, at, text)
--- a/packages/rattanfork-soak/rattanfork_soak/client.py
+++ b/packages/rattanfork-soak/rattanfork_soak/client.py
@@ -11,6 +11,7 @@
 from rattanfork_soak.checks import Checks
 from rattanfork_soak.place import Place
 from rattanfork_soak.record import Record
+from rattanfork_soak.worker import DEADLY_PATH
 
 #: Milliseconds that a client waits: longer than a route's time, so that the node
 #: has to end a request by that.
@@ -55,6 +56,16 @@
         self._newest = newest
         self._count = 0
 
+    async def run_deadly(self, places: list[Place]) -> None:
+        """Send a request that ends workers again and again, at any node."""
+        timeout = aiohttp.ClientTimeout(total=8.0, sock_connect=1.0)
+        while True:
+            await asyncio.sleep(self._random.uniform(0.1, 0.5))
+            self._place = self._random.choice(places)
+            record = self._record("GET", DEADLY_PATH, True)
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                await self._send(session, record, "GET", DEADLY_PATH)
+
     async def run(self) -> None:
         """Send until cancelled."""
         timeout = aiohttp.ClientTimeout(total=8.0, sock_connect=1.0)
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -70,6 +70,7 @@
 
     def __init__(self, seed: int, settings: SoakSettings, folder: Path) -> None:
         self._settings = settings
+        self._seed = seed
         self._random = Random(seed)
         self._folder = folder
         self._tasks: list[asyncio.Task] = []
@@ -94,6 +95,7 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await world.stop()
         checks.review()
+        checks.check_deadly()
         self.requests = sum(1 for _ in checks.records)
         return checks.findings
 
@@ -108,7 +110,16 @@
                     lambda: world.version,
                 )
                 self._tasks.append(asyncio.ensure_future(client.run()))
-        self._tasks.append(asyncio.ensure_future(self._watch(world, checks)))
+        # Draws of its own, so that the plan of faults is that of the seed alone.
+        deadly = Client(
+            "deadly", world.places[0], checks, Random(self._seed), lambda: 1
+        )
+        for work in (
+            deadly.run_deadly(world.places),
+            world.revive_workers(),
+            self._watch(world, checks),
+        ):
+            self._tasks.append(asyncio.ensure_future(work))
 
     async def _strike(self, world: World) -> None:
         pause = self._settings.pause
--- a/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
@@ -136,3 +136,16 @@
         history.answer(record, 200 if served else 503, "i0-1.200" if served else "")
     history.checks.check_recovery(since=0.5)
     assert history.broken == {"recovery"}
+
+
+@pytest.mark.parametrize(("runs_after", "found"), [(3, set()), (4, {"budget"})])
+def test_deadly_request_that_goes_on_being_run_is_seen(runs_after, found):
+    history = History()
+    ends = [1.0, 1.1, 1.2]
+    later = [9.0 + number for number in range(runs_after)]
+    for number, at in enumerate([*ends, *later]):
+        record = history.ask(f"r{number}", idempotent=True)
+        record.text = "GET /a/deadly "
+        history.run(record, at=at)
+    history.checks.check_deadly()
+    assert history.broken == found
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -18,6 +18,8 @@
 #: Seconds between two announcements; the platform's workers take 1.5, and a
 #: shorter time only brings a restarted node its worker sooner.
 _HEARTBEAT = 0.4
+#: Path of requests that end each worker that begins to run one.
+DEADLY_PATH = "/a/deadly"
 #: Status of an answer that acknowledges an announcement.
 _ACKNOWLEDGED = 200
 
@@ -72,6 +74,8 @@
         self.announce: Callable[[str], Awaitable[int | None]] = _nobody
         #: When the node acknowledged that this incarnation leaves.
         self.left: dict[str, float] = {}
+        #: When a deadly request ended this incarnation; None while none has.
+        self.died_at: float | None = None
         self._random = random
         self._now = now
         self._number = 0
@@ -89,6 +93,7 @@
         """Run as a new incarnation, at the same address as before."""
         self._number += 1
         self._leaving = False
+        self.died_at = None
         server = web.Server(self._handle, access_log=None)
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(server, *self.address)
@@ -134,6 +139,9 @@
         body = await request.read()
         text = f"{request.method} {request.path} {body.decode()}"
         self.arrivals.append(Arrival(request_id, self._now(), self.name, text))
+        if request.path == DEADLY_PATH and self.died_at is None:
+            self.died_at = self._now()
+            self.crash()
         await asyncio.sleep(self._random.uniform(0.005, 0.05))
         if self.trouble is Trouble.SLOW:
             await asyncio.sleep(self._random.uniform(0.3, 0.8))
--- a/packages/rattanfork-soak/rattanfork_soak/world.py
+++ b/packages/rattanfork-soak/rattanfork_soak/world.py
@@ -12,6 +12,9 @@
 from rattanfork_soak.place import Place
 from rattanfork_soak.worker import SoakWorker
 
+#: Seconds after which a worker that a request has ended is back, and between two looks.
+_REVIVED_AFTER = 1.0
+_REVIVE_LOOK = 0.1
 #: Seconds that a route gives its requests.
 TIMEOUT = 2.0
 
@@ -74,6 +77,17 @@
             await place.stop()
         self.store.stop()
 
+    async def revive_workers(self) -> None:
+        """Start workers again that a request has ended, until cancelled."""
+        while True:
+            await asyncio.sleep(_REVIVE_LOOK)
+            for place in self.places:
+                async with self.worker_lock(place):
+                    died = place.worker.died_at
+                    if died is not None and self.now() - died > _REVIVED_AFTER:
+                        await place.worker.start()
+                        place.disturb()
+
     async def change_configuration(self) -> None:
         """Write the next version, as the operator does."""
         self.version += 1
