Accuse given-up runs too, and fence nothing that is quarantined

Two faults found on reading the change again, each with a test that fails with its mend taken out: - A deadly request whose caller leaves, or whose time is over, before its upstream ends was never accused: its connection was closed by the gate itself. Moved beside it: reading of an answer into results, the line about a crash into the detector; the gate only drives them.

--- a/packages/rattanfork-core/rattanfork_core/quarantine/witness.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/witness.py
@@ -1,5 +1,6 @@
 """Which requests may have ended an upstream."""
 
+from collections import deque
 from collections.abc import Iterable
 
 from rattanfork_core.clock import Clock
@@ -42,7 +43,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._lost: list[tuple[float, int]] = []
+        self._lost: deque[tuple[float, int]] = deque()
         self._succeeded: set[int] = set()
         self._succeeded_before: set[int] = set()
         self._next_turn = clock.now() + _REMEMBERED_FOR
@@ -56,10 +57,9 @@
         self._succeeded.add(fingerprint)
 
     def on_lost(self, fingerprint: int) -> None:
-        """Take note that a run ended without an answer."""
-        now = self._clock.now()
-        self._lost = [(at, f) for at, f in self._lost if now - at <= _LOST_WITHIN]
-        self._lost.append((now, fingerprint))
+        """Take note that a run ended, or was given up, without an answer."""
+        self._drop_old()
+        self._lost.append((self._clock.now(), fingerprint))
 
     def on_ended(self, under_way: Iterable[int] = ()) -> frozenset[int]:
         """Return the requests that may have ended the upstream.
@@ -70,8 +70,13 @@
         under_way : iterable of int
             Requests that are still waited for there.
         """
-        now = self._clock.now()
-        lost = {f for at, f in self._lost if now - at <= _LOST_WITHIN}
-        self._lost = []
+        self._drop_old()
+        lost = {fingerprint for _, fingerprint in self._lost}
+        self._lost.clear()
         accused = lost.union(under_way) - self._succeeded - self._succeeded_before
         return frozenset(accused)
+
+    def _drop_old(self) -> None:
+        oldest = self._clock.now() - _LOST_WITHIN
+        while self._lost and self._lost[0][0] < oldest:
+            self._lost.popleft()
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -232,7 +232,7 @@
             self._random,
             time.time,
         )
-        self._gate.on_crash = self._quarantine_task.on_crash
+        self._gate.crash_detector.on_crash = self._quarantine_task.on_crash
         self._store = StoreTasks(
             self._clock,
             self._random,
--- a/packages/rattanfork-node/rattanfork_node/relay/crash_detector.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/crash_detector.py
@@ -3,13 +3,18 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from rattanfork_core.quarantine import CrashWitness
+from rattanfork_core.quarantine import CrashWitness, incarnation_hash
+from rattanfork_core.request import fingerprint_text
 
 from rattanfork_node.http1 import UpstreamPool
+from rattanfork_node.relay.upstream import Upstream
+from rattanfork_node.telemetry import Counters, log_change
 
 #: Seconds before each look at the upstream, from a lost answer on: the resets of all
 #: its connections arrive together, and its address may take new ones a moment longer.
 _PAUSES = (0.005, 0.015, 0.06)
+#: Requests named on the line of a crash.
+_MOST_LOGGED = 32
 
 
 class CrashDetector:
@@ -26,23 +31,32 @@
 
     witness : CrashWitness
         Knows what was under way.
+    counters : Counters
+        What happened.
     on_crash : callable
-        Gets the fingerprints of the requests that may have ended the upstream.
+        Gets the hash of the incarnation that has crashed, and the fingerprints of the
+        requests that may have ended it.
     """
 
     def __init__(
-        self, witness: CrashWitness, on_crash: Callable[[frozenset[int]], None]
+        self,
+        witness: CrashWitness,
+        counters: Counters,
+        on_crash: Callable[[int, frozenset[int]], None],
     ) -> None:
         self._witness = witness
-        self._on_crash = on_crash
+        self._counters = counters
+        self.on_crash = on_crash
         self._pool: UpstreamPool | None = None
+        self._upstream: Upstream | None = None
         self._task: asyncio.Task | None = None
         self._crashed = False
 
-    def watch(self, pool: UpstreamPool) -> None:
+    def watch(self, pool: UpstreamPool, upstream: Upstream) -> None:
         """Begin anew, with the connections to another incarnation."""
         self.close()
         self._pool = pool
+        self._upstream = upstream
         self._crashed = False
 
     def on_lost(self, fingerprint: int) -> None:
@@ -72,4 +86,14 @@
 
     def _conclude(self, under_way: Iterable[int]) -> None:
         self._crashed = True
-        self._on_crash(self._witness.on_ended(under_way))
+        accused = self._witness.on_ended(under_way)
+        upstream = self._upstream
+        self._counters.events["gate.upstream-crashed"] += 1
+        log_change(
+            "upstream_crashed",
+            upstream=upstream.name,
+            accused=len(accused),
+            fingerprints=[fingerprint_text(f) for f in sorted(accused)[:_MOST_LOGGED]],
+        )
+        if accused:
+            self.on_crash(incarnation_hash(upstream.name, upstream.born), accused)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -1,6 +1,6 @@
 """The gate in front of this node's upstream."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 from rattanfork_core.account import RepeatGrants
 from rattanfork_core.admission import (
@@ -12,8 +12,8 @@
 )
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ChainReach, HintTable, UpstreamHealth
-from rattanfork_core.quarantine import CrashWitness, Quarantine, incarnation_hash
-from rattanfork_core.request import CallResult, Outcome, Reason, fingerprint_text
+from rattanfork_core.quarantine import CrashWitness, Quarantine
+from rattanfork_core.request import CallResult, Outcome, Reason
 
 from rattanfork_node.http1 import (
     HeaderNames,
@@ -25,9 +25,9 @@
 from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.journal import Journal
-from rattanfork_node.relay.results import answered, not_run
+from rattanfork_node.relay.results import lost, not_run, result_of
 from rattanfork_node.relay.upstream import Upstream
-from rattanfork_node.telemetry import Counters, log_change
+from rattanfork_node.telemetry import Counters
 
 #: Part of an upstream's slots that is used.  Some upstreams slow down when they
 #: are nearly full: one that takes 1.3 times as long from 95% on does a fifth
@@ -41,8 +41,6 @@
 _QUEUE_SECONDS = 0.2
 #: Arrivals looked at for a surge: a tenth of a second at a full upstream.
 _SURGE_SAMPLE = 100
-#: Misdirected Request: another incarnation listens at the address.
-_MISDIRECTED = 421
 #: Reasons for which an arrival at the upstream came to nothing.
 _LOST = frozenset(
     (
@@ -52,8 +50,6 @@
         Reason.STALE_INSTANCE,
     )
 )
-#: Requests named on the line of a crash.
-_MOST_LOGGED = 32
 #: The only instance whose deeper services are kept here: the gate's own upstream.
 _HERE = ""
 
@@ -104,9 +100,6 @@
         self._clock = clock
         self.grants = grants
         self._quarantine = quarantine
-        #: Gets the incarnation of the upstream that has crashed, and the requests
-        #: that may have ended it.
-        self.on_crash: Callable[[int, frozenset[int]], None] = quarantine.report
         self._journal = journal
         self._boot = boot
         self._names = names
@@ -139,7 +132,12 @@
         #: Set when the upstream turned out to be another incarnation.
         self.misdirected = False
         self._witness = CrashWitness(clock)
-        self._crash_detector = CrashDetector(self._witness, self._on_crash)
+        self._crash_detector = CrashDetector(self._witness, counters, quarantine.report)
+
+    @property
+    def crash_detector(self) -> CrashDetector:
+        """Tells when the upstream has crashed."""
+        return self._crash_detector
 
     @property
     def upstream(self) -> Upstream | None:
@@ -240,6 +238,7 @@
             # repeated goes on, and so do its calls: cut off half-way, nobody
             # could tell its state.
             job.connection.abort()
+            self._witness.on_lost(job.fingerprint)
             self._stop_calls(job)
             self._end(job, CallResult(Outcome.UNKNOWN, Reason.CANCELLED), False)
 
@@ -292,7 +291,7 @@
         if self._pool is not None:
             self._pool.retire()
         self._pool = self._make_pool(upstream, connections)
-        self._crash_detector.watch(self._pool)
+        self._crash_detector.watch(self._pool, upstream)
         self._admission.restart()
         self.health = UpstreamHealth(self._clock)
 
@@ -314,10 +313,7 @@
         """
         for job in [j for j in self._jobs.values() if j.connection is not None]:
             job.connection.abort()
-            result = CallResult(
-                Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True
-            )
-            self._end(job, result, False)
+            self._end(job, lost(), False)
 
     def _apply(self, decisions: Iterable[Decision]) -> None:
         for decision in decisions:
@@ -336,64 +332,49 @@
         )
 
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
-        time_left = job.deadline - self._clock.now()
         if connection is None:
             self._end(job, not_run(Reason.UPSTREAM_DOWN), False)
             return
-        if job.ended or time_left <= 0 or not job.may_hand_over():
-            self._pool.give_back(connection)
-            self._end(job, not_run(Reason.TOO_LATE), False)
-            return
-        if self._quarantine.active and self._quarantine.holds(job.fingerprint):
+        reason = self._hand_over(job)
+        if reason is not Reason.NONE:
             self._pool.give_back(connection)
-            self._end(job, not_run(Reason.QUARANTINED), False)
+            self._end(job, not_run(reason), False)
             return
-        names = self._names
-        extra = b"%b: %d\r\n%b: %b\r\n" % (
-            names.deadline,
-            int(time_left * 1000),
-            names.expected_upstream,
-            self._upstream.name.encode(),
-        )
-        head = render_head(job.method, job.target, job.block, len(job.body), extra)
         job.connection = connection
         self.health.on_started(job.waiter.key, job.operation)
         connection.send(
-            head + job.body,
+            self._head(job) + job.body,
             job.request_id,
             lambda answer: self._on_answer(job, answer),
             job.method == b"HEAD",
         )
 
+    def _hand_over(self, job: Job) -> Reason:
+        """Mark a request as handed over, or return why it is not."""
+        if job.ended or job.deadline <= self._clock.now():
+            return Reason.TOO_LATE
+        if self._quarantine.active and self._quarantine.holds(job.fingerprint):
+            return Reason.QUARANTINED
+        return Reason.NONE if job.may_hand_over() else Reason.TOO_LATE
+
+    def _head(self, job: Job) -> bytes:
+        names = self._names
+        extra = b"%b: %d\r\n%b: %b\r\n" % (
+            names.deadline,
+            int((job.deadline - self._clock.now()) * 1000),
+            names.expected_upstream,
+            self._upstream.name.encode(),
+        )
+        return render_head(job.method, job.target, job.block, len(job.body), extra)
+
     def _on_answer(self, job: Job, answer: UpstreamAnswer | None) -> None:
         if job.ended:
             return
-        if answer is None:
-            result = CallResult(
-                Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True
-            )
-            self._end(job, result, False)
-            if self._accepting:
-                self._crash_detector.on_lost(job.fingerprint)
-        elif answer.status == _MISDIRECTED:
-            self.misdirected = True
-            self._end(job, not_run(Reason.STALE_INSTANCE), False)
-        elif self._not_run_name in answer.headers:
-            self._end(job, not_run(Reason.UPSTREAM_SHED), False)
-        else:
-            self._end(job, answered(job, answer), True)
-
-    def _on_crash(self, accused: frozenset[int]) -> None:
-        self._counters.events["gate.upstream-crashed"] += 1
-        log_change(
-            "upstream_crashed",
-            upstream=self._upstream.name,
-            accused=len(accused),
-            fingerprints=[fingerprint_text(f) for f in sorted(accused)[:_MOST_LOGGED]],
-        )
-        if accused:
-            upstream = self._upstream
-            self.on_crash(incarnation_hash(upstream.name, upstream.born), accused)
+        result = result_of(job, answer, self._not_run_name)
+        self.misdirected |= result.reason is Reason.STALE_INSTANCE
+        self._end(job, result, result.outcome is Outcome.ANSWERED)
+        if answer is None and self._accepting:
+            self._crash_detector.on_lost(job.fingerprint)
 
     def _withdraw(self, job: Job, reason: Reason) -> None:
         self._admission.withdraw(job.waiter)
--- a/packages/rattanfork-node/rattanfork_node/relay/results.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/results.py
@@ -20,6 +20,40 @@
 )
 
 
+#: Misdirected Request: another incarnation listens at the address.
+_MISDIRECTED = 421
+
+
+def result_of(
+    job: Job, answer: UpstreamAnswer | None, not_run_name: bytes
+) -> CallResult:
+    """Return the result of a request that the upstream got.
+
+    Parameters
+    ==========
+
+    job : Job
+        The request.
+    answer : UpstreamAnswer or None
+        Its answer; None if the connection ended first.
+    not_run_name : bytes
+        Lower-case name of the header by which an upstream says that it did not run
+        a request.
+    """
+    if answer is None:
+        return lost()
+    if answer.status == _MISDIRECTED:
+        return not_run(Reason.STALE_INSTANCE)
+    if not_run_name in answer.headers:
+        return not_run(Reason.UPSTREAM_SHED)
+    return answered(job, answer)
+
+
+def lost() -> CallResult:
+    """Return the result of a request whose connection to the upstream is gone."""
+    return CallResult(Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
+
+
 def not_run(reason: Reason) -> CallResult:
     """Return the result of a request that the upstream did not run."""
     elsewhere = reason in _ELSEWHERE
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -120,7 +120,7 @@
         )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
-        self.gate._crash_detector.watch(self.pool)
+        self.gate.crash_detector.watch(self.pool, self.gate.upstream)
 
     def submit(self, request_id: str = "r1", rank: float = 2.5, **changes):
         results: list[CallResult] = []
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_crash_detector.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_crash_detector.py
@@ -8,6 +8,7 @@
 from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.tests.fakes import FakeUpstreamPool, GateWorld, on_loop
 from rattanfork_node.relay.upstream import Upstream
+from rattanfork_node.telemetry import Counters
 
 
 class World:
@@ -17,8 +18,14 @@
         self.crashes: list[frozenset[int]] = []
         self.pool = FakeUpstreamPool()
         witness = CrashWitness(ManualClock())
-        self.detector = CrashDetector(witness, self.crashes.append)
-        self.detector.watch(self.pool)
+        self.detector = CrashDetector(witness, Counters(), self.on_crash)
+        self.replace("u1")
+
+    def on_crash(self, incarnation: int, accused: frozenset[int]) -> None:
+        self.crashes.append(accused)
+
+    def replace(self, name: str) -> None:
+        self.detector.watch(self.pool, Upstream(name, "127.0.0.1", 1, 8))
 
     async def lose(self, *fingerprints: int) -> None:
         for fingerprint in fingerprints:
@@ -67,7 +74,7 @@
     world = World()
     world.pool.open, world.pool.accepting = 0, False
     await world.lose(1)
-    world.detector.watch(world.pool)
+    world.replace("u2")
     await world.lose(1)
     assert world.crashes == [{1}, {1}]
 
@@ -77,7 +84,7 @@
     """Guards against an upstream that loses its power and so resets nothing."""
     world = GateWorld(slots=2)
     crashes: list[frozenset[int]] = []
-    world.gate._crash_detector._on_crash = crashes.append
+    world.gate.crash_detector.on_crash = lambda _, accused: crashes.append(accused)
     job, _ = world.submit("r1")
     world.gate.attach(Upstream("u2", "127.0.0.1", 1, 2), 9)
     assert crashes == [{job.fingerprint}]
@@ -87,7 +94,7 @@
 async def test_end_of_an_upstream_that_has_left_accuses_nobody():
     world = GateWorld(slots=2)
     crashes: list[frozenset[int]] = []
-    world.gate._crash_detector._on_crash = crashes.append
+    world.gate.crash_detector.on_crash = lambda _, accused: crashes.append(accused)
     world.pool.open, world.pool.accepting = 0, False
     world.submit("r1")
     world.gate.detach()
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_quarantine.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_quarantine.py
@@ -116,11 +116,11 @@
 async def test_crash_of_the_own_upstream_is_reported_with_what_was_under_way():
     world = GateWorld(slots=4)
     reports = []
-    world.gate.on_crash = lambda *report: reports.append(report)
+    world.gate.crash_detector.on_crash = lambda *report: reports.append(report)
     job, _ = world.submit("r1")
     world.pool.open, world.pool.accepting = 0, False
     world.pool.connections[0].done(None)
-    await world.gate._crash_detector._task
+    await world.gate.crash_detector._task
     assert [accused for _, accused in reports] == [{job.fingerprint}]
 
 
@@ -128,11 +128,37 @@
 async def test_what_this_gate_has_seen_succeed_is_not_reported():
     world = GateWorld(slots=4)
     reports = []
-    world.gate.on_crash = lambda *report: reports.append(report)
+    world.gate.crash_detector.on_crash = lambda *report: reports.append(report)
     world.submit("r1")
     world.answer(0)
     world.submit("r2")
     world.pool.open, world.pool.accepting = 0, False
     world.pool.connections[1].done(None)
-    await world.gate._crash_detector._task
+    await world.gate.crash_detector._task
     assert reports == []
+
+
+@on_loop
+async def test_run_that_its_caller_gave_up_is_reported_with_the_crash():
+    """Guards against a deadly request whose caller never waits for its end."""
+    world = GateWorld(slots=4)
+    reports = []
+    world.gate.crash_detector.on_crash = lambda *report: reports.append(report)
+    given_up, _ = world.submit("r1")
+    other, _ = world.submit("r2", target=b"/other")
+    world.gate.cancel(given_up)
+    world.pool.open, world.pool.accepting = 0, False
+    world.pool.connections[1].done(None)
+    await world.gate.crash_detector._task
+    [(_, accused)] = reports
+    assert accused == {given_up.fingerprint, other.fingerprint}
+
+
+def test_quarantined_request_is_not_marked_as_handed_over():
+    """Guards against a fence that says of a request that it may have run."""
+    world = GateWorld(slots=4)
+    marked = []
+    probe, _ = world.submit("r0")
+    convict(world, probe.fingerprint)
+    world.submit("r1", may_hand_over=lambda: not marked.append("r1"))
+    assert marked == []
