Read the store by positions that grow also when its versions go back

Cause: versions of the store were taken to grow for ever. After a restore from an older copy a reader would ask for changes after a version that the store does not have, be refused (410), read all, keep the higher version, and so on without a pause; once the versions had been given out again, changes behind them would have been passed over.

--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -39,6 +39,10 @@
     def pending(self) -> tuple:
         return ()
 
+    @property
+    def era(self) -> int:
+        return 1
+
     @property
     def silence(self) -> float:
         return 0.0
--- a/packages/rattanfork-platform/rattanfork_platform/interface.py
+++ b/packages/rattanfork-platform/rattanfork_platform/interface.py
@@ -32,7 +32,8 @@
         Rows by key, with their values as bytes; None stands for a row that
         was removed.
     version : int
-        From where to watch on.
+        From where to watch on.  It grows for as long as the platform's client lives,
+        also when the platform comes back from an older copy.
     """
 
     rows: dict[str, Row | None]
@@ -110,6 +111,11 @@
     def pending(self) -> tuple[PendingCall, ...]:
         """Calls without an answer so far, the oldest first."""
 
+    @property
+    @abstractmethod
+    def era(self) -> int:
+        """Grows by one when the platform is restored from a copy; 0 while unknown."""
+
     @property
     @abstractmethod
     def silence(self) -> float:
