Write anew what a store has lost that came back from an older copy

Cause: records of nodes, accepted rules and the quarantine were written once and taken to last. A store restored from a copy some seconds old has lost what was written since: a node that starts later finds fewer others, rules that an operator was told of are gone from the store and their numbers given out again, for other texts, which nodes that hold the lost ones would never take. A revision of rules carries the era in which it was accepted, and revisions are ordered by era and number everywhere (records, datagrams, replies of peers; the protocol of streams is version 3). Ruled out: each node writes its own (300 calls at the same moment, and only readers speak to the store at all).

--- a/packages/rattanfork-cli/rattanfork_cli/rules_store.py
+++ b/packages/rattanfork-cli/rattanfork_cli/rules_store.py
@@ -74,7 +74,12 @@
         if expected is not None and head.revision != expected:
             return Failure(CommitOutcome(CommitStatus.CONFLICT, head))
         record = RulesRecord(
-            head.revision + 1, uuid.uuid4().hex, author, comment, edit(head)
+            head.revision + 1,
+            uuid.uuid4().hex,
+            author,
+            comment,
+            edit(head),
+            max(head.era, self._platform.era),
         )
         outcome = await self._commit(CommitMachine(record, version))
         if outcome.status is CommitStatus.ACCEPTED:
--- a/packages/rattanfork-core/rattanfork_core/membership/held.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/held.py
@@ -15,7 +15,7 @@
     configuration : int
         Version of the configuration in force; 0 while there is none.
     rules : int
-        Revision of the rules in force.
+        Place of the rules in force among all revisions.
     confirmed : int
         Milliseconds since the store held nothing newer, as far as the node knows;
         :data:`NEVER` if it does not know, or knows of something newer.
--- a/packages/rattanfork-core/rattanfork_core/revision/record.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/record.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 
 HEAD_KEY = "rules/head"
+#: Revisions in one era.
+_SPAN = 1 << 32
 
 
 def history_key(revision: int) -> str:
@@ -34,6 +36,17 @@
         Why.
     text : str
         The whole YAML document.
+    era : int
+        How often the store had been restored from a copy when it accepted this
+        revision.  Numbers that were lost with a restore are given out again.
+
+    Examples
+    ========
+
+    >>> lost = RulesRecord(7, "op1", "ann", "", "rules: []", era=1)
+    >>> after = RulesRecord(5, "op2", "ann", "", "rules: []", era=2)
+    >>> after.order > lost.order
+    True
     """
 
     revision: int
@@ -41,6 +54,12 @@
     author: str
     comment: str
     text: str
+    era: int = 0
+
+    @property
+    def order(self) -> int:
+        """Place among all revisions that were ever accepted; a later one is higher."""
+        return self.era * _SPAN + self.revision
 
     def as_row(self) -> dict[str, object]:
         """Return the record as a row of the table."""
@@ -50,6 +69,7 @@
             "author": self.author,
             "comment": self.comment,
             "text": self.text,
+            "era": self.era,
         }
 
     @classmethod
@@ -64,8 +84,9 @@
         """
         if not isinstance(row, dict):
             raise ValueError("rules row: a map is expected")
-        revision = row.get("revision")
+        revision, era = row.get("revision"), row.get("era", 0)
         texts = [row.get(k) for k in ("operation", "author", "comment", "text")]
-        if type(revision) is not int or not all(isinstance(t, str) for t in texts):
+        numbers = type(revision) is int and type(era) is int and era >= 0
+        if not numbers or not all(isinstance(t, str) for t in texts):
             raise ValueError("rules row: fields missing or of a wrong type")
-        return cls(revision, *texts)
+        return cls(revision, *texts, era)
--- a/packages/rattanfork-core/rattanfork_core/revision/state.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/state.py
@@ -59,6 +59,11 @@
         """Number of the revision in force."""
         return self._record.revision
 
+    @property
+    def order(self) -> int:
+        """Its place among all revisions that were ever accepted."""
+        return self._record.order
+
     @property
     def record(self) -> RulesRecord:
         """The revision in force."""
@@ -101,7 +106,7 @@
         return changed
 
     def _offer(self, record: RulesRecord | None, rules: RuleSet | None) -> bool:
-        if record is None or record.revision <= self._record.revision:
+        if record is None or record.order <= self._record.order:
             return False
         self._rules = rules or _load(record.text, f"revision {record.revision}")
         self._record = record
--- a/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
@@ -137,3 +137,35 @@
             state.hear_from_peer(source, record)
     sources = {source for source, _ in news}
     assert state.ready == ("store" in sources or sources >= {"dc1", "dc2"})
+
+
+@given(
+    st.lists(st.tuples(st.integers(1, 3), st.integers(1, 4)), min_size=1, max_size=12),
+    st.randoms(),
+)
+def test_rules_in_force_never_go_back_across_restores(accepted, random):
+    """Guards against numbers of revisions that a restored store gives out again."""
+    records = [
+        RulesRecord(revision, f"{era}.{revision}", "ann", "", TEXT, era)
+        for era, revision in accepted
+    ]
+    heard = records * 2
+    random.shuffle(heard)
+    state = RevisionState(data_centres_needed=2)
+    before = 0
+    for number, record in enumerate(heard):
+        if number % 2:
+            state.hear_from_store(record)
+        else:
+            state.hear_from_peer("dc1", record)
+        assert state.order >= before
+        before = state.order
+    assert state.record == max(
+        records, key=lambda record: (record.era, record.revision)
+    )
+
+
+def test_row_without_an_era_is_of_the_first():
+    row = RulesRecord(3, "op", "ann", "", TEXT).as_row()
+    del row["era"]
+    assert RulesRecord.from_row(row).order == 3
--- a/packages/rattanfork-node/rattanfork_node/app/node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/node.py
@@ -102,7 +102,7 @@
             ready=False,
         )
         self._membership = Membership(self._clock, self._random, me)
-        self._membership.held = lambda: HeldVersions(rules=self._rules.revision)
+        self._membership.held = lambda: HeldVersions(rules=self._rules.order)
         self._guard = Guard(
             self._clock,
             settings.instance,
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -1,6 +1,6 @@
 """The tasks of a node that speak to the store."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from random import Random
 
 from rattanfork_core.clock import BootClock, Clock
@@ -11,6 +11,7 @@
 from rattanfork_node.config.configuration_task import ConfigurationTask
 from rattanfork_node.config.confirmation_task import ConfirmationTask
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.restore_task import RestoreTask
 from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.member import MemberTask
 from rattanfork_node.member.join import JoinTask
@@ -50,6 +51,8 @@
         What happened.
     on_quarantine : callable
         Gets what instances have kept of the quarantine.
+    keep_quarantine : callable
+        Writes what is quarantined to the store; awaited.
     """
 
     def __init__(
@@ -65,6 +68,7 @@
         pool: PeerPool,
         counters: Counters,
         on_quarantine: Callable[[object], None],
+        keep_quarantine: Callable[[], Awaitable[None]],
     ) -> None:
         self._configuration = configuration
         self._rules = rules
@@ -101,6 +105,9 @@
             (self._configuration_task, self._rules_watch),
             counters,
         )
+        self._restore = RestoreTask(
+            random, platform, roster, membership, rules, keep_quarantine, counters
+        )
         membership.held = self._held
         member_task.on_held = self._confirmation.hear
 
@@ -120,6 +127,7 @@
         self._configuration_task.start()
         self._rules_watch.start()
         self._confirmation.start()
+        self._restore.start()
 
     async def leave(self) -> None:
         """Remove this node's record."""
@@ -130,11 +138,12 @@
         self._configuration_task.close()
         self._rules_watch.close()
         self._confirmation.close()
+        self._restore.close()
         self._join.close()
 
     def _held(self) -> HeldVersions:
         return HeldVersions(
             self._configuration.version,
-            self._rules.revision,
+            self._rules.order,
             self._confirmation.confirmed_ms(),
         )
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watch.py
@@ -98,7 +98,7 @@
     @property
     def behind(self) -> bool:
         """Whether another node holds something newer."""
-        return self._newest() > self._state.revision
+        return self._newest() > self._state.order
 
     async def look(self, store_version: int) -> int:
         """Ask the store whether it holds something newer; take it if so."""
@@ -140,11 +140,10 @@
             # starts serves by the routes instead of waiting for ever.
             self._state.hear_from_store(None)
             return False
-        revision = newest.revision
-        if revision <= self._state.revision:
+        if newest.order <= self._state.order:
             self._state.hear_from_store(None)
             return False
-        key = history_key(revision)
+        key = history_key(newest.revision)
         text: Row | None = rows.rows.get(key.partition("/")[2])
         if text is None:
             text = await self._platform.read(key)
@@ -171,7 +170,7 @@
         try:
             async with asyncio.timeout(_ASK_TIMEOUT):
                 centre, reply = await self._pool.ask_rules(
-                    (member.host, member.peer_port), self._state.revision
+                    (member.host, member.peer_port), self._state.order
                 )
         except (LinkLostError, TimeoutError):
             self._counters.events["rules.peer-lost"] += 1
@@ -181,7 +180,12 @@
         record = None
         if reply.text:
             record = RulesRecord(
-                reply.revision, reply.operation, reply.author, reply.comment, reply.text
+                reply.revision,
+                reply.operation,
+                reply.author,
+                reply.comment,
+                reply.text,
+                reply.era,
             )
         if self._offer("peer", record, centre):
             self._watch.overtaken()
--- a/packages/rattanfork-node/rattanfork_node/config/task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/task.py
@@ -87,7 +87,7 @@
         if self._platform is not None and self._reads.due() and wanted:
             self._reads.begin()
             self._start(self._read_table())
-        behind = self._newest() > self._state.revision
+        behind = self._newest() > self._state.order
         if (behind or not self._state.ready) and self._asks.due():
             self._asks.begin()
             self._start(self._ask_peer())
@@ -138,7 +138,7 @@
         if not row.version:
             return None
         head = RulesRecord.from_row(row.value)
-        if head.revision <= self._state.revision:
+        if head.order <= self._state.order:
             return None
         row = await self._platform.read(history_key(head.revision))
         return RulesRecord.from_row(row.value)
@@ -150,7 +150,7 @@
             if member is not None:
                 address = (member.host, member.peer_port)
                 data_centre, reply = await self._pool.ask_rules(
-                    address, self._state.revision
+                    address, self._state.order
                 )
                 await self._hear(data_centre, reply)
                 succeeded = True
@@ -162,7 +162,7 @@
             self._asks.end(succeeded)
 
     async def _load(self, record: RulesRecord | None) -> RuleSet | None:
-        if record is None or record.revision <= self._state.revision:
+        if record is None or record.order <= self._state.order:
             return None
         # A large document takes a second to read; on the event loop, every
         # call would wait for it.
@@ -174,7 +174,12 @@
             # It is as fresh as this node, and knows nothing.
             return
         record = RulesRecord(
-            reply.revision, reply.operation, reply.author, reply.comment, reply.text
+            reply.revision,
+            reply.operation,
+            reply.author,
+            reply.comment,
+            reply.text,
+            reply.era,
         )
         # Without text it is the revision this node holds already.
         newer = record if reply.text else None
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -5,16 +5,18 @@
 from random import Random
 
 import orjson
-from rattanfork_core.membership import Member, Membership
+from rattanfork_core.membership import Membership
 from rattanfork_platform import PlatformDownError, Rows, WatchedPlatform
 
+from rattanfork_node.member.records import (
+    QUARANTINE_PREFIX,
+    TABLE,
+    decode_record,
+    record_key,
+)
 from rattanfork_node.member.task import MemberTask
 from rattanfork_node.telemetry import log_change
 
-_TABLE = "members"
-#: Begins the keys of rows that hold what instances know of the quarantine.  They stand
-#: beside the members' records so that the one read at a start brings both.
-_QUARANTINE = "quarantine:"
 #: Seconds between tries while the store does not answer: first and longest.
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 2.0
@@ -97,13 +99,16 @@
                 await self._platform.transact(
                     {}, {self._row_key(): list(self._membership.me)}
                 )
-                rows = await self._platform.scan(_TABLE)
+                rows = await self._platform.scan(TABLE)
             except PlatformDownError:
+                rows = None
+            if rows is not None:
+                self._take(rows)
+                # A store restored between the two calls has lost the record again.
+                self._joined = self._membership.me.instance in rows.rows
+            if not self._joined:
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
-                continue
-            self._take(rows)
-            self._joined = True
         log_change("joined", members=len(self._membership.members))
 
     def _take(self, rows: Rows) -> None:
@@ -111,11 +116,10 @@
         members = []
         for key, row in rows.rows.items():
             try:
-                value = orjson.loads(row.value)
-                if key.startswith(_QUARANTINE):
-                    self._on_quarantine(value)
+                if key.startswith(QUARANTINE_PREFIX):
+                    self._on_quarantine(orjson.loads(row.value))
                     continue
-                member = Member.from_fields(value)
+                member = decode_record(row.value)
             except ValueError as error:
                 log_change("record_malformed", error=str(error))
                 continue
@@ -126,9 +130,4 @@
         self._member_task.introduce()
 
     def _row_key(self) -> str:
-        return f"{_TABLE}/{self._membership.me.instance}"
-
-
-def quarantine_key(instance: str) -> str:
-    """Return the key of the row in which an instance keeps its quarantine."""
-    return f"{_TABLE}/{_QUARANTINE}{instance}"
+        return record_key(self._membership.me.instance)
--- a/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
@@ -9,7 +9,7 @@
 from rattanfork_core.request import fingerprint_text
 from rattanfork_platform import PlatformDownError, WatchedPlatform
 
-from rattanfork_node.member.join import quarantine_key
+from rattanfork_node.member.records import quarantine_key
 from rattanfork_node.member.task import MemberTask
 from rattanfork_node.telemetry import log_change
 
@@ -112,6 +112,19 @@
         if self._ticks % _REMINDER_TICKS == 0:
             self._pass_on(self._quarantine.reminder(), _REMINDED)
 
+    async def keep_all(self) -> None:
+        """Write all that is held now, for a store that may have lost it.
+
+        Raises
+        ======
+
+        PlatformDownError
+            If the store does not answer.
+        """
+        reports = list(self._quarantine.held_reports())
+        if reports:
+            await self._write_record(reports)
+
     def close(self) -> None:
         """Stop."""
         if self._write is not None:
@@ -160,9 +173,8 @@
             reports = self._reports_to_keep()
             if not _pairs(reports) - self._stored:
                 return
-            key = quarantine_key(self._membership.me.instance)
             try:
-                await self._platform.transact({}, {key: to_row(reports, self._now())})
+                await self._write_record(reports)
             except PlatformDownError as error:
                 log_change("quarantine_not_kept", error=str(error))
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
@@ -170,6 +182,10 @@
                 continue
             self._stored = _pairs(reports)
 
+    async def _write_record(self, reports: list[CrashReport]) -> None:
+        key = quarantine_key(self._membership.me.instance)
+        await self._platform.transact({}, {key: to_row(reports, self._now())})
+
     def _now(self) -> int:
         return int(self._time_of_day() * 1000)
 
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
@@ -130,3 +130,25 @@
         assert [s.message.target for s in membership.introduce()] == [member("n2").name]
 
     asyncio.run(play())
+
+
+def test_record_that_a_restore_took_away_is_written_again():
+    """Guards against a node that no later one finds."""
+
+    async def play():
+        platform = FakePlatform()
+        encode_rows(platform)
+        scan = platform.scan
+        task, _ = node(platform, "n1")
+
+        async def scan_older(table, key=""):
+            platform.scan = scan
+            platform.tables["members"].clear()
+            return await scan(table, key)
+
+        platform.scan = scan_older
+        task.start()
+        await until(lambda: task.joined)
+        assert "n1" in platform.tables["members"]
+
+    asyncio.run(play())
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_quarantine_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_quarantine_task.py
@@ -14,8 +14,9 @@
 )
 from rattanfork_core.quarantine import CrashReport, Quarantine, to_row
 from rattanfork_node.config.tests.fakes import FakePlatform, member, until
-from rattanfork_node.member.join import JoinTask, quarantine_key
+from rattanfork_node.member.join import JoinTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
+from rattanfork_node.member.records import quarantine_key
 from rattanfork_node.relay.tests.fakes import on_loop
 
 
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -10,7 +10,7 @@
 
 from rattanfork_node.peer.errors import FrameError
 
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 #: Longest text in a message.
 _LONGEST_TEXT = 16_384
 _MOST_HEADERS = 200
@@ -198,7 +198,7 @@
 
 
 class RulesRequest(NamedTuple):
-    """Asks for the rules held; no text is sent for a revision known."""
+    """Asks for the rules held; no text is sent if they stand at the place known."""
 
     number: int
     known: int
@@ -214,6 +214,7 @@
     author: str
     comment: str
     text: str
+    era: int
 
 
 class SyncRequest(NamedTuple):
--- a/packages/rattanfork-node/rattanfork_node/peer/rules.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/rules.py
@@ -8,7 +8,7 @@
 def rules_reply(state: RevisionState, request: RulesRequest) -> RulesReply:
     """Return the rules held; without their text if the asker has them."""
     record = state.record
-    text = "" if record.revision == request.known else record.text
+    text = "" if record.order == request.known else record.text
     return RulesReply(
         request.number,
         state.ready,
@@ -17,4 +17,5 @@
         record.author,
         record.comment,
         text,
+        record.era,
     )
--- a/packages/rattanfork-platform/rattanfork_platform/interface.py
+++ b/packages/rattanfork-platform/rattanfork_platform/interface.py
@@ -71,6 +71,11 @@
     nothing.  It is the only way anything is agreed upon.
     """
 
+    @property
+    def era(self) -> int:
+        """Grows by one when the platform is restored from a copy; 0 while unknown."""
+        return 0
+
     @abstractmethod
     async def read(self, key: str) -> Row:
         """Return a row.
@@ -111,11 +116,6 @@
     def pending(self) -> tuple[PendingCall, ...]:
         """Calls without an answer so far, the oldest first."""
 
-    @property
-    @abstractmethod
-    def era(self) -> int:
-        """Grows by one when the platform is restored from a copy; 0 while unknown."""
-
     @property
     @abstractmethod
     def silence(self) -> float:
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -110,13 +110,14 @@
                     lambda: world.version,
                 )
                 self._tasks.append(asyncio.ensure_future(client.run()))
-        # Draws of its own, so that the plan of faults is that of the seed alone.
+        # Draws of their own, so that the plan of faults is that of the seed alone.
         deadly = Client(
             "deadly", world.places[0], checks, Random(self._seed), lambda: 1
         )
         for work in (
             deadly.run_deadly(world.places),
             world.revive_workers(),
+            world.restore_store(Random(self._seed + 1)),
             self._watch(world, checks),
         ):
             self._tasks.append(asyncio.ensure_future(work))
--- a/packages/rattanfork-soak/rattanfork_soak/world.py
+++ b/packages/rattanfork-soak/rattanfork_soak/world.py
@@ -15,6 +15,11 @@
 #: Seconds after which a worker that a request has ended is back, and between two looks.
 _REVIVED_AFTER = 1.0
 _REVIVE_LOOK = 0.1
+#: Seconds between two times that the store comes back from an older copy, and after
+#: which the operator has written again what it lost; writes that a copy lacks at most.
+_RESTORE_PAUSE = (3.0, 9.0)
+_WRITTEN_AGAIN_AFTER = (0.05, 1.0)
+_MOST_WRITES_LOST = 8
 #: Seconds that a route gives its requests.
 TIMEOUT = 2.0
 
@@ -36,6 +41,7 @@
     def __init__(self, folder: Path, count: int, random: Random) -> None:
         self.store = StoreStandIn()
         self.version = 0
+        self.restores = 0
         self._began = monotonic()
         self._folder = folder
         self._ports = FreePorts()
@@ -82,12 +88,26 @@
         while True:
             await asyncio.sleep(_REVIVE_LOOK)
             for place in self.places:
+                if self.worker_lock(place).locked():
+                    continue
                 async with self.worker_lock(place):
                     died = place.worker.died_at
                     if died is not None and self.now() - died > _REVIVED_AFTER:
                         await place.worker.start()
                         place.disturb()
 
+    async def restore_store(self, random: Random) -> None:
+        """Let the store come back from an older copy again and again, until cancelled.
+
+        What the operator has written since is written again a moment later.
+        """
+        while True:
+            await asyncio.sleep(random.uniform(*_RESTORE_PAUSE))
+            self.store.restore(random.randint(1, _MOST_WRITES_LOST))
+            self.restores += 1
+            await asyncio.sleep(random.uniform(*_WRITTEN_AGAIN_AFTER))
+            await self.store.put("op", "config", self._configuration())
+
     async def change_configuration(self) -> None:
         """Write the next version, as the operator does."""
         self.version += 1
