--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
@@ -1,6 +1,7 @@
 """What readers write to a store that came back from an older copy."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 
@@ -69,11 +70,17 @@
 class World:
     """A node that reads the store in turn, and others that it sees."""
 
-    def __init__(self, others: int = 3, turn: int = 0, readers: int = 99) -> None:
+    def __init__(
+        self,
+        others: int = 3,
+        turn: int = 0,
+        readers: int = 99,
+        platform: RestoredPlatform | None = None,
+    ) -> None:
         members = [member(f"n{number}") for number in range(others + 1)]
         turns = duty_group([m.name for m in members], "confirmation", readers)
         me = next(m for m in members if m.name == turns[turn])
-        self.platform = RestoredPlatform()
+        self.platform = platform or RestoredPlatform()
         self.membership = Membership(ManualClock(), Random(1), me)
         self.membership.merge(m for m in members if m is not me)
         self.rules = RevisionState()
@@ -141,6 +148,24 @@
     assert world.platform.calls.count("transact") == 5
 
 
+@fast
+async def test_restore_at_300_nodes_costs_few_calls():
+    """Guards against a cost at the store that grows with the fleet."""
+    platform = RestoredPlatform()
+    worlds = [
+        World(others=299, turn=n, readers=20, platform=platform) for n in range(20)
+    ]
+    for world in worlds:
+        world.rules.hear_from_store(RulesRecord(2, "op2", "ann", "", TEXT, era=1))
+        world.task.start()
+    await asyncio.sleep(0.05)
+    platform.present_era += 1
+    await until(lambda: sum(world.kept for world in worlds) == 3)
+    assert len(platform.rows) == 302
+    # Of each writer a scan and a read, and of the first what was lost.
+    assert Counter(platform.calls) == {"scan": 3, "read": 3, "transact": 6 + 1}
+
+
 @fast
 async def test_who_is_no_early_reader_writes_nothing():
     world = World(others=200, turn=3)
