--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -54,16 +54,16 @@
     reports: ServiceReports
 
 
-class CrashNews(NamedTuple):
-    """Tells which requests were under way when upstreams crashed; nobody answers it."""
+class CrashUpdate(NamedTuple):
+    """Reports the suspects of crashes of upstreams; it has no reply."""
 
     reports: tuple[CrashReport, ...]
 
 
-#: What is passed on by anybody who receives it, and answered by nobody.
-News = GateNews | CrashNews
+#: Gossip updates without a reply, which each receiver disseminates.
+GossipUpdate = GateNews | CrashUpdate
 GossipMessage = Ping | Ack | PingRequest
-_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews, CrashNews)
+_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews, CrashUpdate)
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,13 +74,13 @@
     message: GossipMessage
 
 
-def encode_gossip(message: GossipMessage | News, key: bytes) -> bytes:
+def encode_gossip(message: GossipMessage | GossipUpdate, key: bytes) -> bytes:
     """Return a message as an authenticated datagram."""
     body = msgpack.packb((_KINDS.index(type(message)), *message))
     return hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES] + body
 
 
-def decode_gossip(data: bytes, key: bytes) -> GossipMessage | News:
+def decode_gossip(data: bytes, key: bytes) -> GossipMessage | GossipUpdate:
     """Return the message of a datagram.
 
     Raises
@@ -110,9 +110,9 @@
         message_type = _KINDS[kind]
         if message_type is GateNews:
             return _gate_news(*fields)
-        if message_type is CrashNews:
+        if message_type is CrashUpdate:
             [reports] = fields
-            return CrashNews(tuple(CrashReport.from_fields(r) for r in reports))
+            return CrashUpdate(tuple(CrashReport.from_fields(r) for r in reports))
         number, sender, target, held, rumours = fields
     except Exception as error:
         raise ValueError("malformed datagram") from error
--- a/packages/rattanfork-core/rattanfork_core/quarantine/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/__init__.py
@@ -3,11 +3,11 @@
 from rattanfork_core.quarantine.quarantine import Quarantine
 from rattanfork_core.quarantine.record import from_row, to_row
 from rattanfork_core.quarantine.report import CrashReport, incarnation_hash
-from rattanfork_core.quarantine.witness import CrashWitness
+from rattanfork_core.quarantine.suspects import SuspectTracker
 
 __all__ = [
     "CrashReport",
-    "CrashWitness",
+    "SuspectTracker",
     "Quarantine",
     "from_row",
     "incarnation_hash",
--- a/packages/rattanfork-core/rattanfork_core/quarantine/quarantine.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/quarantine.py
@@ -1,4 +1,4 @@
-"""Which requests no upstream may run any more."""
+"""Which requests are refused because upstreams crash under them."""
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -6,64 +6,61 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.quarantine.report import CrashReport
 
-#: Incarnations that have to end under a request before it is quarantined: one may
-#: end by chance, or by another request that was under way as well.
-_ENDS = 2
-#: Seconds for which it is quarantined after the last of them, and the factor by which
-#: that grows with each further one.  Then it is tried once more: whoever was accused
-#: by chance is served again, and a deadly request costs one upstream each time.
-_HOLD = 300.0
-_HOLD_GROWTH = 4.0
-_LONGEST_HOLD = 24 * 3600.0
-#: Seconds for which one end alone is remembered.
+#: Crashes after which a request is quarantined: one may have another cause, or another
+#: request that was in flight as well.
+_CRASHES_NEEDED = 2
+#: Seconds of quarantine since the last crash, and their factor for each further crash.
+#: After that the request is let in once more, as by a half-open circuit breaker.
+_DURATION = 300.0
+_DURATION_GROWTH = 4.0
+_LONGEST_DURATION = 24 * 3600.0
+#: Seconds for which a suspect of a single crash is remembered.
 _SUSPECTED_FOR = 3600.0
 _MOST_SUSPECTS = 8192
 _MOST_CRASHES = 512
-#: Times that a node passes a new report on: each node that receives it does the same.
-_TOLD_TIMES = 3
-#: Fingerprints in one datagram; with the head of each report they stay below its
-#: longest size.
-_MOST_TOLD = 100
-#: Fingerprints that the head of a report counts as.
+#: Times that a node disseminates a new report; each node that receives it does so too.
+_TRANSMISSIONS = 3
+#: Fingerprints in one datagram, and how many of them the head of a report counts as.
+_MOST_FINGERPRINTS = 100
 _HEAD = 3
 
 
 @dataclass(slots=True)
 class _Suspect:
-    #: Incarnations that have ended under it.
-    ends: set[int] = field(default_factory=set)
-    #: When the last of them ended.
-    last: float = float("-inf")
+    #: Incarnations that crashed while it was in flight.
+    crashes: set[int] = field(default_factory=set)
+    last_crash: float = float("-inf")
 
     @property
-    def held_until(self) -> float:
-        if len(self.ends) < _ENDS:
+    def quarantined_until(self) -> float:
+        further = len(self.crashes) - _CRASHES_NEEDED
+        if further < 0:
             return float("-inf")
-        hold = _HOLD * _HOLD_GROWTH ** min(len(self.ends) - _ENDS, 10)
-        return self.last + min(hold, _LONGEST_HOLD)
+        # Bounded before the power, which overflows for large exponents.
+        duration = _DURATION * _DURATION_GROWTH ** min(further, 10)
+        return self.last_crash + min(duration, _LONGEST_DURATION)
 
 
 @dataclass(slots=True)
 class _Crash:
     at: float
     fingerprints: set[int] = field(default_factory=set)
-    #: What others are still to be told, and how many times.
-    untold: dict[int, int] = field(default_factory=dict)
+    #: Transmissions so far of what is still to be disseminated.
+    pending: dict[int, int] = field(default_factory=dict)
 
 
 class Quarantine:
-    """Knows the requests that end the upstreams that run them.
+    """Knows the requests under which upstreams crash.
 
     Explanation
     ===========
 
     A request that crashes each upstream that runs it ("query of death") takes down a
-    whole service if every node treats each attempt as new.  The gate of an upstream
-    that has crashed reports what was under way there; nodes pass reports on.  A
-    request under which two incarnations have ended is refused by all nodes.
+    whole service if every node treats each attempt as new.  Gates report the suspects
+    of each crash, nodes disseminate the reports, and a request that was in flight at
+    two crashes is refused everywhere.
 
-    Reports only add up, so the order in which they arrive does not matter, nor does
-    hearing one twice.
+    Reports are a grow-only set, so their order and repetition do not matter.
 
     Parameters
     ==========
@@ -78,11 +75,11 @@
     >>> node, other = Quarantine(ManualClock()), Quarantine(ManualClock())
     >>> node.report(1, [7, 8])
     >>> node.report(2, [7])
-    >>> node.holds(7), node.holds(8)
+    >>> node.contains(7), node.contains(8)
     (True, False)
-    >>> other.receive(node.news())
+    >>> other.receive(node.updates())
     True
-    >>> other.holds(7)
+    >>> other.contains(7)
     True
     """
 
@@ -90,10 +87,10 @@
         self._clock = clock
         self._suspects: dict[int, _Suspect] = {}
         self._crashes: dict[int, _Crash] = {}
-        #: Suspects under which enough incarnations have ended.
-        self._convicted: set[int] = set()
+        #: Suspects of enough crashes, also when their time is over.
+        self._repeated: set[int] = set()
         self._active_until = float("-inf")
-        self._reminded = 0
+        self._next_report = 0
         self._version = 0
 
     def __len__(self) -> int:
@@ -110,13 +107,13 @@
         return self._clock.now() < self._active_until
 
     @property
-    def held(self) -> list[int]:
-        """Fingerprints of the requests that are quarantined now."""
+    def fingerprints(self) -> list[int]:
+        """The requests that are quarantined now."""
         now = self._clock.now()
-        return [f for f in self._convicted if now < self._suspects[f].held_until]
+        return [f for f in self._repeated if now < self._suspects[f].quarantined_until]
 
-    def holds(self, fingerprint: int) -> bool:
-        """Return whether a request must not run now."""
+    def contains(self, fingerprint: int) -> bool:
+        """Return whether a request is quarantined now."""
         return self.seconds_left(fingerprint) > 0
 
     def seconds_left(self, fingerprint: int) -> float:
@@ -124,30 +121,30 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return 0.0
-        return max(0.0, suspect.held_until - self._clock.now())
+        return max(0.0, suspect.quarantined_until - self._clock.now())
 
     def may_retry(self, fingerprint: int) -> bool:
-        """Return whether a request whose upstream was lost may go to another.
+        """Return whether a lost run may be retried at another upstream.
 
-        One that was quarantined before is tried at one upstream at a time.
+        A request that was quarantined before may crash one upstream at a time.
         """
-        return fingerprint not in self._convicted
+        return fingerprint not in self._repeated
 
     def report(self, incarnation: int, fingerprints: Iterable[int]) -> None:
-        """Take note that an upstream beside this node has crashed.
+        """Record a crash of the upstream beside this node.
 
         Parameters
         ==========
 
         incarnation : int
-            Hash of the incarnation.
+            Hash of the incarnation, see :func:`incarnation_hash`.
         fingerprints : iterable of int
-            Requests that may have ended it.
+            The suspects.
         """
         self._add(incarnation, self._clock.now(), fingerprints)
 
     def receive(self, reports: Iterable[CrashReport]) -> bool:
-        """Take in what another node knows; return whether any of it is new."""
+        """Merge reports of another node; return whether any of them is new."""
         now = self._clock.now()
         added = [
             self._add(r.incarnation, now - r.age / 1000, r.fingerprints)
@@ -155,49 +152,47 @@
         ]
         return any(added)
 
-    def news(self) -> list[CrashReport]:
-        """Return what is to be passed on now, at most a datagram of it."""
+    def updates(self) -> list[CrashReport]:
+        """Return a datagram of new reports to disseminate."""
         reports = []
-        room = _MOST_TOLD
+        room = _MOST_FINGERPRINTS
         for incarnation, crash in self._crashes.items():
-            chosen = list(crash.untold)[: max(0, room - _HEAD)]
+            chosen = list(crash.pending)[: max(0, room - _HEAD)]
             if not chosen:
                 continue
             room -= _HEAD + len(chosen)
             for fingerprint in chosen:
-                crash.untold[fingerprint] += 1
-                if crash.untold[fingerprint] >= _TOLD_TIMES:
-                    del crash.untold[fingerprint]
+                crash.pending[fingerprint] += 1
+                if crash.pending[fingerprint] >= _TRANSMISSIONS:
+                    del crash.pending[fingerprint]
             reports.append(self._report_of(incarnation, chosen))
         return reports
 
-    def reminder(self) -> list[CrashReport]:
-        """Return a datagram of what is known of the requests quarantined now.
+    def anti_entropy(self) -> list[CrashReport]:
+        """Return a datagram of the reports on quarantined requests, old and new.
 
-        Told about once a second, in turn if it is much: a node that has just started
-        or was cut off learns of them so.
+        Sent about once a second, so that a node that has started or was partitioned
+        learns of them; if there are more, they take turns.
         """
-        reports = list(self.held_reports())
-        if not reports:
-            return []
-        room = _MOST_TOLD
-        chosen = []
+        reports = list(self.quarantined_reports())
+        room = _MOST_FINGERPRINTS
+        chosen: list[CrashReport] = []
         for offset in range(len(reports)):
-            report = reports[(self._reminded + offset) % len(reports)]
+            report = reports[(self._next_report + offset) % len(reports)]
             cost = _HEAD + len(report.fingerprints)
             if cost > room and chosen:
                 break
             room -= cost
-            most = report.fingerprints[: _MOST_TOLD - _HEAD]
+            most = report.fingerprints[: _MOST_FINGERPRINTS - _HEAD]
             chosen.append(report._replace(fingerprints=most))
-        self._reminded += len(chosen)
+        self._next_report += len(chosen)
         return chosen
 
-    def held_reports(self) -> Iterator[CrashReport]:
+    def quarantined_reports(self) -> Iterator[CrashReport]:
         """Return all that is known of the requests that are quarantined now."""
-        held = set(self.held)
+        quarantined = set(self.fingerprints)
         for incarnation, crash in self._crashes.items():
-            chosen = sorted(held & crash.fingerprints)
+            chosen = sorted(quarantined & crash.fingerprints)
             if chosen:
                 yield self._report_of(incarnation, chosen)
 
@@ -207,7 +202,7 @@
 
     def _add(self, incarnation: int, at: float, fingerprints: Iterable[int]) -> bool:
         now = self._clock.now()
-        if now - at > _LONGEST_HOLD:
+        if now - at > _LONGEST_DURATION:
             return False
         crash = self._crashes.get(incarnation)
         new = set(fingerprints) - (crash.fingerprints if crash else set())
@@ -218,31 +213,34 @@
             crash = self._crashes[incarnation] = _Crash(at)
         crash.fingerprints |= new
         for fingerprint in new:
-            crash.untold[fingerprint] = 0
-            suspect = self._suspects.setdefault(fingerprint, _Suspect())
-            suspect.ends.add(incarnation)
-            suspect.last = max(suspect.last, crash.at)
-            if len(suspect.ends) >= _ENDS:
-                self._convicted.add(fingerprint)
-            if suspect.held_until > now:
-                self._version += 1
-                self._active_until = max(self._active_until, suspect.held_until)
+            crash.pending[fingerprint] = 0
+            self._suspect(fingerprint, incarnation, crash.at)
         return True
 
+    def _suspect(self, fingerprint: int, incarnation: int, at: float) -> None:
+        suspect = self._suspects.setdefault(fingerprint, _Suspect())
+        suspect.crashes.add(incarnation)
+        suspect.last_crash = max(suspect.last_crash, at)
+        if len(suspect.crashes) >= _CRASHES_NEEDED:
+            self._repeated.add(fingerprint)
+        if suspect.quarantined_until > self._clock.now():
+            self._version += 1
+            self._active_until = max(self._active_until, suspect.quarantined_until)
+
     def _make_room(self, now: float) -> None:
-        """Forget what is long past, then the oldest single ends, then the oldest."""
+        """Forget expired suspects, then those of one crash, then the oldest."""
         for incarnation, crash in list(self._crashes.items()):
             for fingerprint in list(crash.fingerprints):
-                convicted = fingerprint in self._convicted
-                kept = _LONGEST_HOLD if convicted else _SUSPECTED_FOR
-                if now - self._suspects[fingerprint].last > kept:
+                repeated = fingerprint in self._repeated
+                kept_for = _LONGEST_DURATION if repeated else _SUSPECTED_FOR
+                if now - self._suspects[fingerprint].last_crash > kept_for:
                     self._forget(incarnation, fingerprint)
-        for once in (True, False):
+        for only_single in (True, False):
             for incarnation, crash in list(self._crashes.items()):
                 if self._has_room:
                     return
                 for fingerprint in list(crash.fingerprints):
-                    if fingerprint not in self._convicted or not once:
+                    if fingerprint not in self._repeated or not only_single:
                         self._forget(incarnation, fingerprint)
 
     @property
@@ -253,12 +251,12 @@
     def _forget(self, incarnation: int, fingerprint: int) -> None:
         crash = self._crashes[incarnation]
         crash.fingerprints.discard(fingerprint)
-        crash.untold.pop(fingerprint, None)
+        crash.pending.pop(fingerprint, None)
         if not crash.fingerprints:
             del self._crashes[incarnation]
         suspect = self._suspects[fingerprint]
-        suspect.ends.discard(incarnation)
-        if len(suspect.ends) < _ENDS:
-            self._convicted.discard(fingerprint)
-        if not suspect.ends:
+        suspect.crashes.discard(incarnation)
+        if len(suspect.crashes) < _CRASHES_NEEDED:
+            self._repeated.discard(fingerprint)
+        if not suspect.crashes:
             del self._suspects[fingerprint]
--- a/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
@@ -149,11 +149,11 @@
         RulesRecord(revision, f"{era}.{revision}", "ann", "", TEXT, era)
         for era, revision in accepted
     ]
-    heard = records * 2
-    random.shuffle(heard)
+    received = records * 2
+    random.shuffle(received)
     state = RevisionState(data_centres_needed=2)
     before = 0
-    for number, record in enumerate(heard):
+    for number, record in enumerate(received):
         if number % 2:
             state.hear_from_store(record)
         else:
--- a/packages/rattanfork-node/rattanfork_node/app/observer.py
+++ b/packages/rattanfork-node/rattanfork_node/app/observer.py
@@ -131,7 +131,7 @@
             "slots": self._gate.slots,
             "cut": self._gate.own_cut,
             "accepting": int(self._gate.accepting),
-            "quarantined": len(self._quarantine.held),
+            "quarantined": len(self._quarantine.fingerprints),
             "impaired": int(self._gate.health.impaired),
             "repeats_granted": self._gate.grants.spent,
             "repeats_allowed": self._gate.grants.allowed,
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -245,7 +245,7 @@
             self._pool,
             self._counters,
             self._quarantine_task.read_record,
-            self._quarantine_task.keep_all,
+            self._quarantine_task.persist_all,
         )
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -51,7 +51,7 @@
         What happened.
     on_quarantine : callable
         Gets what instances have kept of the quarantine.
-    keep_quarantine : callable
+    persist_quarantine : callable
         Writes what is quarantined to the store; awaited.
     """
 
@@ -68,7 +68,7 @@
         pool: PeerPool,
         counters: Counters,
         on_quarantine: Callable[[object], None],
-        keep_quarantine: Callable[[], Awaitable[None]],
+        persist_quarantine: Callable[[], Awaitable[None]],
     ) -> None:
         self._configuration = configuration
         self._rules = rules
@@ -106,7 +106,7 @@
             counters,
         )
         self._restore = RestoreTask(
-            random, platform, roster, membership, rules, keep_quarantine, counters
+            random, platform, roster, membership, rules, persist_quarantine, counters
         )
         membership.held = self._held
         member_task.on_held = self._confirmation.hear
--- a/packages/rattanfork-node/rattanfork_node/config/restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/restore_task.py
@@ -50,7 +50,7 @@
         Who is there.
     rules : RevisionState
         The rules in force.
-    keep_quarantine : callable
+    persist_quarantine : callable
         Writes what is quarantined; awaited.
     counters : Counters
         What happened.
@@ -63,7 +63,7 @@
         roster: DutyRoster,
         membership: Membership,
         rules: RevisionState,
-        keep_quarantine: Callable[[], Awaitable[None]],
+        persist_quarantine: Callable[[], Awaitable[None]],
         counters: Counters,
     ) -> None:
         self._random = random
@@ -71,7 +71,7 @@
         self._roster = roster
         self._membership = membership
         self._rules = rules
-        self._keep_quarantine = keep_quarantine
+        self._persist_quarantine = persist_quarantine
         self._counters = counters
         self._era = 0
         self._task: asyncio.Task | None = None
@@ -105,7 +105,7 @@
             try:
                 members = await self._write_records()
                 rules = await self._write_rules()
-                await self._keep_quarantine()
+                await self._persist_quarantine()
             except PlatformDownError:
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
--- a/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
@@ -1,10 +1,10 @@
-"""Makes the whole fleet refuse a request that ends upstreams."""
+"""Disseminates and persists reports of crashes."""
 
 import asyncio
 from collections.abc import Callable, Iterable
 from random import Random
 
-from rattanfork_core.membership import CrashNews, Membership
+from rattanfork_core.membership import CrashUpdate, Membership
 from rattanfork_core.quarantine import CrashReport, Quarantine, from_row, to_row
 from rattanfork_core.request import fingerprint_text
 from rattanfork_platform import PlatformDownError, WatchedPlatform
@@ -13,13 +13,12 @@
 from rattanfork_node.member.task import MemberTask
 from rattanfork_node.telemetry import log_change
 
-#: Members that are told at once of a crash beside this node.
+#: Members to which a crash beside this node is sent at once.
 _PUSHES = 8
-#: Members that are told at each tick while there is news, and at each reminder.
-_TOLD = 2
-_REMINDED = 2
-#: Ticks between two reminders.
-_REMINDER_TICKS = 10
+#: Members to which updates are sent at each tick, and the anti-entropy datagram.
+_FANOUT = 2
+#: Ticks between two anti-entropy datagrams.
+_ANTI_ENTROPY_TICKS = 10
 #: Seconds between tries to write while the store does not answer: first and longest.
 _FIRST_PAUSE = 0.2
 _LONGEST_PAUSE = 2.0
@@ -28,21 +27,21 @@
 
 
 class QuarantineTask:
-    """Carries reports of crashes over datagrams, and keeps them in the store.
+    """Disseminates reports of crashes as datagrams, and persists them in the store.
 
     Explanation
     ===========
 
-    What makes a request quarantined has to outlive all nodes: they may all be
-    replaced at once, while the callers that send the request are not.  So an instance
-    whose upstream was among those that ended writes what is known to the store; every
-    node reads that when it starts.
+    The quarantine has to outlive all nodes: they may all be replaced at once, while
+    the callers that send the request are not.  So an instance whose upstream was
+    among those that crashed writes what is known to the store, and every node reads
+    that when it starts.
 
     Parameters
     ==========
 
     quarantine : Quarantine
-        What is known.
+        The state.
     membership : Membership
         Who is there.
     member_task : MemberTask
@@ -52,8 +51,8 @@
     random : Random
         Source of jitter.
     time_of_day : callable
-        Returns Unix seconds; reports are kept with the time of day, as no other clock
-        outlives a process.
+        Returns Unix seconds; records hold the time of day, as no other clock outlives
+        a process.
     """
 
     def __init__(
@@ -74,26 +73,26 @@
         self._ticks = 0
         self._version = 0
         self._logged: set[int] = set()
-        #: Incarnations of this instance's upstream that have crashed.
+        #: Incarnations of the upstream beside this node that have crashed.
         self._own: set[int] = set()
-        self._stored: set[tuple[int, int]] = set()
+        self._persisted: set[tuple[int, int]] = set()
         self._write: asyncio.Task | None = None
         member_task.on_crashes = self.receive
 
-    def on_crash(self, incarnation: int, accused: Iterable[int]) -> None:
-        """Take note that the upstream beside this node has crashed."""
+    def on_crash(self, incarnation: int, suspects: Iterable[int]) -> None:
+        """Report a crash of the upstream beside this node."""
         self._own.add(incarnation)
-        self._quarantine.report(incarnation, accused)
-        self._pass_on_news(_PUSHES)
-        self._look_for_changes()
+        self._quarantine.report(incarnation, suspects)
+        self._send(self._quarantine.updates(), _PUSHES)
+        self._on_change()
 
     def receive(self, reports: Iterable[CrashReport]) -> None:
-        """Take in reports of other nodes."""
+        """Merge reports of other nodes."""
         if self._quarantine.receive(reports):
-            self._look_for_changes()
+            self._on_change()
 
     def read_record(self, value: object) -> None:
-        """Take in what an instance has kept in the store.
+        """Merge what an instance has persisted.
 
         Raises
         ======
@@ -104,16 +103,16 @@
         self.receive(from_row(value, self._now()))
 
     def tick(self) -> None:
-        """Tell others; call ten times a second."""
+        """Send what is due; call ten times a second."""
         self._ticks += 1
         if not len(self._quarantine):
             return
-        self._pass_on_news(_TOLD)
-        if self._ticks % _REMINDER_TICKS == 0:
-            self._pass_on(self._quarantine.reminder(), _REMINDED)
+        self._send(self._quarantine.updates(), _FANOUT)
+        if self._ticks % _ANTI_ENTROPY_TICKS == 0:
+            self._send(self._quarantine.anti_entropy(), _FANOUT)
 
-    async def keep_all(self) -> None:
-        """Write all that is held now, for a store that may have lost it.
+    async def persist_all(self) -> None:
+        """Write all that is quarantined now, for a store that may have lost it.
 
         Raises
         ======
@@ -121,7 +120,7 @@
         PlatformDownError
             If the store does not answer.
         """
-        reports = list(self._quarantine.held_reports())
+        reports = list(self._quarantine.quarantined_reports())
         if reports:
             await self._write_record(reports)
 
@@ -130,57 +129,52 @@
         if self._write is not None:
             self._write.cancel()
 
-    def _pass_on_news(self, count: int) -> None:
-        self._pass_on(self._quarantine.news(), count)
-
-    def _pass_on(self, reports: list[CrashReport], count: int) -> None:
+    def _send(self, reports: list[CrashReport], count: int) -> None:
         if reports:
-            self._member_task.pass_on(CrashNews(tuple(reports)), count)
+            self._member_task.pass_on(CrashUpdate(tuple(reports)), count)
 
-    def _look_for_changes(self) -> None:
+    def _on_change(self) -> None:
         if self._quarantine.version == self._version:
             return
         self._version = self._quarantine.version
         self._log()
         idle = self._write is None or self._write.done()
-        if idle and _pairs(self._reports_to_keep()) - self._stored:
-            self._write = asyncio.ensure_future(self._keep())
+        if idle and _pairs(self._own_reports()) - self._persisted:
+            self._write = asyncio.ensure_future(self._persist())
 
     def _log(self) -> None:
-        held = set(self._quarantine.held)
-        new = sorted(held - self._logged)
-        self._logged = held
+        quarantined = set(self._quarantine.fingerprints)
+        new = sorted(quarantined - self._logged)
+        self._logged = quarantined
         if new:
             names = [fingerprint_text(f) for f in new[:_MOST_LOGGED]]
             log_change("requests_quarantined", requests=len(new), fingerprints=names)
 
-    def _reports_to_keep(self) -> list[CrashReport]:
-        """Return all that is known of the requests that crashed the own upstream."""
-        reports = list(self._quarantine.held_reports())
-        mine = {
-            f for r in reports if r.incarnation in self._own for f in r.fingerprints
-        }
+    def _own_reports(self) -> list[CrashReport]:
+        """Return the reports on quarantined requests that crashed the own upstream."""
+        reports = list(self._quarantine.quarantined_reports())
+        own = {f for r in reports if r.incarnation in self._own for f in r.fingerprints}
         return [
-            r._replace(fingerprints=tuple(f for f in r.fingerprints if f in mine))
+            r._replace(fingerprints=tuple(f for f in r.fingerprints if f in own))
             for r in reports
-            if mine.intersection(r.fingerprints)
+            if own.intersection(r.fingerprints)
         ]
 
-    async def _keep(self) -> None:
+    async def _persist(self) -> None:
         """Write until the store holds what is known now."""
         pause = _FIRST_PAUSE
         while True:
-            reports = self._reports_to_keep()
-            if not _pairs(reports) - self._stored:
+            reports = self._own_reports()
+            if not _pairs(reports) - self._persisted:
                 return
             try:
                 await self._write_record(reports)
             except PlatformDownError as error:
-                log_change("quarantine_not_kept", error=str(error))
+                log_change("quarantine_not_persisted", error=str(error))
                 await asyncio.sleep(pause * self._random.uniform(0.7, 1.3))
                 pause = min(_LONGEST_PAUSE, 2 * pause)
                 continue
-            self._stored = _pairs(reports)
+            self._persisted = _pairs(reports)
 
     async def _write_record(self, reports: list[CrashReport]) -> None:
         key = quarantine_key(self._membership.me.instance)
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -7,12 +7,12 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ServiceReports
 from rattanfork_core.membership import (
-    CrashNews,
+    CrashUpdate,
     GateNews,
+    GossipUpdate,
     HeldVersions,
     Member,
     Membership,
-    News,
     Send,
     SyncSchedule,
     decode_gossip,
@@ -133,13 +133,13 @@
         if isinstance(message, GateNews):
             self.on_reports(message.reports)
             return
-        if isinstance(message, CrashNews):
+        if isinstance(message, CrashUpdate):
             self.on_crashes(message.reports)
             return
         self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
 
-    def pass_on(self, news: News, count: int) -> None:
+    def pass_on(self, news: GossipUpdate, count: int) -> None:
         """Send news to so many members drawn at random."""
         data = encode_gossip(news, self._key)
         for member in self._membership.some(count):
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_quarantine_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_quarantine_task.py
@@ -1,4 +1,4 @@
-"""How nodes tell each other of crashes, and what they keep in the store."""
+"""How reports of crashes are disseminated and persisted."""
 
 import asyncio
 from random import Random
@@ -7,7 +7,7 @@
 import pytest
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.membership import (
-    CrashNews,
+    CrashUpdate,
     Membership,
     decode_gossip,
     encode_gossip,
@@ -20,15 +20,15 @@
 from rattanfork_node.relay.tests.fakes import on_loop
 
 
-class Sent:
-    """Keeps what is passed on."""
+class Sender:
+    """Keeps what is sent."""
 
     def __init__(self) -> None:
-        self.news: list[tuple[CrashNews, int]] = []
+        self.updates: list[tuple[CrashUpdate, int]] = []
         self.on_crashes = None
 
-    def pass_on(self, news: CrashNews, count: int) -> None:
-        self.news.append((news, count))
+    def pass_on(self, update: CrashUpdate, count: int) -> None:
+        self.updates.append((update, count))
 
     def add_seeds(self, seeds: list) -> None:
         """Take addresses of others."""
@@ -43,7 +43,7 @@
     def __init__(self, platform: FakePlatform | None = None, name: str = "n1") -> None:
         self.clock = ManualClock(100.0)
         self.platform = platform or FakePlatform()
-        self.sent = Sent()
+        self.sent = Sender()
         self.quarantine = Quarantine(self.clock)
         self.membership = Membership(self.clock, Random(1), member(name))
         self.task = QuarantineTask(
@@ -66,40 +66,40 @@
         return self.platform.tables.get(table, {}).get(key)
 
 
-def test_nothing_is_told_while_nothing_has_crashed():
+def test_nothing_is_sent_without_a_crash():
     world = World()
     world.tick(100)
-    assert world.sent.news == []
+    assert world.sent.updates == []
 
 
 @on_loop
 async def test_crash_is_pushed_at_once():
-    """Guards against a second upstream that ends before anybody knows of the first."""
+    """Guards against a second upstream that ends before any node knows of the first."""
     world = World()
     world.task.on_crash(1, [7])
-    [(news, count)] = world.sent.news
-    assert news.reports[0].fingerprints == (7,)
+    [(update, count)] = world.sent.updates
+    assert update.reports[0].fingerprints == (7,)
     assert count >= 8
 
 
 @on_loop
-async def test_report_of_another_node_is_passed_on():
+async def test_report_of_another_node_is_disseminated():
     world = World()
     world.sent.on_crashes((CrashReport(1, 5, (7,)),))
     world.tick()
-    assert world.sent.news[0][0].reports[0].incarnation == 1
+    assert world.sent.updates[0][0].reports[0].incarnation == 1
 
 
 @on_loop
-async def test_what_is_held_is_told_again_and_again():
+async def test_quarantined_requests_are_sent_again_and_again():
     """Guards against a node that started after the last report."""
     world = World()
     world.task.on_crash(1, [7])
     world.task.on_crash(2, [7])
     world.tick(20)
-    world.sent.news.clear()
+    world.sent.updates.clear()
     world.tick(100)
-    assert 9 <= len(world.sent.news) <= 11
+    assert 9 <= len(world.sent.updates) <= 11
 
 
 @on_loop
@@ -111,7 +111,7 @@
 
 
 @on_loop
-async def test_quarantine_is_kept_by_those_whose_upstream_has_crashed():
+async def test_quarantine_is_persisted_where_an_upstream_crashed():
     near, far = World(), World(name="n2")
     near.task.on_crash(1, [7])
     near.sent.on_crashes((CrashReport(2, 5, (7,)),))
@@ -133,7 +133,7 @@
 
 
 @on_loop
-async def test_fresh_node_holds_what_others_have_kept():
+async def test_fresh_node_reads_what_others_persisted():
     platform = FakePlatform()
     put = platform.put
     platform.put = lambda table, key, value: put(table, key, orjson.dumps(value))
@@ -147,7 +147,7 @@
     )
     join.start()
     await until(lambda: join.joined)
-    assert fresh.quarantine.holds(7)
+    assert fresh.quarantine.contains(7)
     assert len(fresh.membership.members) == 1
 
 
@@ -166,14 +166,14 @@
         World().task.read_record(row)
 
 
-def test_news_travels_in_a_datagram():
+def test_update_travels_in_a_datagram():
     reports = (CrashReport(1 << 63, 5, tuple(range(1 << 62, (1 << 62) + 100))),)
-    data = encode_gossip(CrashNews(reports), b"k")
+    data = encode_gossip(CrashUpdate(reports), b"k")
     assert len(data) < 1400
-    assert decode_gossip(data, b"k") == CrashNews(reports)
+    assert decode_gossip(data, b"k") == CrashUpdate(reports)
 
 
-def test_malformed_news_is_refused():
-    data = encode_gossip(CrashNews((CrashReport(1, -5, ()),)), b"k")
+def test_malformed_update_is_refused():
+    data = encode_gossip(CrashUpdate((CrashReport(1, -5, ()),)), b"k")
     with pytest.raises(ValueError, match="malformed"):
         decode_gossip(data, b"k")
--- a/packages/rattanfork-node/rattanfork_node/relay/crash_detector.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/crash_detector.py
@@ -1,9 +1,9 @@
-"""Finds out that an upstream has ended, and what was under way there."""
+"""Detects that an upstream has crashed, and which requests may have caused it."""
 
 import asyncio
 from collections.abc import Callable, Iterable
 
-from rattanfork_core.quarantine import CrashWitness, incarnation_hash
+from rattanfork_core.quarantine import SuspectTracker, incarnation_hash
 from rattanfork_core.request import fingerprint_text
 
 from rattanfork_node.http1 import UpstreamPool
@@ -18,33 +18,33 @@
 
 
 class CrashDetector:
-    """Tells an upstream that has ended from one that only dropped a connection.
+    """Distinguishes a crashed upstream from one that only dropped a connection.
 
     Explanation
     ===========
 
     An upstream that drops a connection still has others, or takes new ones.  One that
-    has ended has lost all at once and takes none.
+    has crashed has lost all at once and takes none.
 
     Parameters
     ==========
 
-    witness : CrashWitness
-        Knows what was under way.
+    tracker : SuspectTracker
+        Names the suspects of a crash.
     counters : Counters
         What happened.
     on_crash : callable
         Gets the hash of the incarnation that has crashed, and the fingerprints of the
-        requests that may have ended it.
+        requests that may have crashed it.
     """
 
     def __init__(
         self,
-        witness: CrashWitness,
+        tracker: SuspectTracker,
         counters: Counters,
         on_crash: Callable[[int, frozenset[int]], None],
     ) -> None:
-        self._witness = witness
+        self._tracker = tracker
         self._counters = counters
         self.on_crash = on_crash
         self._pool: UpstreamPool | None = None
@@ -61,15 +61,15 @@
 
     def on_lost(self, fingerprint: int) -> None:
         """Take note that the connection of a run ended without an answer."""
-        self._witness.on_lost(fingerprint)
+        self._tracker.on_lost(fingerprint)
         looking = self._task is not None and not self._task.done()
         if self._pool is not None and not looking and not self._crashed:
             self._task = asyncio.ensure_future(self._look(self._pool))
 
-    def on_replaced(self, under_way: Iterable[int]) -> None:
+    def on_replaced(self, in_flight: Iterable[int]) -> None:
         """Take note that another incarnation answers in the place of this one."""
         if not self._crashed:
-            self._conclude(under_way)
+            self._conclude(in_flight)
 
     def close(self) -> None:
         """Stop looking."""
@@ -84,16 +84,16 @@
                 self._conclude(())
                 return
 
-    def _conclude(self, under_way: Iterable[int]) -> None:
+    def _conclude(self, in_flight: Iterable[int]) -> None:
         self._crashed = True
-        accused = self._witness.on_ended(under_way)
+        suspects = self._tracker.on_crash(in_flight)
         upstream = self._upstream
         self._counters.events["gate.upstream-crashed"] += 1
         log_change(
             "upstream_crashed",
             upstream=upstream.name,
-            accused=len(accused),
-            fingerprints=[fingerprint_text(f) for f in sorted(accused)[:_MOST_LOGGED]],
+            suspects=len(suspects),
+            fingerprints=[fingerprint_text(f) for f in sorted(suspects)[:_MOST_LOGGED]],
         )
-        if accused:
-            self.on_crash(incarnation_hash(upstream.name, upstream.born), accused)
+        if suspects:
+            self.on_crash(incarnation_hash(upstream.name, upstream.born), suspects)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -12,7 +12,7 @@
 )
 from rattanfork_core.clock import Clock
 from rattanfork_core.hints import ChainReach, HintTable, UpstreamHealth
-from rattanfork_core.quarantine import CrashWitness, Quarantine
+from rattanfork_core.quarantine import Quarantine, SuspectTracker
 from rattanfork_core.request import CallResult, Outcome, Reason
 
 from rattanfork_node.http1 import (
@@ -131,12 +131,12 @@
         self._leaving = False
         #: Set when the upstream turned out to be another incarnation.
         self.misdirected = False
-        self._witness = CrashWitness(clock)
-        self._crash_detector = CrashDetector(self._witness, counters, quarantine.report)
+        self._tracker = SuspectTracker(clock)
+        self._crash_detector = CrashDetector(self._tracker, counters, quarantine.report)
 
     @property
     def crash_detector(self) -> CrashDetector:
-        """Tells when the upstream has crashed."""
+        """Detects crashes of the upstream."""
         return self._crash_detector
 
     @property
@@ -174,8 +174,8 @@
         known = self._upstream
         if known is None or not upstream.continues(known):
             if known is not None and self._accepting:
-                under_way = (j for j in self._jobs.values() if j.connection is not None)
-                self._crash_detector.on_replaced([j.fingerprint for j in under_way])
+                in_flight = (j for j in self._jobs.values() if j.connection is not None)
+                self._crash_detector.on_replaced([j.fingerprint for j in in_flight])
             self._replace(upstream, connections)
             if known is not None and known.name == upstream.name:
                 self._end_runs_of_predecessor()
@@ -238,7 +238,7 @@
             # repeated goes on, and so do its calls: cut off half-way, nobody
             # could tell its state.
             job.connection.abort()
-            self._witness.on_lost(job.fingerprint)
+            self._tracker.on_lost(job.fingerprint)
             self._stop_calls(job)
             self._end(job, CallResult(Outcome.UNKNOWN, Reason.CANCELLED), False)
 
@@ -353,7 +353,7 @@
         """Mark a request as handed over, or return why it is not."""
         if job.ended or job.deadline <= self._clock.now():
             return Reason.TOO_LATE
-        if self._quarantine.active and self._quarantine.holds(job.fingerprint):
+        if self._quarantine.active and self._quarantine.contains(job.fingerprint):
             return Reason.QUARANTINED
         return Reason.NONE if job.may_hand_over() else Reason.TOO_LATE
 
@@ -401,7 +401,7 @@
 
     def _note_reach(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
-            self._witness.on_success(job.fingerprint)
+            self._tracker.on_success(job.fingerprint)
             self.reach.on_run(job.operation, job.reached)
         result.reach = self.reach.services(job.operation)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -161,7 +161,7 @@
             exchange.answer(404, self._id_line(exchange))
             return
         parent = self.gate.parent_of(exchange.request_id)
-        if self.quarantine.active and self.quarantine.holds(exchange.fingerprint):
+        if self.quarantine.active and self.quarantine.contains(exchange.fingerprint):
             self._refuse(
                 exchange,
                 Reason.QUARANTINED,
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_crash_detector.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_crash_detector.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from rattanfork_core.clock import ManualClock
-from rattanfork_core.quarantine import CrashWitness
+from rattanfork_core.quarantine import SuspectTracker
 
 from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.tests.fakes import FakeUpstreamPool, GateWorld, on_loop
@@ -17,12 +17,12 @@
     def __init__(self) -> None:
         self.crashes: list[frozenset[int]] = []
         self.pool = FakeUpstreamPool()
-        witness = CrashWitness(ManualClock())
-        self.detector = CrashDetector(witness, Counters(), self.on_crash)
+        tracker = SuspectTracker(ManualClock())
+        self.detector = CrashDetector(tracker, Counters(), self.on_crash)
         self.replace("u1")
 
-    def on_crash(self, incarnation: int, accused: frozenset[int]) -> None:
-        self.crashes.append(accused)
+    def on_crash(self, incarnation: int, suspects: frozenset[int]) -> None:
+        self.crashes.append(suspects)
 
     def replace(self, name: str) -> None:
         self.detector.watch(self.pool, Upstream(name, "127.0.0.1", 1, 8))
@@ -52,7 +52,7 @@
 
 @on_loop
 async def test_upstream_that_takes_new_connections_has_not_crashed():
-    """Guards against accusing requests whose connections were reset on the way."""
+    """Guards against suspecting requests whose connections were reset on the way."""
     world = World()
     world.pool.open = 0
     await world.lose(1)
@@ -80,21 +80,21 @@
 
 
 @on_loop
-async def test_replacement_accuses_what_its_silent_predecessor_still_ran():
+async def test_replacement_suspects_what_its_silent_predecessor_still_ran():
     """Guards against an upstream that loses its power and so resets nothing."""
     world = GateWorld(slots=2)
     crashes: list[frozenset[int]] = []
-    world.gate.crash_detector.on_crash = lambda _, accused: crashes.append(accused)
+    world.gate.crash_detector.on_crash = lambda _, suspects: crashes.append(suspects)
     job, _ = world.submit("r1")
     world.gate.attach(Upstream("u2", "127.0.0.1", 1, 2), 9)
     assert crashes == [{job.fingerprint}]
 
 
 @on_loop
-async def test_end_of_an_upstream_that_has_left_accuses_nobody():
+async def test_end_of_an_upstream_that_has_left_suspects_nobody():
     world = GateWorld(slots=2)
     crashes: list[frozenset[int]] = []
-    world.gate.crash_detector.on_crash = lambda _, accused: crashes.append(accused)
+    world.gate.crash_detector.on_crash = lambda _, suspects: crashes.append(suspects)
     world.pool.open, world.pool.accepting = 0, False
     world.submit("r1")
     world.gate.detach()
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_quarantine.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_quarantine.py
@@ -7,7 +7,7 @@
 ANSWERED, NOT_RUN, UNKNOWN = Outcome.ANSWERED, Outcome.NOT_RUN, Outcome.UNKNOWN
 
 
-def convict(world, fingerprint: int) -> None:
+def quarantine(world, fingerprint: int) -> None:
     """Let two upstreams have ended under a request."""
     world.quarantine.report(1, [fingerprint])
     world.quarantine.report(2, [fingerprint])
@@ -17,7 +17,7 @@
 async def test_first_node_refuses_what_is_quarantined():
     world = RelayWorld(peers=1)
     first = world.ask("/a/x")
-    convict(world, first.fingerprint)
+    quarantine(world, first.fingerprint)
     refused = world.ask("/a/x", request_id="r2")
     other = world.ask("/a/y", request_id="r3")
     status, block, _ = refused.output
@@ -32,7 +32,7 @@
 async def test_quarantined_request_is_let_in_after_its_time():
     world = RelayWorld(peers=1)
     first = world.ask("/a/x")
-    convict(world, first.fingerprint)
+    quarantine(world, first.fingerprint)
     world.clock.advance(301)
     world.ask("/a/x", request_id="r2")
     assert len(world.links[0].runs) == 2
@@ -42,7 +42,7 @@
     """Guards against a first node that has not received the report yet."""
     world = GateWorld(slots=4)
     probe, _ = world.submit("r0")
-    convict(world, probe.fingerprint)
+    quarantine(world, probe.fingerprint)
     _, results = world.submit("r1")
     assert [(r.outcome, r.reason) for r in results] == [(NOT_RUN, Reason.QUARANTINED)]
     assert not results[0].retry_elsewhere
@@ -54,7 +54,7 @@
     world = GateWorld(slots=1)
     world.submit("r0", target=b"/other")
     waiting, results = world.submit("r1")
-    convict(world, waiting.fingerprint)
+    quarantine(world, waiting.fingerprint)
     world.answer(0)
     assert results[0].reason is Reason.QUARANTINED
 
@@ -63,7 +63,7 @@
 async def test_caller_of_a_request_refused_at_a_gate_learns_when_to_return():
     world = RelayWorld(peers=1)
     exchange = world.ask("/a/x")
-    convict(world, exchange.fingerprint)
+    quarantine(world, exchange.fingerprint)
     world.links[0].reply(0, NOT_RUN, Reason.QUARANTINED)
     status, block, _ = exchange.output
     assert status == 503
@@ -95,10 +95,10 @@
 
 
 @on_loop
-async def test_request_on_trial_ends_one_upstream_at_most():
+async def test_request_let_in_again_crashes_one_upstream_at_most():
     world = RelayWorld(peers=2, most_upstreams=2)
     probe = world.ask("/a/x")
-    convict(world, probe.fingerprint)
+    quarantine(world, probe.fingerprint)
     world.clock.advance(301)
     exchange = world.ask("/a/x", request_id="r2")
     ran = len(world.runs)
@@ -113,7 +113,7 @@
 
 
 @on_loop
-async def test_crash_of_the_own_upstream_is_reported_with_what_was_under_way():
+async def test_crash_of_the_own_upstream_is_reported_with_its_suspects():
     world = GateWorld(slots=4)
     reports = []
     world.gate.crash_detector.on_crash = lambda *report: reports.append(report)
@@ -121,7 +121,7 @@
     world.pool.open, world.pool.accepting = 0, False
     world.pool.connections[0].done(None)
     await world.gate.crash_detector._task
-    assert [accused for _, accused in reports] == [{job.fingerprint}]
+    assert [suspects for _, suspects in reports] == [{job.fingerprint}]
 
 
 @on_loop
@@ -150,8 +150,8 @@
     world.pool.open, world.pool.accepting = 0, False
     world.pool.connections[1].done(None)
     await world.gate.crash_detector._task
-    [(_, accused)] = reports
-    assert accused == {given_up.fingerprint, other.fingerprint}
+    [(_, suspects)] = reports
+    assert suspects == {given_up.fingerprint, other.fingerprint}
 
 
 def test_quarantined_request_is_not_marked_as_handed_over():
@@ -159,6 +159,6 @@
     world = GateWorld(slots=4)
     marked = []
     probe, _ = world.submit("r0")
-    convict(world, probe.fingerprint)
+    quarantine(world, probe.fingerprint)
     world.submit("r1", may_hand_over=lambda: not marked.append("r1"))
     assert marked == []
