Clear suspects that any upstream runs with success

Change: a gate that sees a suspect succeed, or remembers a success when the report arrives, says so to all; a success clears the crashes up to a minute after it. A deadly request never succeeds. The first quarantine lasts 60 s (300 before), five times as long with each further crash: whoever is still quarantined by chance is served again sooner.

--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -9,7 +9,7 @@
 from rattanfork_core.hints import GateReport, ServiceReports
 from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member
-from rattanfork_core.quarantine import CrashReport
+from rattanfork_core.quarantine import CrashReport, SuccessReport
 
 _MAC_BYTES = 12
 #: Longest datagram; below the usual MTU so that none is fragmented.
@@ -58,6 +58,7 @@
     """Reports the suspects of crashes of upstreams; it has no reply."""
 
     reports: tuple[CrashReport, ...]
+    successes: tuple[SuccessReport, ...] = ()
 
 
 #: Gossip updates without a reply, which each receiver disseminates.
@@ -111,8 +112,11 @@
         if message_type is GateNews:
             return _gate_news(*fields)
         if message_type is CrashUpdate:
-            [reports] = fields
-            return CrashUpdate(tuple(CrashReport.from_fields(r) for r in reports))
+            reports, successes = fields
+            return CrashUpdate(
+                tuple(CrashReport.from_fields(r) for r in reports),
+                tuple(SuccessReport.from_fields(s) for s in successes),
+            )
         number, sender, target, held, rumours = fields
     except Exception as error:
         raise ValueError("malformed datagram") from error
--- a/packages/rattanfork-core/rattanfork_core/quarantine/quarantine.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/quarantine.py
@@ -4,16 +4,21 @@
 from dataclasses import dataclass, field
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.quarantine.report import CrashReport
+from rattanfork_core.quarantine.report import CrashReport, SuccessReport
 
 #: Crashes after which a request is quarantined: one may have another cause, or another
 #: request that was in flight as well.
 _CRASHES_NEEDED = 2
 #: Seconds of quarantine since the last crash, and their factor for each further crash.
 #: After that the request is let in once more, as by a half-open circuit breaker.
-_DURATION = 300.0
-_DURATION_GROWTH = 4.0
+_DURATION = 60.0
+_DURATION_GROWTH = 5.0
 _LONGEST_DURATION = 24 * 3600.0
+#: Seconds for which a success clears a request of the crashes after it.  A request that
+#: crashes upstreams does not succeed at others.
+_CLEARED_FOR = 60.0
+#: Seconds for which a success is remembered, so that older reports change nothing.
+_SUCCESS_KEPT_FOR = 600.0
 #: Seconds for which a suspect of a single crash is remembered.
 _SUSPECTED_FOR = 3600.0
 _MOST_SUSPECTS = 8192
@@ -89,6 +94,9 @@
         self._crashes: dict[int, _Crash] = {}
         #: Suspects of enough crashes, also when their time is over.
         self._repeated: set[int] = set()
+        #: Last successes of suspects, and transmissions of those to disseminate.
+        self._successes: dict[int, float] = {}
+        self._pending_successes: dict[int, int] = {}
         self._active_until = float("-inf")
         self._next_report = 0
         self._version = 0
@@ -96,9 +104,14 @@
     def __len__(self) -> int:
         return len(self._suspects)
 
+    @property
+    def has_updates(self) -> bool:
+        """Whether there may be anything to disseminate."""
+        return bool(self._crashes or self._pending_successes)
+
     @property
     def version(self) -> int:
-        """Grows whenever a request is quarantined, or for longer."""
+        """Grows whenever a request is quarantined, for longer, or no more."""
         return self._version
 
     @property
@@ -143,6 +156,23 @@
         """
         self._add(incarnation, self._clock.now(), fingerprints)
 
+    def on_success(self, fingerprint: int) -> None:
+        """Record that the upstream beside this node ran a request with success."""
+        if fingerprint in self._suspects:
+            self._clear(fingerprint, self._clock.now())
+            self._pending_successes[fingerprint] = 0
+
+    def receive_successes(self, reports: Iterable[SuccessReport]) -> bool:
+        """Merge successes seen by other nodes; return whether any of them is new."""
+        now = self._clock.now()
+        new = False
+        for age, fingerprints in reports:
+            for fingerprint in fingerprints:
+                if self._clear(fingerprint, now - age / 1000):
+                    self._pending_successes[fingerprint] = 0
+                    new = True
+        return new
+
     def receive(self, reports: Iterable[CrashReport]) -> bool:
         """Merge reports of another node; return whether any of them is new."""
         now = self._clock.now()
@@ -168,6 +198,20 @@
             reports.append(self._report_of(incarnation, chosen))
         return reports
 
+    def success_updates(self) -> list[SuccessReport]:
+        """Return a datagram of successes to disseminate."""
+        chosen = list(self._pending_successes)[: _MOST_FINGERPRINTS // _HEAD]
+        for fingerprint in chosen:
+            self._pending_successes[fingerprint] += 1
+            if self._pending_successes[fingerprint] >= _TRANSMISSIONS:
+                del self._pending_successes[fingerprint]
+        now = self._clock.now()
+        return [
+            SuccessReport(int(1000 * (now - self._successes[f])), (f,))
+            for f in chosen
+            if f in self._successes
+        ]
+
     def anti_entropy(self) -> list[CrashReport]:
         """Return a datagram of the reports on quarantined requests, old and new.
 
@@ -205,7 +249,9 @@
         if now - at > _LONGEST_DURATION:
             return False
         crash = self._crashes.get(incarnation)
+        at = crash.at if crash else at
         new = set(fingerprints) - (crash.fingerprints if crash else set())
+        new = {f for f in new if at > self._cleared_until(f)}
         if not new:
             return False
         if crash is None:
@@ -217,6 +263,32 @@
             self._suspect(fingerprint, incarnation, crash.at)
         return True
 
+    def _cleared_until(self, fingerprint: int) -> float:
+        return self._successes.get(fingerprint, float("-inf")) + _CLEARED_FOR
+
+    def _clear(self, fingerprint: int, at: float) -> bool:
+        """Take a success into account; return whether it is the last one known."""
+        if at <= self._successes.get(fingerprint, float("-inf")):
+            return False
+        self._drop_old_successes()
+        self._successes[fingerprint] = at
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return True
+        quarantined = self.contains(fingerprint)
+        for incarnation in list(suspect.crashes):
+            if self._crashes[incarnation].at <= at + _CLEARED_FOR:
+                self._forget(incarnation, fingerprint)
+        if quarantined and not self.contains(fingerprint):
+            self._version += 1
+        return True
+
+    def _drop_old_successes(self) -> None:
+        if len(self._successes) >= _MOST_SUSPECTS:
+            oldest = self._clock.now() - _SUCCESS_KEPT_FOR
+            kept = {f: at for f, at in self._successes.items() if at > oldest}
+            self._successes = kept if len(kept) < _MOST_SUSPECTS else {}
+
     def _suspect(self, fingerprint: int, incarnation: int, at: float) -> None:
         suspect = self._suspects.setdefault(fingerprint, _Suspect())
         suspect.crashes.add(incarnation)
--- a/packages/rattanfork-core/rattanfork_core/quarantine/report.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/report.py
@@ -57,6 +57,38 @@
         return cls(incarnation, age, tuple(fingerprints))
 
 
+class SuccessReport(NamedTuple):
+    """Suspects that an upstream has run with success.
+
+    Parameters
+    ==========
+
+    age : int
+        Milliseconds since then.
+    fingerprints : tuple of int
+        The requests.
+    """
+
+    age: int
+    fingerprints: tuple[int, ...]
+
+    @classmethod
+    def from_fields(cls, fields: object) -> "SuccessReport":
+        """Return the report of a decoded datagram.
+
+        Raises
+        ======
+
+        ValueError
+            If the fields are not those of a report.
+        """
+        if not isinstance(fields, list | tuple) or len(fields) != len(cls._fields):
+            raise ValueError("not a report of a success")
+        # Checked as the same fields of a crash are.
+        _, age, fingerprints = CrashReport.from_fields((0, *fields))
+        return cls(age, fingerprints)
+
+
 def incarnation_hash(name: str, started: int) -> int:
     """Return the hash that stands for one incarnation of an upstream.
 
--- a/packages/rattanfork-core/rattanfork_core/quarantine/suspects.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/suspects.py
@@ -56,6 +56,10 @@
             self._next_rotation = self._clock.now() + _REMEMBERED_FOR
         self._succeeded.add(fingerprint)
 
+    def has_succeeded(self, fingerprint: int) -> bool:
+        """Return whether a run of the request succeeded lately."""
+        return fingerprint in self._succeeded or fingerprint in self._succeeded_before
+
     def on_lost(self, fingerprint: int) -> None:
         """Record that a run ended, or was cancelled, without an answer."""
         self._drop_old()
@@ -73,8 +77,8 @@
         self._drop_old()
         lost = {fingerprint for _, fingerprint in self._lost}
         self._lost.clear()
-        suspects = lost.union(in_flight) - self._succeeded - self._succeeded_before
-        return frozenset(suspects)
+        candidates = lost.union(in_flight)
+        return frozenset(f for f in candidates if not self.has_succeeded(f))
 
     def _drop_old(self) -> None:
         oldest = self._clock.now() - _DETECTION_WINDOW
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -230,6 +230,7 @@
             self._member,
             self._platform,
             self._random,
+            self._gate.has_succeeded,
             time.time,
         )
         self._gate.crash_detector.on_crash = self._quarantine_task.on_crash
--- a/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quarantine_task.py
@@ -5,7 +5,13 @@
 from random import Random
 
 from rattanfork_core.membership import CrashUpdate, Membership
-from rattanfork_core.quarantine import CrashReport, Quarantine, from_row, to_row
+from rattanfork_core.quarantine import (
+    CrashReport,
+    Quarantine,
+    SuccessReport,
+    from_row,
+    to_row,
+)
 from rattanfork_core.request import fingerprint_text
 from rattanfork_platform import PlatformDownError, WatchedPlatform
 
@@ -50,6 +56,8 @@
         The store.
     random : Random
         Source of jitter.
+    has_succeeded : callable
+        Tells whether the upstream beside this node ran a request with success lately.
     time_of_day : callable
         Returns Unix seconds; records hold the time of day, as no other clock outlives
         a process.
@@ -62,6 +70,7 @@
         member_task: MemberTask,
         platform: WatchedPlatform,
         random: Random,
+        has_succeeded: Callable[[int], bool],
         time_of_day: Callable[[], float],
     ) -> None:
         self._quarantine = quarantine
@@ -69,6 +78,7 @@
         self._member_task = member_task
         self._platform = platform
         self._random = random
+        self._has_succeeded = has_succeeded
         self._time_of_day = time_of_day
         self._ticks = 0
         self._version = 0
@@ -77,7 +87,7 @@
         self._own: set[int] = set()
         self._persisted: set[tuple[int, int]] = set()
         self._write: asyncio.Task | None = None
-        member_task.on_crashes = self.receive
+        member_task.on_crashes = self.receive_update
 
     def on_crash(self, incarnation: int, suspects: Iterable[int]) -> None:
         """Report a crash of the upstream beside this node."""
@@ -86,10 +96,20 @@
         self._send(self._quarantine.updates(), _PUSHES)
         self._on_change()
 
-    def receive(self, reports: Iterable[CrashReport]) -> None:
-        """Merge reports of other nodes."""
-        if self._quarantine.receive(reports):
+    def receive_update(self, update: CrashUpdate) -> None:
+        """Merge what another node has sent."""
+        if self._quarantine.receive_successes(update.successes):
             self._on_change()
+        self.receive(update.reports)
+
+    def receive(self, reports: Iterable[CrashReport]) -> None:
+        """Merge reports of crashes, and clear the suspects that succeed here."""
+        if not self._quarantine.receive(reports):
+            return
+        for report in reports:
+            for fingerprint in filter(self._has_succeeded, report.fingerprints):
+                self._quarantine.on_success(fingerprint)
+        self._on_change()
 
     def read_record(self, value: object) -> None:
         """Merge what an instance has persisted.
@@ -105,9 +125,10 @@
     def tick(self) -> None:
         """Send what is due; call ten times a second."""
         self._ticks += 1
-        if not len(self._quarantine):
+        if not self._quarantine.has_updates:
             return
-        self._send(self._quarantine.updates(), _FANOUT)
+        successes = self._quarantine.success_updates()
+        self._send(self._quarantine.updates(), _FANOUT, successes)
         if self._ticks % _ANTI_ENTROPY_TICKS == 0:
             self._send(self._quarantine.anti_entropy(), _FANOUT)
 
@@ -129,7 +150,14 @@
         if self._write is not None:
             self._write.cancel()
 
-    def _send(self, reports: list[CrashReport], count: int) -> None:
+    def _send(
+        self,
+        reports: list[CrashReport],
+        count: int,
+        successes: Iterable[SuccessReport] = (),
+    ) -> None:
+        if successes:
+            self._member_task.pass_on(CrashUpdate((), tuple(successes)), count)
         if reports:
             self._member_task.pass_on(CrashUpdate(tuple(reports)), count)
 
@@ -139,7 +167,7 @@
         self._version = self._quarantine.version
         self._log()
         idle = self._write is None or self._write.done()
-        if idle and _pairs(self._own_reports()) - self._persisted:
+        if idle and _pairs(self._own_reports()) != self._persisted:
             self._write = asyncio.ensure_future(self._persist())
 
     def _log(self) -> None:
@@ -165,7 +193,7 @@
         pause = _FIRST_PAUSE
         while True:
             reports = self._own_reports()
-            if not _pairs(reports) - self._persisted:
+            if _pairs(reports) == self._persisted:
                 return
             try:
                 await self._write_record(reports)
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -18,7 +18,6 @@
     decode_gossip,
     encode_gossip,
 )
-from rattanfork_core.quarantine import CrashReport
 
 from rattanfork_node.peer import LinkLostError, PeerPool, SyncRequest
 from rattanfork_node.telemetry import Counters, log_change
@@ -82,7 +81,7 @@
         #: Told of reports of gates that others pass on.
         self.on_reports: Callable[[ServiceReports], None] = _ignore
         #: Told of crashes of upstreams that others pass on.
-        self.on_crashes: Callable[[tuple[CrashReport, ...]], None] = _ignore
+        self.on_crashes: Callable[[CrashUpdate], None] = _ignore
 
     @property
     def sent_bytes(self) -> int:
@@ -134,7 +133,7 @@
             self.on_reports(message.reports)
             return
         if isinstance(message, CrashUpdate):
-            self.on_crashes(message.reports)
+            self.on_crashes(message)
             return
         self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -139,6 +139,10 @@
         """Detects crashes of the upstream."""
         return self._crash_detector
 
+    def has_succeeded(self, fingerprint: int) -> bool:
+        """Return whether the upstream ran a request with success lately."""
+        return self._tracker.has_succeeded(fingerprint)
+
     @property
     def upstream(self) -> Upstream | None:
         """The upstream that requests are handed to."""
@@ -401,7 +405,9 @@
 
     def _note_reach(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
-            self._tracker.on_success(job.fingerprint)
+            fingerprint = job.fingerprint
+            self._tracker.on_success(fingerprint)
+            self._quarantine.on_success(fingerprint)
             self.reach.on_run(job.operation, job.reached)
         result.reach = self.reach.services(job.operation)
 
