--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -126,6 +126,10 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is not None:
             self._transports.add(request.transport)
+        if self.died_at is not None and request.transport is not None:
+            # A connection that had carried nothing when the worker died.
+            request.transport.abort()
+            return web.Response()
         named = {INSTANCE: self.name}
         if request.path == "/health":
             return web.Response(status=503 if self._leaving else 200, headers=named)
