Add client accounts and quotas over all nodes to the core

Cause: nothing in the system knows the accounts of callers. A rate counted at one node only, which is of no use where 58 nodes take an account's requests.

Change: an index of keys, held as salted digests, with findings that name the place and no key; and quotas in two ways behind one interface. EqualShares gives each node an equal part. TokenLeases leases tokens from one issuer for each account, the first in an order that all nodes agree on; TokenIssuer counts issued tokens over the window beside a bucket, and issues only for the nodes that it sees, or that ask it while another may still be issuing.

No window above its bound in 40 drawn mixes of halves, isolated nodes, kills of some or all, and losses of 30 in 100; partitions of half and of 15 single nodes at six times the limit (tests).

Ruled out: a token bucket alone.

--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/client_accounts/index.py
@@ -0,0 +1,71 @@
+"""Finds the account that holds a key."""
+
+import os
+from collections.abc import Iterable, Mapping
+from hashlib import sha256
+
+from rattanfork_core.client_accounts.account import ClientAccount
+
+_SALT_BYTES = 32
+
+
+class AccountIndex:
+    """The accounts of one configuration, by their keys.
+
+    Explanation
+    ===========
+
+    Keys are held as salted digests.  A look-up compares digests only, so how long it
+    takes tells nothing of how much of a key is right.
+
+    Parameters
+    ==========
+
+    accounts : mapping
+        Each account with its keys, free of findings.
+
+    Examples
+    ========
+
+    >>> clerks = ClientAccount("clerks")
+    >>> index = AccountIndex({clerks: ["k1", "k2"]})
+    >>> index.find(b"k2").name, index.find(b"k3")
+    ('clerks', None)
+    >>> index.get("clerks") is clerks
+    True
+    """
+
+    def __init__(self, accounts: Mapping[ClientAccount, Iterable[str]]) -> None:
+        self._salted = sha256(os.urandom(_SALT_BYTES))
+        self._accounts = {account.name: account for account in accounts}
+        self._by_digest = {
+            self._digest(key.encode()): account
+            for account, keys in accounts.items()
+            for key in keys
+        }
+
+    @property
+    def accounts(self) -> Mapping[str, ClientAccount]:
+        """All accounts, by name."""
+        return self._accounts
+
+    @property
+    def keys(self) -> int:
+        """How many keys there are."""
+        return len(self._by_digest)
+
+    def find(self, key: bytes) -> ClientAccount | None:
+        """Return the account that holds a key, or None."""
+        return self._by_digest.get(self._digest(key))
+
+    def get(self, name: str) -> ClientAccount | None:
+        """Return the account of a name, or None."""
+        return self._accounts.get(name)
+
+    def __repr__(self) -> str:
+        return f"AccountIndex({len(self._accounts)} accounts, {self.keys} keys)"
+
+    def _digest(self, key: bytes) -> bytes:
+        digest = self._salted.copy()
+        digest.update(key)
+        return digest.digest()
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/quota/quota.py
@@ -0,0 +1,47 @@
+"""The interface of quotas."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from enum import Enum
+
+from rattanfork_core.client_accounts import ClientAccount
+
+
+class Verdict(Enum):
+    """What a quota says to a request."""
+
+    #: It is within the limit.
+    GRANTED = "granted"
+    #: The account's limit is reached.
+    EXHAUSTED = "exhausted"
+    #: Nobody could tell: no issuer of tokens was reached.
+    UNREACHABLE = "unreachable"
+
+
+#: Gets the verdict, and the seconds after which a refused caller should come back.
+Decided = Callable[[Verdict, float], None]
+
+
+class Quota(ABC):
+    """Holds the requests of accounts to their limits, over all nodes together."""
+
+    @abstractmethod
+    def take(self, account: ClientAccount, decided: Decided) -> None:
+        """Ask for one request to be let in; ``decided`` is called once."""
+
+    @abstractmethod
+    def give_back(self, account: ClientAccount, granted_at: float) -> None:
+        """Take note that a request that was let in has not run and never will.
+
+        Parameters
+        ==========
+
+        account : ClientAccount
+            The account.
+        granted_at : float
+            When the request was let in, in seconds of the clock.
+        """
+
+    @abstractmethod
+    def tick(self) -> None:
+        """Carry on; call several times a second."""
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -0,0 +1,207 @@
+"""Quotas over a whole fleet: never exceeded, and little refused below the limit."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from rattanfork_core.client_accounts import ClientAccount
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.quota import QuotaBound, TokenIssuer
+from rattanfork_core.quota.tests.fleet import EqualFleet, Fleet
+
+SMALL = ClientAccount("small", rate=5, burst=5)
+MIDDLE = ClientAccount("middle", rate=20, burst=20)
+LARGE = ClientAccount("large", rate=90, burst=90)
+BOUND = QuotaBound()
+
+
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+def test_account_below_its_limit_is_hardly_ever_refused(account):
+    """Guards against shares that one node has left and another lacks."""
+    fleet = Fleet(58, account)
+    fleet.run(6.0)
+    fleet.demand(0.9 * account.rate, 100.0)
+    fleet.run(101.0)
+    lost = len(fleet.refused) + len(fleet.unreachable)
+    assert lost <= 0.001 * len(fleet.granted)
+
+
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+def test_equal_shares_refuse_what_leases_let_in(account):
+    """Shows why an equal part for each node does not do for scattered requests."""
+    lost = []
+    for kind in (EqualFleet, Fleet):
+        fleet = kind(30, account)
+        fleet.run(6.0)
+        fleet.demand(0.9 * account.rate, 20.0)
+        fleet.run(21.0)
+        assert fleet.most_in_window() <= BOUND.most(account)
+        lost.append(len(fleet.refused) + len(fleet.unreachable))
+    equal, leased = lost
+    assert leased < equal
+
+
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+def test_hot_account_gets_its_limit_and_no_more(account):
+    """Guards against a sum over many nodes that no single one sees."""
+    fleet = Fleet(30, account)
+    fleet.run(6.0)
+    fleet.demand(5 * account.rate, 20.0)
+    fleet.run(21.0)
+    assert fleet.most_in_window() <= BOUND.most(account)
+    assert len(fleet.granted) >= 0.9 * account.rate * 20
+
+
+def test_burst_after_a_quiet_time_is_let_in_at_once():
+    """Guards against an issuer that starts empty for the first who ask."""
+    fleet = Fleet(30, LARGE)
+    fleet.run(6.0)
+    for place in range(30):
+        for _ in range(3):
+            fleet.ask(place)
+    fleet.run(1.0)
+    assert len(fleet.granted) == 90
+
+
+def test_requests_that_move_to_other_nodes_are_let_in():
+    """Guards against tokens that stay where the requests have been."""
+    fleet = Fleet(30, MIDDLE)
+    fleet.run(6.0)
+    fleet.demand(18.0, 10.0, nodes=list(range(10)))
+    fleet.run(10.0)
+    fleet.demand(18.0, 10.0, nodes=list(range(20, 30)))
+    fleet.run(11.0)
+    lost = len(fleet.refused) + len(fleet.unreachable)
+    assert lost <= 0.02 * len(fleet.granted)
+
+
+def test_lost_datagrams_refuse_little():
+    fleet = Fleet(30, MIDDLE)
+    fleet.run(6.0)
+    fleet.loss = 0.2
+    fleet.demand(12.0, 30.0)
+    fleet.run(31.0)
+    lost = len(fleet.refused) + len(fleet.unreachable)
+    assert lost <= 0.03 * len(fleet.granted)
+    assert fleet.most_in_window() <= BOUND.most(MIDDLE)
+
+
+def test_account_is_served_again_soon_after_its_issuer_has_failed():
+    """Guards against an account that nobody issues tokens for."""
+    fleet = Fleet(30, MIDDLE)
+    fleet.run(6.0)
+    fleet.demand(12.0, 20.0)
+    fleet.at(5.0, lambda: fleet.kill({fleet.nodes[0].order("middle")[0]}, 60.0))
+    fleet.run(21.0)
+    lost = len(fleet.refused) + len(fleet.unreachable)
+    assert lost <= 0.1 * len(fleet.granted)
+
+
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+def test_restart_of_all_nodes_doubles_no_quota(account):
+    """Guards against issuers that forget what they have issued."""
+    fleet = Fleet(30, account)
+    fleet.run(6.0)
+    fleet.demand(6 * account.rate, 20.0)
+    fleet.at(8.0, lambda: fleet.kill(set(range(30)), 0.8))
+    fleet.run(21.0)
+    assert fleet.most_in_window() <= BOUND.most(account)
+
+
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+def test_two_halves_stay_within_the_limit_together(account):
+    """Guards against a second issuer on the other side of a partition."""
+    fleet = Fleet(30, account)
+    fleet.run(6.0)
+    fleet.demand(6 * account.rate, 20.0)
+    halves = set(range(15)), set(range(15, 30))
+    fleet.at(6.0, lambda: fleet.split(*halves))
+    fleet.at(15.0, lambda: fleet.split(set(range(30))))
+    fleet.run(21.0)
+    assert fleet.most_in_window() <= BOUND.most(account)
+
+
+def test_isolated_nodes_let_in_no_more_than_their_part():
+    """Guards against nodes that take themselves for the only one."""
+    fleet = Fleet(30, LARGE)
+    fleet.run(6.0)
+    fleet.demand(6 * LARGE.rate, 20.0)
+    isolated = [{name} for name in range(15)]
+    fleet.at(6.0, lambda: fleet.split(set(range(15, 30)), *isolated))
+    fleet.run(21.0)
+    assert fleet.most_in_window() <= BOUND.most(LARGE)
+
+
+_FAULTS = st.lists(
+    st.tuples(
+        st.sampled_from(("halves", "heal", "kill", "kill all", "isolate", "lossy")),
+        st.floats(0.5, 6.0),
+        st.sets(st.integers(0, 11), min_size=1, max_size=4),
+    ),
+    max_size=5,
+)
+
+
+@given(_FAULTS, st.sampled_from((SMALL, MIDDLE, LARGE)), st.floats(0.5, 6.0))
+@settings(max_examples=40, deadline=None)
+def test_no_window_exceeds_the_bound_whatever_fails(faults, account, load):
+    fleet = Fleet(12, account)
+    fleet.run(6.0)
+    fleet.demand(load * account.rate, 25.0)
+    at = 0.0
+    for kind, pause, names in faults:
+        at += pause
+        fleet.at(at, lambda kind=kind, names=names: _strike(fleet, kind, names))
+    fleet.run(26.0)
+    assert fleet.most_in_window() <= BOUND.most(account)
+
+
+def _strike(fleet: Fleet, kind: str, names: set[int]) -> None:
+    everyone = set(range(fleet.size))
+    if kind == "halves":
+        fleet.split({n for n in everyone if n % 2}, {n for n in everyone if not n % 2})
+    elif kind == "heal":
+        fleet.split(everyone)
+        fleet.loss = 0.0
+    elif kind == "kill":
+        fleet.kill(names, 0.8)
+    elif kind == "kill all":
+        fleet.kill(everyone, 0.8)
+    elif kind == "isolate":
+        fleet.split(everyone - names, *({name} for name in names))
+    else:
+        fleet.loss = 0.3
+
+
+def test_lowered_limit_binds_at_once_at_the_issuer():
+    clock = ManualClock(100.0)
+    issuer = TokenIssuer(
+        clock,
+        BOUND,
+        is_primary=lambda name: True,
+        in_doubt=lambda name: False,
+        present=lambda: 12,
+        fleet=lambda: 12,
+        settled_at=lambda: 0.0,
+    )
+    issuer.issue(LARGE, 0, "n1")
+    for _ in range(80):
+        clock.advance(0.1)
+        issuer.issue(LARGE, 9, "n1")
+    lowered = ClientAccount("large", rate=9, burst=9)
+    issued = 0
+    for _ in range(100):
+        clock.advance(0.1)
+        issued += issuer.issue(lowered, 9, "n1").tokens
+    assert issued <= BOUND.most(lowered) * 2
+
+
+def test_state_of_accounts_that_nobody_asks_for_is_dropped():
+    """Guards against memory that grows with every name that ever came."""
+    fleet = Fleet(3, SMALL)
+    fleet.ask(0)
+    fleet.run(1.0)
+    assert len(fleet.nodes[0].leases) == 1
+    fleet.run(60.0)
+    for node in fleet.nodes:
+        node.issuer.sweep()
+        assert len(node.leases) == len(node.issuer) == 0
