--- a/packages/rattanfork-core/rattanfork_core/membership/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/__init__.py
@@ -17,6 +17,13 @@
     decode_gossip,
     encode_gossip,
 )
+from rattanfork_core.membership.requests import (
+    DirectMessage,
+    LeaseReply,
+    LeaseRequest,
+    QuotaReply,
+    QuotaRequest,
+)
 from rattanfork_core.membership.roster import DutyRoster
 from rattanfork_core.membership.rumours import RumourQueue
 from rattanfork_core.membership.settings import MembershipSettings
@@ -26,10 +33,13 @@
     "Ack",
     "BucketDigest",
     "CrashUpdate",
+    "DirectMessage",
     "DutyRoster",
     "GossipMessage",
     "GossipUpdate",
     "HeldVersions",
+    "LeaseReply",
+    "LeaseRequest",
     "Member",
     "MemberStatus",
     "Membership",
@@ -37,6 +47,8 @@
     "NEVER",
     "Ping",
     "PingRequest",
+    "QuotaReply",
+    "QuotaRequest",
     "RumourQueue",
     "Send",
     "SyncSchedule",
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -9,6 +9,11 @@
 from rattanfork_core.hints import GateReport, ServiceReports
 from rattanfork_core.membership.held import HeldVersions
 from rattanfork_core.membership.member import Member
+from rattanfork_core.membership.requests import (
+    DIRECT_KINDS,
+    DirectMessage,
+    direct_message,
+)
 from rattanfork_core.quarantine import CrashReport, SuccessReport
 
 _MAC_BYTES = 12
@@ -64,7 +69,16 @@
 #: Gossip updates without a reply, which each receiver disseminates.
 GossipUpdate = GateNews | CrashUpdate
 GossipMessage = Ping | Ack | PingRequest
-_KINDS: tuple[type, ...] = (Ping, Ack, PingRequest, GateNews, CrashUpdate)
+_KINDS: tuple[type, ...] = (
+    Ping,
+    Ack,
+    PingRequest,
+    GateNews,
+    CrashUpdate,
+    *DIRECT_KINDS,
+)
+#: All that travels in a datagram.
+Datagram = GossipMessage | GossipUpdate | DirectMessage
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,13 +89,13 @@
     message: GossipMessage
 
 
-def encode_gossip(message: GossipMessage | GossipUpdate, key: bytes) -> bytes:
+def encode_gossip(message: Datagram, key: bytes) -> bytes:
     """Return a message as an authenticated datagram."""
     body = msgpack.packb((_KINDS.index(type(message)), *message))
     return hmac.digest(key, b"gossip" + body, "sha256")[:_MAC_BYTES] + body
 
 
-def decode_gossip(data: bytes, key: bytes) -> GossipMessage | GossipUpdate:
+def decode_gossip(data: bytes, key: bytes) -> Datagram:
     """Return the message of a datagram.
 
     Raises
@@ -109,6 +123,8 @@
     try:
         kind, *fields = msgpack.unpackb(body, use_list=False)
         message_type = _KINDS[kind]
+        if message_type in DIRECT_KINDS:
+            return direct_message(message_type, tuple(fields))
         if message_type is GateNews:
             return _gate_news(*fields)
         if message_type is CrashUpdate:
--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -77,6 +77,14 @@
     NO_REPEAT = 25
     #: Upstreams that ran the request have ended, so no other one gets it.
     QUARANTINED = 26
+    #: The request has no key of a client account.
+    UNAUTHENTICATED = 27
+    #: The node has no recent proof that keys have not been taken away.
+    UNCONFIRMED = 28
+    #: The quota of the client account is spent.
+    QUOTA = 29
+    #: Nobody could tell how much of the quota is left.
+    QUOTA_UNKNOWN = 30
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-core/rattanfork_core/revision/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/__init__.py
@@ -8,6 +8,7 @@
     TryCommit,
 )
 from rattanfork_core.revision.confirmation import ConfirmationSchedule
+from rattanfork_core.revision.lease import ConfigurationLease
 from rattanfork_core.revision.reading import ReadSchedule
 from rattanfork_core.revision.record import RulesRecord
 from rattanfork_core.revision.state import RevisionState
@@ -16,6 +17,7 @@
     "CommitMachine",
     "CommitOutcome",
     "CommitStatus",
+    "ConfigurationLease",
     "ConfirmationSchedule",
     "ReadRow",
     "ReadSchedule",
--- a/packages/rattanfork-core/rattanfork_core/revision/confirmation.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/confirmation.py
@@ -126,6 +126,10 @@
             self._confirmed_at = at
             self._wait = self._draw()
 
+    def hasten(self) -> None:
+        """Ask as soon as no failure forbids it."""
+        self._wait = 0.0
+
     def due(self) -> bool:
         """Return whether to ask now."""
         now = self._clock.now()
--- a/packages/rattanfork-core/rattanfork_core/routes/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/__init__.py
@@ -1,7 +1,7 @@
 """Routes: which service a request is for, and how it may be treated."""
 
 from rattanfork_core.routes.configuration import Configuration, ServiceConfig
-from rattanfork_core.routes.route import Route, Share
+from rattanfork_core.routes.route import Route, Share, importance_of
 from rattanfork_core.routes.table import RouteTable
 from rattanfork_core.routes.turns import WeightedTurns
 
@@ -12,4 +12,5 @@
     "ServiceConfig",
     "Share",
     "WeightedTurns",
+    "importance_of",
 ]
--- a/packages/rattanfork-core/rattanfork_core/routes/configuration.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/configuration.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from rattanfork_core.client_accounts import AccountIndex
 from rattanfork_core.routes.route import Route
 from rattanfork_core.routes.table import RouteTable
 
@@ -40,6 +41,8 @@
         Most bytes of a request's head and body.
     head_timeout, idle_timeout : float
         Seconds for a request's head, and between requests.
+    accounts : AccountIndex or None
+        The client accounts; None where requests carry no keys.
     """
 
     version: int
@@ -49,6 +52,7 @@
     body_bytes: int = 16 << 20
     head_timeout: float = 3.0
     idle_timeout: float = 15.0
+    accounts: AccountIndex | None = None
     table: RouteTable = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/packages/rattanfork-core/rattanfork_core/routes/route.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/route.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from rattanfork_core.request.importance import RANKS
+
 
 @dataclass(frozen=True, slots=True)
 class Share:
@@ -45,6 +47,8 @@
         Rank among routes; 0 is shed last.
     most_upstreams : int
         Most upstreams that one request may be sent to.
+    anonymous : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -56,3 +60,16 @@
     target_latency: float = 1.0
     priority: int = 2
     most_upstreams: int = 2
+    anonymous: bool = False
+
+
+def importance_of(priority: int) -> int:
+    """Return the importance that a priority stands for.
+
+    Examples
+    ========
+
+    >>> importance_of(1), importance_of(-3), importance_of(99)
+    (1, 0, 4)
+    """
+    return min(max(priority, 0), RANKS - 1)
--- a/packages/rattanfork-core/rattanfork_core/rules/on_route.py
+++ b/packages/rattanfork-core/rattanfork_core/rules/on_route.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, replace
 
 from rattanfork_core.request import Importance
-from rattanfork_core.routes import Route
+from rattanfork_core.routes import Route, importance_of
 from rattanfork_core.rules.facts import RequestFacts
 from rattanfork_core.rules.rule import Rule
 
@@ -15,11 +15,12 @@
     caller: str,
     data_centre: str,
     load: float = 0.0,
+    priority: int | None = None,
 ) -> RequestFacts:
     """Return what rules may ask of a request by a route.
 
-    To a rule the operation is the route's name, and the importance is the
-    route's priority.
+    To a rule the operation is the route's name, and the importance is the priority of
+    the client account, if it has one, and else the route's.
     """
     return RequestFacts(
         service,
@@ -27,16 +28,11 @@
         caller,
         method,
         data_centre,
-        Importance(importance_of(route)),
+        Importance(importance_of(route.priority if priority is None else priority)),
         load,
     )
 
 
-def importance_of(route: Route) -> int:
-    """Return the importance that a route's priority stands for."""
-    return min(max(route.priority, 0), len(Importance) - 1)
-
-
 @dataclass(frozen=True, slots=True)
 class Ruling:
     """How a request by a route is treated.
@@ -83,7 +79,7 @@
     >>> ruled.priority, ruled.timeout, ruled.idempotent
     (3, 2.0, False)
     """
-    level = importance_of(route)
+    level = importance_of(route.priority)
     if rule is None:
         return Ruling("-", replace(route, priority=level))
     action = rule.action
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -7,16 +7,18 @@
 from random import Random
 
 from rattanfork_core.account import RepeatGrants
-from rattanfork_core.clock import MonotonicClock
+from rattanfork_core.client_accounts import AccountIndex
+from rattanfork_core.clock import BootClock, MonotonicClock
 from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import (
     Member,
     Membership,
     MembershipSettings,
+    MemberStatus,
 )
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.quarantine import Quarantine
-from rattanfork_core.revision import RevisionState
+from rattanfork_core.revision import ConfigurationLease, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LineBudget
 from rattanfork_platform import WatchedPlatform
@@ -36,8 +38,16 @@
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.member.gate_news import GateNewsTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
+from rattanfork_node.member.quota_task import QuotaTask
 from rattanfork_node.peer import PeerLink, PeerPool
-from rattanfork_node.relay import Departure, Gate, Journal, Relay, RelayPeerHandler
+from rattanfork_node.relay import (
+    ClientAccounts,
+    Departure,
+    Gate,
+    Journal,
+    Relay,
+    RelayPeerHandler,
+)
 from rattanfork_node.telemetry import (
     Counters,
     LineWriter,
@@ -176,7 +186,8 @@
         )
         self._reports = GateReports(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
-        self._membership.on_status = lambda *news: self._observer.on_member(*news)
+        self._membership.on_status = self._on_member
+        self._lease = ConfigurationLease(BootClock())
         self._objectives = RouteObjectives(self._clock)
         self._journal = Journal(
             self._clock,
@@ -247,6 +258,16 @@
             self._counters,
             self._quarantine_task.read_record,
             self._quarantine_task.persist_all,
+            self._lease,
+        )
+        self._quota_task = QuotaTask(
+            self._clock,
+            self._random,
+            self._membership,
+            self._member,
+            settings.relay.quota,
+            self._known_accounts,
+            lambda: self._store.joined,
         )
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
@@ -257,6 +278,16 @@
         self._directory = Directory(
             self._clock, self._random, self._membership, _LOCAL_LOAD
         )
+        self._accounts = ClientAccounts(
+            self._clock,
+            self._configuration,
+            self._lease,
+            self._quota_task.leases,
+            self._counters,
+            settings.relay.revoke_within,
+            self._store.lease.hasten,
+        )
+        self._store.lease.on_renewed = self._accounts.review
         self._relay = Relay(
             self._clock,
             self._random,
@@ -272,6 +303,7 @@
             self._journal,
             self._reports,
             self._quarantine,
+            self._accounts,
         )
         self._observer = Observer(
             self._clock,
@@ -355,6 +387,9 @@
             self._member.tick()
             self._gate_news.tick()
             self._quarantine_task.tick()
+            self._store.lease.tick()
+            self._quota_task.tick()
+            self._accounts.tick()
             self._pool.heartbeat()
             self._keeper.tick()
             self._log.flush()
@@ -373,6 +408,14 @@
         gates = self._directory.size(self._settings.relay.service)
         self._gate.grants.share_among(gates)
 
+    def _known_accounts(self) -> AccountIndex | None:
+        current = self._configuration.current
+        return None if current is None else current.accounts
+
+    def _on_member(self, member: Member, before: MemberStatus | None) -> None:
+        self._observer.on_member(member, before)
+        self._quota_task.on_member(member, before)
+
     def _on_configuration(self, configuration: Configuration) -> None:
         self._observer.on_configuration()
         self._callers.limits = RequestLimits(
@@ -381,6 +424,7 @@
             configuration.head_timeout,
             configuration.idle_timeout,
         )
+        self._accounts.review()
 
     async def _drain(self) -> int:
         shutdown = Shutdown(
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -5,12 +5,17 @@
 
 from rattanfork_core.clock import BootClock, Clock
 from rattanfork_core.membership import DutyRoster, HeldVersions, Membership
-from rattanfork_core.revision import ConfirmationSchedule, RevisionState
+from rattanfork_core.revision import (
+    ConfigurationLease,
+    ConfirmationSchedule,
+    RevisionState,
+)
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.config.configuration_task import ConfigurationTask
 from rattanfork_node.config.confirmation_task import ConfirmationTask
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.lease_task import LeaseTask
 from rattanfork_node.config.restore_task import RestoreTask
 from rattanfork_node.config.rules_watch import RulesWatch
 from rattanfork_node.member import MemberTask
@@ -53,6 +58,8 @@
         Gets what instances have kept of the quarantine.
     persist_quarantine : callable
         Writes what is quarantined to the store; awaited.
+    lease : ConfigurationLease
+        How recent the proof is that the configuration in force is the newest.
     """
 
     def __init__(
@@ -69,6 +76,7 @@
         counters: Counters,
         on_quarantine: Callable[[object], None],
         persist_quarantine: Callable[[], Awaitable[None]],
+        lease: ConfigurationLease,
     ) -> None:
         self._configuration = configuration
         self._rules = rules
@@ -85,6 +93,7 @@
             pool,
             counters,
             lambda: roster.mine,
+            lease,
         )
         self._rules_watch = RulesWatch(
             random,
@@ -105,6 +114,16 @@
             (self._configuration_task, self._rules_watch),
             counters,
         )
+        #: Renews the lease on the configuration.
+        self.lease = LeaseTask(
+            random,
+            lease,
+            configuration,
+            membership,
+            roster,
+            member_task,
+            self._confirmation.hasten,
+        )
         self._restore = RestoreTask(
             random, platform, roster, membership, rules, persist_quarantine, counters
         )
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -4,8 +4,9 @@
 from collections.abc import Callable
 from random import Random
 
-from rattanfork_core.clock import Clock
+from rattanfork_core.clock import BootClock, Clock
 from rattanfork_core.membership import Membership
+from rattanfork_core.revision import ConfigurationLease
 from rattanfork_platform import PlatformDownError, Rows, WatchedPlatform
 
 from rattanfork_node.config.follower import Follower
@@ -63,6 +64,8 @@
         What happened.
     on_duty : callable
         Whether this node watches the store now.
+    lease : ConfigurationLease or None
+        Told when the store held nothing newer.
     """
 
     def __init__(
@@ -78,12 +81,14 @@
         pool: PeerPool,
         counters: Counters,
         on_duty: Callable[[], bool] = lambda: True,
+        lease: ConfigurationLease | None = None,
     ) -> None:
         self._clock = clock
         self._random = random
         self._holder = holder
         self._watch = RowWatch(platform, table, key, _WATCH_WAIT, on_duty)
         self._key = key
+        self._lease = lease or ConfigurationLease(BootClock())
         self._membership = membership
         self._peers = PeerChoice(random, membership)
         self._member_task = member_task
@@ -101,8 +106,10 @@
         """Ask the store whether it holds something newer; take it if so."""
         if store_version and self._watch.known >= store_version:
             return self._watch.known
+        asked_at = self._lease.now()
         if self._take(await self._watch.look()):
             self._watch.overtaken()
+        self._lease.confirm(asked_at)
         return self._watch.known
 
     def start(self) -> None:
@@ -120,6 +127,7 @@
     async def _follow_store(self) -> None:
         pause = _FIRST_PAUSE
         while True:
+            asked_at = self._lease.now()
             try:
                 rows = await self._watch.next()
             except PlatformDownError as error:
@@ -130,6 +138,7 @@
             pause = _FIRST_PAUSE
             if rows is not None:
                 self._take(rows)
+                self._lease.confirm(asked_at)
 
     def _take(self, rows: Rows) -> bool:
         self._note_store(True, "")
--- a/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -76,6 +76,10 @@
         if self._task is not None:
             self._task.cancel()
 
+    def hasten(self) -> None:
+        """Ask the store soon, whoever else has asked."""
+        self._schedule.hasten()
+
     def confirmed_ms(self) -> int:
         """Return what others are told of the age, in milliseconds."""
         known = self._schedule.confirmed and not self._behind()
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from rattanfork_core.client_accounts import ClientAccount
+
 from rattanfork_node.http1.fingerprints import fingerprint_of
 
 
@@ -29,21 +31,27 @@
         Seconds for which the client waits; None if it did not say.
     keep_alive : bool
         Whether the client wants to keep the connection.
+    keys : tuple of bytes
+        Keys of a client account that it carries: one, or it is malformed.
     """
 
     __slots__ = (
+        "account",
         "answered",
         "block",
         "body",
         "connection",
+        "granted_at",
         "host",
         "keep_alive",
+        "keys",
         "method",
         "on_gone",
         "output",
         "request_id",
         "target",
         "wait",
+        "waited",
     )
 
     def __init__(
@@ -57,6 +65,7 @@
         request_id: bytes,
         wait: float | None,
         keep_alive: bool,
+        keys: tuple[bytes, ...] = (),
     ) -> None:
         self.connection = connection
         self.method = method
@@ -67,6 +76,13 @@
         self.request_id = request_id
         self.wait = wait
         self.keep_alive = keep_alive
+        self.keys = keys
+        #: The client account that sends it; None until it is told, or without one.
+        self.account: ClientAccount | None = None
+        #: When a quota let it in; None if none did.
+        self.granted_at: float | None = None
+        #: Seconds that it has waited before it was let in.
+        self.waited = 0.0
         self.answered = False
         self.output: tuple[int, bytes, bytes] | None = None
         #: Called once if the client leaves before it has its answer.
@@ -77,10 +93,17 @@
         """The path without its query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def account_name(self) -> str:
+        """Name of the client account that sends it; "" without one."""
+        return self.account.name if self.account is not None else ""
+
     @property
     def fingerprint(self) -> int:
         """What the request asks for, the same for all attempts at it."""
-        return fingerprint_of(self.method, self.target, self.block, self.body)
+        return fingerprint_of(
+            self.method, self.target, self.block, self.body, self.account_name
+        )
 
     def answer(self, status: int, block: bytes = b"", body: bytes = b"") -> None:
         """Give the final answer; later calls do nothing.
--- a/packages/rattanfork-node/rattanfork_node/http1/fingerprints.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/fingerprints.py
@@ -8,7 +8,9 @@
 _TELLING = re.compile(rb"^(?:host|authorization):[ \t]*(.*?)\r$", re.I | re.M)
 
 
-def fingerprint_of(method: bytes, target: bytes, block: bytes, body: bytes) -> int:
+def fingerprint_of(
+    method: bytes, target: bytes, block: bytes, body: bytes, account: str = ""
+) -> int:
     r"""Return the fingerprint of a request.
 
     Parameters
@@ -22,6 +24,8 @@
         Its header lines, each ending in CRLF.
     body : bytes
         The whole body.
+    account : str
+        Name of the client account that sends it; "" without one.
 
     Examples
     ========
@@ -34,4 +38,5 @@
     >>> first == fingerprint_of(b"GET", b"/b", again, b"")
     False
     """
-    return request_fingerprint(method, target, body, *_TELLING.findall(block))
+    telling = _TELLING.findall(block)
+    return request_fingerprint(method, target, body, account.encode(), *telling)
--- a/packages/rattanfork-node/rattanfork_node/http1/headers.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/headers.py
@@ -38,6 +38,10 @@
         Identifies one attempt of a caller; echoed by upstreams.
     deadline : bytes
         Milliseconds for which the sender will wait.
+    key : bytes
+        Key of the client account that sends the request; not forwarded.
+    account : bytes
+        Name of that account, for upstreams.
     caller : bytes
         Service of the instance where the request entered the system.
     expected_upstream : bytes
@@ -50,6 +54,8 @@
 
     request_id: bytes = b"Rattanfork-Request-Id"
     deadline: bytes = b"Rattanfork-Timeout-Ms"
+    key: bytes = b"Rattanfork-Key"
+    account: bytes = b"Rattanfork-Account"
     caller: bytes = b"Rattanfork-Caller"
     expected_upstream: bytes = b"Rattanfork-Expect-Upstream"
     not_run: bytes = b"Rattanfork-Not-Run"
@@ -57,5 +63,11 @@
 
     def dropped_from_requests(self) -> frozenset[bytes]:
         """Return lower-case names that are not forwarded as they came."""
-        own = (self.deadline, self.caller, self.expected_upstream)
+        own = (
+            self.deadline,
+            self.key,
+            self.account,
+            self.caller,
+            self.expected_upstream,
+        )
         return PER_CONNECTION | {name.lower() for name in own}
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -40,6 +40,7 @@
         self.dropped = names.dropped_from_requests()
         self.request_id_name = names.request_id.lower()
         self.deadline_name = names.deadline.lower()
+        self.key_name = names.key.lower()
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self._listener: asyncio.Server | None = None
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -118,7 +118,9 @@
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header."""
+        """Take a header; a field of a trailer is none."""
+        if not self._reading_head:
+            return
         lower = name.lower()
         server = self._server
         self._head_size += len(name) + len(value)
@@ -126,6 +128,8 @@
             self._request_id = value
         elif lower == server.deadline_name:
             self._wait = _seconds(value)
+        elif lower == server.key_name:
+            self._keys.append(value)
         elif lower == b"host":
             self._hosts.append(value)
         elif lower == b"expect" and value.lower() == b"100-continue":
@@ -167,6 +171,7 @@
             self._request_id,
             self._wait,
             self._parser.should_keep_alive() and not self._server.leaving,
+            tuple(self._keys),
         )
         self._after_close = not exchange.keep_alive
         self._head_bytes = 0
@@ -232,6 +237,7 @@
         self._target = b""
         self._block = bytearray()
         self._hosts: list[bytes] = []
+        self._keys: list[bytes] = []
         self._request_id = b""
         self._wait: float | None = None
         self._body: list[bytes] = []
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/member/quota_task.py
@@ -0,0 +1,202 @@
+"""Carries the tokens of client accounts between nodes."""
+
+from collections.abc import Callable
+from math import ceil
+from random import Random
+
+from rattanfork_core.client_accounts import AccountIndex
+from rattanfork_core.clock import Clock
+from rattanfork_core.hashing import hash64
+from rattanfork_core.membership import (
+    DutyRoster,
+    Member,
+    Membership,
+    MemberStatus,
+    QuotaReply,
+    QuotaRequest,
+)
+from rattanfork_core.quota import (
+    QuotaBound,
+    RecentMaximum,
+    TokenIssuer,
+    TokenLeases,
+    TokenRequest,
+)
+
+from rattanfork_node.member.task import MemberTask
+
+#: Nodes of each data centre that issue tokens; each account falls to one of them.
+_ISSUERS = 8
+#: Seconds for which a failed node may still be issuing, unseen by this one.
+_DOUBTFUL_FOR = 10.0
+#: Seconds over which the size of the fleet is remembered.
+_FLEET_MEMORY = 30.0
+#: Ticks between two sweeps of what nobody asks for.
+_SWEEP_TICKS = 10
+
+
+class QuotaTask:
+    """Asks other nodes for tokens, and issues those that fall to this node.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    random : Random
+        Source of jitter.
+    membership : Membership
+        Who is there.
+    member_task : MemberTask
+        Sends and receives datagrams.
+    bound : QuotaBound
+        By how much limits may be exceeded.
+    accounts : callable
+        Returns the client accounts in force, or None.
+    has_joined : callable
+        Whether this node has seen who else is there.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        membership: Membership,
+        member_task: MemberTask,
+        bound: QuotaBound,
+        accounts: Callable[[], AccountIndex | None],
+        has_joined: Callable[[], bool],
+    ) -> None:
+        self._clock = clock
+        self._membership = membership
+        self._member_task = member_task
+        self._accounts = accounts
+        self._has_joined = has_joined
+        self._roster = DutyRoster(membership, "quota", _ISSUERS)
+        self._view = -1
+        self._orders: dict[str, list[str]] = {}
+        #: Those that issue, and when they changed.
+        self._issuers: list[str] = []
+        self._settled_at = clock.now()
+        self._alive = 1
+        self._fleet = RecentMaximum(clock, _FLEET_MEMORY, 1)
+        #: When nodes failed that have not been replaced, by instance.
+        self._doubtful: dict[str, float] = {}
+        self._ticks = 0
+        self.issuer = TokenIssuer(
+            clock,
+            bound,
+            self._is_primary,
+            self._in_doubt,
+            self._count_alive,
+            self._largest_fleet,
+            lambda: self._settled_at,
+        )
+        self.leases = TokenLeases(clock, random, bound, self._order, self._send)
+        member_task.direct[QuotaRequest] = self.on_request
+        member_task.direct[QuotaReply] = self.on_reply
+
+    def on_request(self, request: QuotaRequest, address: tuple[str, int]) -> None:
+        """Issue tokens to another node; say nothing if that is not possible."""
+        reply = self._issue(request)
+        if reply is not None:
+            self._member_task.send(reply, address)
+
+    def on_reply(self, reply: QuotaReply, address: tuple[str, int]) -> None:
+        """Take in tokens of another node."""
+        self.leases.on_reply(reply.number, reply.tokens, reply.wait / 1000)
+
+    def on_member(self, member: Member, before: MemberStatus | None) -> None:
+        """Take note of who failed, and who is back."""
+        if member.status == MemberStatus.ALIVE:
+            self._doubtful.pop(member.instance, None)
+        elif member.status == MemberStatus.SUSPECT:
+            self._doubtful[member.instance] = self._clock.now()
+
+    def tick(self) -> None:
+        """Carry on; call ten times a second."""
+        self._ticks += 1
+        self.leases.tick()
+        if self._ticks % _SWEEP_TICKS == 0:
+            self.issuer.sweep()
+            self._forget_failed()
+
+    def _issue(self, request: QuotaRequest) -> QuotaReply | None:
+        accounts = self._accounts()
+        account = None if accounts is None else accounts.get(request.account)
+        if account is None or not account.limited or not self._has_joined():
+            return None
+        grant = self.issuer.issue(account, request.count, request.sender)
+        return QuotaReply(request.number, grant.tokens, ceil(grant.wait * 1000))
+
+    def _send(self, issuer: str, request: TokenRequest) -> None:
+        me = self._membership.me.name
+        message = QuotaRequest(request.number, me, request.account, request.count)
+        if issuer == me:
+            reply = self._issue(message)
+            if reply is not None:
+                self.on_reply(reply, self._membership.me.address)
+            return
+        member = self._membership.members.get(issuer)
+        if member is not None:
+            self._member_task.send(message, member.address)
+
+    def _order(self, account: str) -> list[str]:
+        """Return the issuers of an account, in order."""
+        self._look()
+        order = self._orders.get(account)
+        if order is None:
+            members = self._membership.members
+            order = sorted(
+                self._issuers, key=lambda n: _place(account, members[n].instance)
+            )
+            self._orders[account] = order
+        return order
+
+    def _is_primary(self, account: str) -> bool:
+        order = self._order(account)
+        return bool(order) and order[0] == self._membership.me.name
+
+    def _in_doubt(self, account: str) -> bool:
+        mine = _place(account, self._membership.me.instance)
+        oldest = self._clock.now() - _DOUBTFUL_FOR
+        return any(
+            at > oldest and _place(account, instance) < mine
+            for instance, at in self._doubtful.items()
+        )
+
+    def _count_alive(self) -> int:
+        self._look()
+        return self._alive
+
+    def _largest_fleet(self) -> int:
+        self._look()
+        return self._fleet.value
+
+    def _look(self) -> None:
+        """Take note of another view of the members."""
+        if self._view == self._membership.version:
+            return
+        self._view = self._membership.version
+        self._orders.clear()
+        self._alive = sum(map(_is_alive, self._membership.members.values()))
+        self._fleet.update(self._alive)
+        members = self._membership.members
+        issuers = [n for n in self._roster.names if _is_alive(members.get(n))]
+        if issuers != self._issuers:
+            self._issuers = issuers
+            self._settled_at = self._clock.now()
+
+    def _forget_failed(self) -> None:
+        oldest = self._clock.now() - _DOUBTFUL_FOR
+        failed = self._doubtful.items()
+        self._doubtful = {name: at for name, at in failed if at > oldest}
+
+
+def _is_alive(member: Member | None) -> bool:
+    return member is not None and member.status == MemberStatus.ALIVE
+
+
+def _place(account: str, instance: str) -> int:
+    """Return the place of an instance among the issuers of an account."""
+    return hash64(f"{account}|{instance}")
--- a/packages/rattanfork-node/rattanfork_node/member/task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/task.py
@@ -8,6 +8,7 @@
 from rattanfork_core.hints import ServiceReports
 from rattanfork_core.membership import (
     CrashUpdate,
+    DirectMessage,
     GateNews,
     GossipUpdate,
     HeldVersions,
@@ -78,6 +79,10 @@
         self.rules_teller: Member | None = None
         #: Told what the sender of each datagram holds.
         self.on_held: Callable[[HeldVersions], None] = _ignore
+        #: Told who sent it, and how many milliseconds ago it was confirmed there.
+        self.on_confirmed: Callable[[Member, int], None] = _ignore_two
+        #: Take requests and replies of other nodes, by their type.
+        self.direct: dict[type, Callable[[DirectMessage, tuple[str, int]], None]] = {}
         #: Told of reports of gates that others pass on.
         self.on_reports: Callable[[ServiceReports], None] = _ignore
         #: Told of crashes of upstreams that others pass on.
@@ -135,6 +140,10 @@
         if isinstance(message, CrashUpdate):
             self.on_crashes(message)
             return
+        direct = self.direct.get(type(message))
+        if direct is not None:
+            direct(message, addr)
+            return
         self._hear(message.sender, message.held)
         self._send_all(self._membership.on_message(message, addr))
 
@@ -144,6 +153,10 @@
         for member in self._membership.some(count):
             self._send(data, member.address)
 
+    def send(self, message: DirectMessage, address: tuple[str, int]) -> None:
+        """Send a request to a node, or a reply."""
+        self._send(encode_gossip(message, self._key), address)
+
     def records_differing(self, request: SyncRequest) -> list[Member]:
         """Return the records in which another's view differs from this one."""
         buckets = self._membership.digest.differing(request.digest)
@@ -156,6 +169,10 @@
         for task in self._background:
             task.cancel()
 
+    def note_configuration(self, version: int) -> None:
+        """Take note that a node holds a version of the configuration."""
+        self.newest_configuration = max(self.newest_configuration, version)
+
     def _hear(self, sender: Member, held: HeldVersions) -> None:
         if held.configuration and held.configuration >= self.newest_configuration:
             self.newest_configuration = held.configuration
@@ -164,6 +181,7 @@
             self.newest_rules = held.rules
             self.rules_teller = sender
         self.on_held(held)
+        self.on_confirmed(sender, held.confirmed)
 
     def _send_all(self, sends: Iterable[Send]) -> None:
         for send in sends:
@@ -191,3 +209,7 @@
 
 def _ignore(told: object) -> None:
     pass
+
+
+def _ignore_two(first: object, second: object) -> None:
+    pass
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_quota_task.py
@@ -0,0 +1,148 @@
+"""Tokens of client accounts that nodes issue to each other."""
+
+from random import Random
+
+from rattanfork_core.client_accounts import AccountIndex, ClientAccount
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.membership import (
+    Member,
+    Membership,
+    MemberStatus,
+    QuotaReply,
+    QuotaRequest,
+)
+from rattanfork_core.quota import QuotaBound, Verdict
+from rattanfork_node.member.quota_task import QuotaTask
+
+CLERKS = ClientAccount("clerks", rate=20, burst=20)
+
+
+class FakeMemberTask:
+    """Keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.direct: dict = {}
+        self.sent: list = []
+
+    def send(self, message, address) -> None:
+        self.sent.append((message, address))
+
+
+class Node:
+    """A node among others; the test is the network."""
+
+    def __init__(self, number: int, size: int = 6) -> None:
+        self.clock = ManualClock(100.0)
+        members = [
+            Member(f"n{n}", "b", "s", "dc", "127.0.0.1", n + 1, n + 1, 8)
+            for n in range(size)
+        ]
+        self.membership = Membership(self.clock, Random(1), members[number])
+        self.membership.merge(m for m in members if m is not members[number])
+        self.members = members
+        self.member_task = FakeMemberTask()
+        self.index: AccountIndex | None = AccountIndex({CLERKS: ["k"]})
+        self.joined = True
+        self.task = QuotaTask(
+            self.clock,
+            Random(1),
+            self.membership,
+            self.member_task,
+            QuotaBound(),
+            lambda: self.index,
+            lambda: self.joined,
+        )
+        self.membership.on_status = self.task.on_member
+        self.verdicts: list[Verdict] = []
+
+    def take(self) -> None:
+        decided = self.verdicts.append
+        self.task.leases.take(CLERKS, lambda verdict, after: decided(verdict))
+
+    def run(self, seconds: float) -> None:
+        for _ in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            self.task.tick()
+
+    @property
+    def order(self) -> list[str]:
+        return self.task._order("clerks")
+
+
+def issuer_number() -> int:
+    name = Node(0).order[0]
+    return int(name[1 : name.index("@")])
+
+
+def test_all_nodes_agree_on_the_order_of_issuers():
+    orders = {tuple(Node(number).order) for number in range(6)}
+    assert len(orders) == 1
+
+
+def test_issuer_itself_sends_nothing():
+    node = Node(issuer_number())
+    node.take()
+    assert node.verdicts == [Verdict.GRANTED]
+    assert node.member_task.sent == []
+
+
+def test_other_nodes_ask_the_issuer():
+    number = issuer_number()
+    node = Node((number + 1) % 6)
+    node.take()
+    [(request, address)] = node.member_task.sent
+    assert address == node.members[number].address
+    node.task.on_reply(QuotaReply(request.number, 1, 0), address)
+    assert node.verdicts == [Verdict.GRANTED]
+
+
+def test_issuer_that_does_not_answer_is_passed_over():
+    node = Node((issuer_number() + 1) % 6)
+    node.take()
+    node.run(0.3)
+    asked = [address for _, address in node.member_task.sent]
+    first, second = (node.membership.members[name].address for name in node.order[:2])
+    assert asked[:2] == [first, first]
+    me = node.membership.me.address
+    assert len(asked) == 2 or asked[2] == second or second == me
+
+
+def test_suspected_issuer_gives_way_to_the_next():
+    node = Node((issuer_number() + 1) % 6)
+    first = node.order[0]
+    suspect = node.membership.members[first].replace(status=MemberStatus.SUSPECT)
+    node.membership.merge([suspect])
+    assert first not in node.order
+
+
+def test_node_that_has_not_joined_issues_nothing():
+    """Guards against a fresh node that takes itself for the whole fleet."""
+    node = Node(issuer_number())
+    node.joined = False
+    node.task.on_request(QuotaRequest(1, "n5@b", "clerks", 1), ("127.0.0.1", 6))
+    assert node.member_task.sent == []
+
+
+def test_account_that_is_not_known_here_gets_no_reply():
+    node = Node(issuer_number())
+    node.index = None
+    node.task.on_request(QuotaRequest(1, "n5@b", "clerks", 1), ("127.0.0.1", 6))
+    assert node.member_task.sent == []
+
+
+def test_unanswered_requests_end_as_unreachable():
+    node = Node((issuer_number() + 1) % 6)
+    node.joined = False
+    node.take()
+    node.run(1.0)
+    assert node.verdicts == [Verdict.UNREACHABLE]
+
+
+def test_issuer_before_it_that_failed_is_in_doubt_until_it_is_replaced():
+    node = Node((issuer_number() + 1) % 6)
+    first = node.order[0]
+    known = node.membership.members[first]
+    node.membership.merge([known.replace(status=MemberStatus.SUSPECT)])
+    assert node.task._in_doubt("clerks")
+    node.membership.merge([known.replace(boot="c")])
+    assert not node.task._in_doubt("clerks")
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -10,7 +10,7 @@
 
 from rattanfork_node.peer.errors import FrameError
 
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 #: Longest text in a message.
 _LONGEST_TEXT = 16_384
 _MOST_HEADERS = 200
@@ -88,7 +88,8 @@
     name of the request's route, ``block`` its header lines, ``rank`` its
     place in the order of shedding.  ``attempt`` counts what was sent for it;
     ``arrived`` tells whether an earlier attempt may have reached an upstream, and
-    ``repeated`` whether the run that made it had been sent before.
+    ``repeated`` whether the run that made it had been sent before.  ``account`` is the
+    name of the client account that sent it, or "".
     """
 
     number: int
@@ -105,6 +106,7 @@
     repeated: bool
     arrived: bool
     attempt: int
+    account: str
 
 
 class RunReply(NamedTuple):
--- a/packages/rattanfork-node/rattanfork_node/relay/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/__init__.py
@@ -4,6 +4,7 @@
 decides what the system costs.
 """
 
+from rattanfork_node.relay.client_accounts import ClientAccounts
 from rattanfork_node.relay.departure import Departure
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
@@ -13,6 +14,7 @@
 from rattanfork_node.relay.settings import RelaySettings
 
 __all__ = [
+    "ClientAccounts",
     "Departure",
     "Gate",
     "Job",
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -239,6 +239,7 @@
             self._arrived,
             attempt,
             lambda result: self._on_result(attempt, result),
+            account=exchange.account_name,
         )
         self._relay.gate.submit(self._job)
 
@@ -264,6 +265,7 @@
             self._repeated,
             self._arrived,
             attempt,
+            exchange.account_name,
         )
         link.run(run, lambda reply: self._on_reply(attempt, member.name, reply))
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -369,6 +369,8 @@
             names.expected_upstream,
             self._upstream.name.encode(),
         )
+        if job.account:
+            extra += b"%b: %b\r\n" % (names.account, job.account.encode())
         return render_head(job.method, job.target, job.block, len(job.body), extra)
 
     def _on_answer(self, job: Job, answer: UpstreamAnswer | None) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -63,6 +63,8 @@
     may_hand_over: Callable[[], bool] = _always
     #: Name of the node that sent it; "" for this one.
     origin: str = ""
+    #: Name of the client account that sent it; "" without one.
+    account: str = ""
     waiter: Waiter | None = None
     connection: UpstreamConnection | None = None
     handed_over: bool = False
@@ -81,7 +83,9 @@
     @property
     def fingerprint(self) -> int:
         """What the request asks for, the same for all attempts at it."""
-        return fingerprint_of(self.method, self.target, self.block, self.body)
+        return fingerprint_of(
+            self.method, self.target, self.block, self.body, self.account
+        )
 
     @property
     def is_repeat(self) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/relay/peers.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peers.py
@@ -64,6 +64,8 @@
         ledger = self.ledger_for(link, run.number)
         if not 0 <= run.rank < RANKS:
             raise FrameError("rank out of range")
+        if not run.account.isprintable():
+            raise FrameError("not a name of an account")
         job = Job(
             run.boot,
             run.route,
@@ -81,6 +83,7 @@
             self._replier(link, run.number, run.route),
             lambda: ledger.hand_over(run.number),
             link.peer,
+            run.account,
         )
         link.calls[run.number] = job
         self._gate.submit(job)
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -26,7 +26,7 @@
 )
 from rattanfork_core.request.importance import RANKS
 from rattanfork_core.revision import RevisionState
-from rattanfork_core.routes import Route
+from rattanfork_core.routes import Route, importance_of
 from rattanfork_core.routing import InstancePicker
 
 from rattanfork_node.config.holder import ConfigurationHolder
@@ -35,6 +35,7 @@
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted import Admitted, Attempted
+from rattanfork_node.relay.client_accounts import ClientAccounts, Refusal
 from rattanfork_node.relay.departure import Departure
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
@@ -102,6 +103,8 @@
         What the gates of the fleet tell.
     quarantine : Quarantine
         Knows the requests that no upstream may run.
+    accounts : ClientAccounts
+        Tells who sends a request, where requests carry keys.
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         journal: Journal,
         reports: GateReports,
         quarantine: Quarantine,
+        accounts: ClientAccounts,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
@@ -135,6 +139,9 @@
         self._chain = ChainThresholds(reports, self.reach, directory.size)
         self.my_name = membership.me.name
         self._journal = journal
+        self._accounts = accounts
+        accounts.let_in = self._take
+        accounts.refuse = self._refuse_account
         self._random = random
         self._settings = settings
         self._names = names
@@ -160,6 +167,14 @@
             self._journal.on_refused(exchange, 404, Reason.NO_ROUTE)
             exchange.answer(404, self._id_line(exchange))
             return
+        accounts = configuration.accounts
+        if accounts is None or self.gate.parent_of(exchange.request_id) is not None:
+            self._take(exchange, route)
+        else:
+            self._accounts.admit(exchange, route, accounts)
+
+    def _take(self, exchange: Exchange, route: Route) -> None:
+        """Take a request whose sender is known."""
         parent = self.gate.parent_of(exchange.request_id)
         if self.quarantine.active and self.quarantine.contains(exchange.fingerprint):
             self._refuse(
@@ -197,9 +212,11 @@
         """Let a caller's request in, or refuse it before any work is done."""
         elsewhere = _NOBODY
         rule = ""
+        rule_decides = False
         if self._rules.revision:
             verdict = self._rule(exchange, route, service, picker)
             rule, route = verdict.rule, verdict.route
+            rule_decides = verdict.sets_importance
             if verdict.refusal is not None:
                 after = verdict.retry_after or self._settings.retry_after
                 self._refuse(
@@ -212,7 +229,7 @@
             after = self._settings.retry_after
             self._refuse(exchange, Reason.LEAVING, after, route=route.name)
             return
-        rank = self._rank(exchange, route)
+        rank = self._rank(exchange, route, rule_decides)
         operation = self.operation(route, service)
         blocked = None
         if rank < self._chain.cut(operation, service):
@@ -324,9 +341,10 @@
         rule: str = "",
     ) -> None:
         now = self.clock.now()
-        deadline = now + route.timeout - _ANSWER_MARGIN
+        began = now - exchange.waited
+        deadline = began + route.timeout - _ANSWER_MARGIN
         if exchange.wait is not None:
-            deadline = min(deadline, now + exchange.wait - _ANSWER_MARGIN)
+            deadline = min(deadline, began + exchange.wait - _ANSWER_MARGIN)
         if parent is not None:
             deadline = min(deadline, parent.deadline)
         admitted = Admitted(
@@ -334,7 +352,7 @@
             service,
             self.operation(route, service),
             rank,
-            now,
+            began,
             deadline,
             parent,
             picker,
@@ -357,15 +375,21 @@
         return self._ruler.rule(
             self._rules.rules,
             route,
+            exchange.account,
             service,
             exchange.method.decode("latin-1"),
-            self._settings.service,
+            exchange.account_name or self._settings.service,
             self.early.pressure(picker, self.operation(route, service)),
         )
 
-    def _rank(self, exchange: Exchange, route: Route) -> float:
-        level = min(max(route.priority, 0), RANKS - 1)
-        return level + request_fate(exchange.request_id.decode("latin-1"))
+    def _rank(self, exchange: Exchange, route: Route, rule_decides: bool) -> float:
+        level = importance_of(route.priority)
+        fate = request_fate(exchange.request_id.decode("latin-1"))
+        account = exchange.account
+        if rule_decides or account is None or account.priority is None:
+            return level + fate
+        # Among accounts of one priority the route's orders.
+        return importance_of(account.priority) + (level + fate) / RANKS
 
     def _pass_up(self, parent: Job, admitted: Admitted, result: CallResult) -> None:
         operation, picker = admitted.operation, admitted.picker
@@ -386,10 +410,36 @@
         self._journal.on_refused(exchange, _NOT_RUN_STATUS, reason, after, **inputs)
         self._answer_not_run(exchange, reason, after)
 
-    def _answer_not_run(self, exchange: Exchange, reason: Reason, after: float) -> None:
+    def _answer_not_run(
+        self,
+        exchange: Exchange,
+        reason: Reason,
+        after: float,
+        status: int = _NOT_RUN_STATUS,
+    ) -> None:
         self.counters.events[f"relay.refused.{reason.label}"] += 1
+        self._accounts.release(exchange)
         line = b"Retry-After: %.2f\r\n" % after
-        exchange.answer(_NOT_RUN_STATUS, self._id_line(exchange) + line)
+        exchange.answer(status, self._id_line(exchange) + line)
+
+    def _refuse_account(
+        self, exchange: Exchange, route: Route, refusal: Refusal
+    ) -> None:
+        """Refuse a request for its account's sake."""
+        after = refusal.retry_after
+        self._journal.on_refused(
+            exchange,
+            refusal.status,
+            refusal.reason,
+            after,
+            route=route.name,
+            waited_ms=round(exchange.waited * 1000, 1),
+        )
+        if after:
+            self._answer_not_run(exchange, refusal.reason, after, refusal.status)
+            return
+        self.counters.events[f"relay.refused.{refusal.reason.label}"] += 1
+        exchange.answer(refusal.status, self._id_line(exchange))
 
     def _id_line(self, exchange: Exchange) -> bytes:
         if not exchange.request_id:
--- a/packages/rattanfork-node/rattanfork_node/relay/ruling.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/ruling.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from rattanfork_core.account.callers import CallerBook
+from rattanfork_core.client_accounts import ClientAccount
 from rattanfork_core.clock import Clock
 from rattanfork_core.request import Reason
 from rattanfork_core.routes import Route
@@ -30,6 +31,8 @@
         Why it is refused; None if it is not.
     retry_after : float
         Seconds after which a refused caller should come back; 0 if unsaid.
+    sets_importance : bool
+        Whether the rule says how much the request matters, whoever sends it.
     """
 
     rule: str
@@ -37,6 +40,7 @@
     data_centre: str | None = None
     refusal: Reason | None = None
     retry_after: float = 0.0
+    sets_importance: bool = False
 
 
 class Ruler:
@@ -59,13 +63,17 @@
         self,
         rules: RuleSet,
         route: Route,
+        account: ClientAccount | None,
         service: str,
         method: str,
         caller: str,
         load: float,
     ) -> Verdict:
         """Return the verdict on a request."""
-        facts = facts_of_route(route, service, method, caller, self._data_centre, load)
+        priority = None if account is None else account.priority
+        facts = facts_of_route(
+            route, service, method, caller, self._data_centre, load, priority
+        )
         found = rules.first_match(facts)
         ruling = rule_on(route, found)
         refusal, after = None, 0.0
@@ -76,4 +84,12 @@
             limit = self._book.limit(found.name, who, found.action.rate)
             if not limit.take():
                 refusal, after = Reason.LIMIT, limit.delay
-        return Verdict(ruling.rule, ruling.route, ruling.data_centre, refusal, after)
+        sets_importance = found is not None and found.action.importance is not None
+        return Verdict(
+            ruling.rule,
+            ruling.route,
+            ruling.data_centre,
+            refusal,
+            after,
+            sets_importance,
+        )
--- a/packages/rattanfork-node/rattanfork_node/relay/settings.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/settings.py
@@ -1,6 +1,8 @@
 """Settings of the path of a request by routes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from rattanfork_core.quota import QuotaBound
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +27,11 @@
         Repeated arrivals that it may get besides in one window, over all.
     repeat_window : float
         Length of that window, in seconds.
+    revoke_within : float or None
+        Seconds in which a key that was taken away must be out of use at every node;
+        None if that binds only nodes that reach the store.
+    quota : QuotaBound
+        By how much quotas may be exceeded.
     """
 
     service: str
@@ -33,3 +40,5 @@
     repeat_ratio: float = 0.2
     repeat_extra: float = 48.0
     repeat_window: float = 10.0
+    revoke_within: float | None = None
+    quota: QuotaBound = field(default_factory=QuotaBound)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -5,13 +5,15 @@
 from random import Random
 
 from rattanfork_core.account import RepeatGrants
+from rattanfork_core.client_accounts import AccountIndex, ClientAccount
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.quarantine import Quarantine
+from rattanfork_core.quota import Quota, Verdict
 from rattanfork_core.request import CallResult
-from rattanfork_core.revision import RevisionState, RulesRecord
+from rattanfork_core.revision import ConfigurationLease, RevisionState, RulesRecord
 from rattanfork_core.routes import Configuration, Route, Share
 from rattanfork_core.trace import LineBudget
 
@@ -20,7 +22,7 @@
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.peer import LinkLostError, Run, RunReply
-from rattanfork_node.relay import Journal, Relay, RelaySettings
+from rattanfork_node.relay import ClientAccounts, Journal, Relay, RelaySettings
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.upstream import Upstream
@@ -211,6 +213,30 @@
         return [verdict]
 
 
+class FakeQuota(Quota):
+    """Says what the test wants, at once or when the test says so."""
+
+    def __init__(self) -> None:
+        self.verdict: Verdict | None = Verdict.GRANTED
+        self.retry_after = 0.0
+        self.pending: list = []
+        self.taken: list[str] = []
+        self.returned: list[str] = []
+
+    def take(self, account, decided) -> None:
+        self.taken.append(account.name)
+        if self.verdict is None:
+            self.pending.append(decided)
+        else:
+            decided(self.verdict, self.retry_after)
+
+    def give_back(self, account, granted_at) -> None:
+        self.returned.append(account.name)
+
+    def tick(self) -> None:
+        pass
+
+
 class FakeConnectionOfClient:
     """Takes the answers of an exchange."""
 
@@ -221,8 +247,15 @@
 class RelayWorld:
     """A relay on node ``me`` of service ``s``, with peers and an upstream."""
 
-    def __init__(self, peers: int = 0, **route) -> None:
+    def __init__(
+        self,
+        peers: int = 0,
+        accounts: dict[ClientAccount, list[str]] | None = None,
+        revoke_within: float | None = 5.0,
+        **route,
+    ) -> None:
         self.clock = ManualClock(100.0)
+        self.index = None if accounts is None else AccountIndex(accounts)
         self.counters = Counters()
         self.log = FakeLog(self.clock)
         self.objectives = RouteObjectives(self.clock)
@@ -241,10 +274,26 @@
         self.gate._clock = self.clock
         self.quarantine = self.gate_world.quarantine = Quarantine(self.clock)
         self.gate._quarantine = self.quarantine
-        holder = ConfigurationHolder(
-            lambda _: Configuration(1, (self.route, self.inner), {})
+        self.version = 1
+        self.holder = holder = ConfigurationHolder(
+            lambda _: Configuration(
+                self.version, (self.route, self.inner), {}, accounts=self.index
+            )
         )
         holder.offer(b"-")
+        self.lease = ConfigurationLease(self.clock)
+        self.lease.confirm(self.clock.now())
+        self.quota = FakeQuota()
+        self.proofs_wanted = 0
+        self.accounts = ClientAccounts(
+            self.clock,
+            holder,
+            self.lease,
+            self.quota,
+            self.counters,
+            revoke_within,
+            self._want_proof,
+        )
         self.rules = RevisionState()
         self.rules.hear_from_store(None)
         self.reports = GateReports(self.clock, me.name)
@@ -270,8 +319,19 @@
             ),
             self.reports,
             self.quarantine,
+            self.accounts,
         )
 
+    def change_accounts(self, accounts: dict[ClientAccount, list[str]] | None) -> None:
+        """Let another version of the configuration come into force."""
+        self.index = None if accounts is None else AccountIndex(accounts)
+        self.version += 1
+        self.holder.offer(b"-")
+        self.accounts.review()
+
+    def _want_proof(self) -> None:
+        self.proofs_wanted += 1
+
     def accept_rules(self, text: str) -> None:
         """Let a document of rules be in force."""
         revision = self.rules.revision + 1
@@ -286,7 +346,9 @@
         """All runs sent, with their links, in the order they were sent."""
         return [(link, i) for link in self.links for i in range(len(link.runs))]
 
-    def ask(self, path: str = "/a/x", request_id: str = "r1", wait=None) -> Exchange:
+    def ask(
+        self, path: str = "/a/x", request_id: str = "r1", wait=None, keys=()
+    ) -> Exchange:
         exchange = Exchange(
             FakeConnectionOfClient(),
             b"GET",
@@ -297,6 +359,7 @@
             request_id.encode(),
             wait,
             True,
+            tuple(keys),
         )
         self.relay.on_request(exchange)
         return exchange
