Note at once when the issuers of quotas change

Cause: an issuer looked at the view of members only when it was first asked, took that for the moment at which the issuers had changed, and gave the 0.7 of the rate that the first window after a takeover gets, with 5 tokens.

Change: the view is looked at with every tick. Test: a burst of 20 after ten quiet seconds, refused before.

Ruled out: members that came and went (58 of 58 alive throughout), and a lowered limit (one account only).

--- a/packages/rattanfork-node/rattanfork_node/member/quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quota_task.py
@@ -116,6 +116,7 @@
     def tick(self) -> None:
         """Carry on; call ten times a second."""
         self._ticks += 1
+        self._look()
         self.leases.tick()
         if self._ticks % _SWEEP_TICKS == 0:
             self.issuer.sweep()
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_quota_task.py
@@ -146,3 +146,12 @@
     assert node.task._in_doubt("clerks")
     node.membership.merge([known.replace(boot="c")])
     assert not node.task._in_doubt("clerks")
+
+
+def test_issuer_that_is_first_for_long_lets_a_burst_in():
+    """Guards against a view that is looked at only when the first request comes."""
+    node = Node(issuer_number())
+    node.run(10.0)
+    for _ in range(20):
+        node.take()
+    assert node.verdicts == [Verdict.GRANTED] * 20
