Shed waiters that have waited longer than the queue is meant to take

Way that stood: waiters stay until they are doomed.

Open: searches are refused beside filings where both do not fit.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -166,6 +166,7 @@
             self._latest_start.pop(waiter.key, None)
             decisions.append(Refuse(waiter, Reason.TOO_LATE))
         decisions += self._start_next()
+        decisions += self._shed_overdue(now)
         limit = self._limit.current
         if self._estimate.mean:
             self._cut.update(
@@ -175,6 +176,19 @@
             )
         return decisions
 
+    def _shed_overdue(self, now: float) -> list[Decision]:
+        """Shed who has waited too long, and announce that no more such may come.
+
+        While the queue is not full, whoever comes with a lower rank goes first.  One
+        of high rank would wait until it is doomed, with all that was done for it.
+        """
+        longest = max(self._settings.longest_wait, self._estimate.mean)
+        overdue = self._queue.take_older(now - longest)
+        for waiter in overdue:
+            self._latest_start.pop(waiter.key, None)
+            self._on_displaced(waiter)
+        return [Refuse(waiter, Reason.SHED) for waiter in overdue]
+
     def _count_busy(self) -> None:
         now = self._clock.now()
         self._busy += len(self._running) * (now - self._busy_since)
--- a/packages/rattanfork-core/rattanfork_core/admission/queue.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/queue.py
@@ -68,5 +68,12 @@
             self._waiters.remove(waiter)
         return doomed
 
+    def take_older(self, arrived: float) -> list[Waiter]:
+        """Take out all that arrived before a time."""
+        older = [w for w in self._waiters if w.arrived < arrived]
+        for waiter in older:
+            self._waiters.remove(waiter)
+        return older
+
     def __iter__(self):
         return iter(self._waiters)
--- a/packages/rattanfork-core/rattanfork_core/admission/settings.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/settings.py
@@ -1,6 +1,7 @@
 """Settings of admission."""
 
 from dataclasses import dataclass
+from math import inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +26,8 @@
     surge_sample : int
         Arrivals looked at for a surge.  They must span more time than those
         that come in one batch, or each batch looks like a surge.
+    longest_wait : float
+        Seconds after which a waiter is shed, or the mean service time if that is more.
     adaptive : bool
         Whether the limit is lowered when service times suggest that the
         upstream queues inside; without it, the announced slots are the limit.
@@ -37,4 +40,5 @@
     retry_after: float = 1.0
     warmup: float = 2.0
     surge_sample: int = 12
+    longest_wait: float = inf
     adaptive: bool = True
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -116,6 +116,7 @@
                 queue_share=_QUEUE_SHARE,
                 queue_seconds=_QUEUE_SECONDS,
                 surge_sample=_SURGE_SAMPLE,
+                longest_wait=_QUEUE_SECONDS,
             ),
         )
         #: Thresholds that runs of the upstream have met at the services they call.
