Let calls of runs that have gone further go first among their like

Cause: a lookup or a filing makes eight reads at the deepest service, one after another, and is lost with the first that is shed.

Change: the rank of a call is that of its run, moved towards the first of its like by the calls of the run that have succeeded.

Way that stood: all calls have the rank of the root.

--- a/packages/rattanfork-core/rattanfork_core/request/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/request/__init__.py
@@ -16,6 +16,7 @@
 from rattanfork_core.request.importance import Importance
 from rattanfork_core.request.machine import RequestMachine
 from rattanfork_core.request.outcome import Outcome, Reason
+from rattanfork_core.request.progress import rank_of_call
 from rattanfork_core.request.result import CallResult, FenceVerdict
 from rattanfork_core.request.retry_after import spread_retry_after
 
@@ -34,6 +35,7 @@
     "SendCancel",
     "SendFence",
     "fingerprint_text",
+    "rank_of_call",
     "request_fate",
     "request_fingerprint",
     "request_rank",
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -75,8 +75,9 @@
     heard_cut: float = float("inf")
     #: Services that the run has called with success, and those behind them.
     reached: set[str] = field(default_factory=set)
-    #: Calls of the run that did not get a success.
+    #: Calls of the run that did not get a success, and those that did.
     failed_calls: int = 0
+    succeeded_calls: int = 0
     #: Stops the calls that the run has made.
     cancels: dict[int, Callable[[], None]] = field(default_factory=dict)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -21,6 +21,7 @@
     CallResult,
     Outcome,
     Reason,
+    rank_of_call,
     request_fate,
     spread_retry_after,
 )
@@ -198,7 +199,7 @@
                 route=route.name,
             )
         elif parent is not None:
-            rank = parent.rank
+            rank = rank_of_call(parent.rank, parent.succeeded_calls)
             blocked = self._blocked(picker, route, service, rank)
             self._forward(
                 exchange, route, service, rank, parent, picker, blocked or _NOBODY
@@ -399,6 +400,8 @@
             parent.heard_cut = min(parent.heard_cut, cut)
         if result.status < 200 or result.status >= 300:
             parent.failed_calls += 1
+        else:
+            parent.succeeded_calls += 1
 
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -438,3 +438,18 @@
     link.reply(place, NOT_RUN, Reason.TOO_LATE, retry_elsewhere=True)
     assert exchange.output[0] == 503
     assert len(world.runs) == 1
+
+
+@on_loop
+async def test_calls_of_a_run_go_first_once_others_of_it_have_succeeded():
+    """Guards against a run that loses all its calls with the last one."""
+    world = RelayWorld(peers=1)
+    job, _ = world.gate_world.submit("r1", rank=2.55)
+    for number in range(3):
+        world.ask("/i/x", request_id=f"r1.{number}")
+        world.links[0].reply(number, ANSWERED, status=200)
+    ranks = [run.rank for run, _ in world.links[0].runs]
+    assert ranks == sorted(ranks, reverse=True)
+    assert ranks[0] == 2.55
+    assert all(2.4 <= rank for rank in ranks)
+    assert job.succeeded_calls == 3
