Count instances, not incarnations, where quotas are shared

Cause: after all nodes lost power a view holds the records of the processes that are gone until they are found out. Issuers took the fleet for twice as large for 30 s, so each gave half of its limits, and processes that are gone stood in the order of issuers.

Change: one incarnation of each instance counts, the newest; issuers are chosen by instance, so a restart changes nobody's place; a suspect whose successor is known leaves nothing in doubt. Test with the records of a fleet before its restart.

--- a/packages/rattanfork-node/rattanfork_node/member/quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quota_task.py
@@ -1,6 +1,6 @@
 """Carries the tokens of client accounts between nodes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from math import ceil
 from random import Random
 
@@ -8,12 +8,12 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.hashing import hash64
 from rattanfork_core.membership import (
-    DutyRoster,
     Member,
     Membership,
     MemberStatus,
     QuotaReply,
     QuotaRequest,
+    duty_group,
 )
 from rattanfork_core.quota import (
     QuotaBound,
@@ -72,11 +72,10 @@
         self._member_task = member_task
         self._accounts = accounts
         self._has_joined = has_joined
-        self._roster = DutyRoster(membership, "quota", _ISSUERS)
         self._view = -1
         self._orders: dict[str, list[str]] = {}
-        #: Those that issue, and when they changed.
-        self._issuers: list[str] = []
+        #: The newest incarnation of each instance that issues, and when others did.
+        self._issuers: dict[str, Member] = {}
         self._settled_at = clock.now()
         self._alive = 1
         self._fleet = RecentMaximum(clock, _FLEET_MEMORY, 1)
@@ -110,7 +109,7 @@
         """Take note of who failed, and who is back."""
         if member.status == MemberStatus.ALIVE:
             self._doubtful.pop(member.instance, None)
-        elif member.status == MemberStatus.SUSPECT:
+        elif member.status == MemberStatus.SUSPECT and not self._is_replaced(member):
             self._doubtful[member.instance] = self._clock.now()
 
     def tick(self) -> None:
@@ -147,10 +146,8 @@
         self._look()
         order = self._orders.get(account)
         if order is None:
-            members = self._membership.members
-            order = sorted(
-                self._issuers, key=lambda n: _place(account, members[n].instance)
-            )
+            instances = sorted(self._issuers, key=lambda i: _place(account, i))
+            order = [self._issuers[instance].name for instance in instances]
             self._orders[account] = order
         return order
 
@@ -166,6 +163,10 @@
             for instance, at in self._doubtful.items()
         )
 
+    def _is_replaced(self, member: Member) -> bool:
+        known = self._issuers.get(member.instance)
+        return known is not None and known.boot > member.boot
+
     def _count_alive(self) -> int:
         self._look()
         return self._alive
@@ -180,13 +181,13 @@
             return
         self._view = self._membership.version
         self._orders.clear()
-        self._alive = sum(map(_is_alive, self._membership.members.values()))
+        newest = _newest_alive(self._membership.members.values())
+        self._alive = len(newest)
         self._fleet.update(self._alive)
-        members = self._membership.members
-        issuers = [n for n in self._roster.names if _is_alive(members.get(n))]
-        if issuers != self._issuers:
-            self._issuers = issuers
+        issuers = _issuers(newest)
+        if issuers.keys() != self._issuers.keys():
             self._settled_at = self._clock.now()
+        self._issuers = issuers
 
     def _forget_failed(self) -> None:
         oldest = self._clock.now() - _DOUBTFUL_FOR
@@ -194,8 +195,27 @@
         self._doubtful = {name: at for name, at in failed if at > oldest}
 
 
-def _is_alive(member: Member | None) -> bool:
-    return member is not None and member.status == MemberStatus.ALIVE
+def _newest_alive(members: Iterable[Member]) -> dict[str, Member]:
+    """Return the members that are not suspected, one incarnation of each instance.
+
+    After a restart of all, a view holds the records of processes that are gone.
+    """
+    newest: dict[str, Member] = {}
+    for member in members:
+        if member.status == MemberStatus.ALIVE:
+            known = newest.get(member.instance)
+            if known is None or member.boot > known.boot:
+                newest[member.instance] = member
+    return newest
+
+
+def _issuers(members: dict[str, Member]) -> dict[str, Member]:
+    """Return the members that issue tokens, some of each data centre."""
+    centres: dict[str, list[str]] = {}
+    for instance, member in members.items():
+        centres.setdefault(member.data_centre, []).append(instance)
+    chosen = (duty_group(names, "quota", _ISSUERS) for names in centres.values())
+    return {name: members[name] for names in chosen for name in names}
 
 
 def _place(account: str, instance: str) -> int:
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_quota_task.py
@@ -155,3 +155,15 @@
     for _ in range(20):
         node.take()
     assert node.verdicts == [Verdict.GRANTED] * 20
+
+
+def test_records_of_processes_that_are_gone_change_neither_order_nor_parts():
+    """Guards against half of each limit after a restart of all nodes."""
+    node = Node(issuer_number())
+    order = [name.partition("@")[0] for name in node.order]
+    gone = [m.replace(boot="a") for m in node.members]
+    node.membership.merge(gone)
+    assert [name.partition("@")[0] for name in node.order] == order
+    assert node.task._count_alive() == 6
+    node.membership.merge(m.replace(status=MemberStatus.SUSPECT) for m in gone)
+    assert not any(node.task._in_doubt(name) for name in ("a", "b", "clerks"))
