Let issuers use more of a quota's tolerance while all see the same fleet

Change: that need is made smaller instead, and 0.55 of the tolerance is let in. - An issuer that is not first in order has a few tokens and no rate, and says nothing once they are gone; who asks turns to the first again. - The window is held to the part of the fleet that the issuer sees, and has seen for a whole window: when a partition heals, what the other side has issued is not known.

--- a/packages/rattanfork-core/rattanfork_core/quota/bound.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/bound.py
@@ -6,8 +6,8 @@
 
 #: Parts of the excess that random arrivals, tokens on their way, and an issuer that
 #: starts may use; the rest is for nodes whose views of the fleet differ for a while.
-_GRANTED_PART = 0.2
-_LEASE_PART = 0.2
+_GRANTED_PART = 0.55
+_LEASE_PART = 0.15
 _START_PART = 0.2
 #: Most tokens of an issuer that starts: several may start at once.
 _MOST_START = 5.0
@@ -49,7 +49,7 @@
 
     def sustained_rate(self, account: ClientAccount) -> float:
         """Return the requests a second that keep within the quota for ever."""
-        return self.limit(account) / self.window
+        return self.granted(account) / self.window
 
     def granted(self, account: ClientAccount) -> float:
         """Return the requests that are let in at most in a window.
--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -70,9 +70,9 @@
     Each node has a right to an equal part of each limit, and lends it to the issuer
     that it asks; so the sum of what all issuers issue stays within the limit whoever
     asks whom.  A node that has long been first in order for an account, in its own
-    view, issues for all nodes that it sees.  Any other counts the nodes that ask it,
-    and begins with a few tokens, so that a takeover or a restart neither refuses
-    what is within the limit nor doubles it.
+    view, issues for all nodes that it sees.  One that has just become so counts the
+    nodes that ask it, and any other has a few tokens only: enough for the requests of
+    a small account until the views of all nodes agree on who has failed.
 
     The limit is on each window; a burst may come at any moment of it.  So a window of
     what was issued stands beside the bucket, which alone would refuse a steady load
@@ -133,12 +133,17 @@
         self._fleet = fleet
         self._settled_at = settled_at
         self._accounts: dict[str, _Account] = {}
+        #: Smallest part of the fleet seen lately, and when.
+        self._lowest_part = (1.0, clock.now())
 
     def __len__(self) -> int:
         return len(self._accounts)
 
-    def issue(self, account: ClientAccount, count: int, asker: str) -> Grant:
-        """Issue up to so many tokens of an account to a node."""
+    def issue(self, account: ClientAccount, count: int, asker: str) -> Grant | None:
+        """Issue up to so many tokens of an account to a node.
+
+        None if there are none and another issuer can tell whether the limit is reached.
+        """
         now = self._clock.now()
         state = self._state(account)
         state.last_asked = now
@@ -146,9 +151,12 @@
         rate = self._rate(account, state, now)
         state.bucket.fill(rate, self._bound.depth(account))
         issued, _ = state.counted.totals()
-        left = max(0, int(self._bound.granted(account) - issued))
+        most = self._bound.granted(account) * self._part
+        left = max(0, int(most - issued))
         tokens = state.bucket.take(min(count, left))
         state.counted.add(tokens, count - tokens)
+        if state.primary_since is None:
+            return Grant(tokens, 0.0) if tokens else None
         if tokens == count:
             return Grant(tokens, 0.0)
         return Grant(tokens, 1 / max(rate, account.rate / 10))
@@ -173,29 +181,41 @@
         if state is None:
             if len(self._accounts) >= _MOST_ACCOUNTS:
                 self._accounts.pop(next(iter(self._accounts)))
-            part = min(1.0, self._present() / max(1, self._fleet()))
-            level = self._bound.start_level(account) * part
+            level = self._bound.start_level(account) * self._part
             primary = self._is_primary(account.name)
             since = self._settled_at() if primary else None
             state = _Account(self._clock, self._bound.window, level, since)
             self._accounts[account.name] = state
         return state
 
+    @property
+    def _part(self) -> float:
+        """Part of the fleet that this node sees, and has seen for a window.
+
+        When a partition has healed, what the other side has issued is not known.
+        """
+        now = self._clock.now()
+        part = min(1.0, self._present() / max(1, self._fleet()))
+        lowest, seen_at = self._lowest_part
+        if part <= lowest or now - seen_at > self._bound.window:
+            self._lowest_part = (part, now)
+        return self._lowest_part[0]
+
     def _rate(self, account: ClientAccount, state: _Account, now: float) -> float:
         """Return the tokens a second that this node may issue."""
         name = account.name
         self._note_place(name, state, now)
-        fleet = max(1, self._fleet())
-        if state.primary_since is not None:
-            handover = _DOUBTFUL_HANDOVER if self._in_doubt(name) else _HANDOVER
-            if now - state.primary_since >= handover:
-                warm = now - state.since >= self._bound.window
-                rate = self._bound.sustained_rate(account)
-                if not warm:
-                    rate = _COLD_PART * account.rate
-                return rate * min(1.0, self._present() / fleet)
-        self._drop_old_askers(state, now)
-        return _ASKED_PART * account.rate * min(1.0, len(state.askers) / fleet)
+        if state.primary_since is None:
+            return 0.0
+        handover = _DOUBTFUL_HANDOVER if self._in_doubt(name) else _HANDOVER
+        if now - state.primary_since < handover:
+            self._drop_old_askers(state, now)
+            part = min(1.0, len(state.askers) / max(1, self._fleet()))
+            return _ASKED_PART * account.rate * part
+        part = self._part
+        if now - state.since < self._bound.window:
+            return _COLD_PART * account.rate * part
+        return self._bound.sustained_rate(account) * part
 
     def _note_place(self, name: str, state: _Account, now: float) -> None:
         if not self._is_primary(name):
--- a/packages/rattanfork-core/rattanfork_core/quota/leases.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/leases.py
@@ -10,12 +10,11 @@
 from rattanfork_core.quota.bound import QuotaBound
 from rattanfork_core.quota.quota import Decided, Quota, Verdict
 
-#: Seconds without a reply after which another request is sent, requests to one issuer
-#: before the next in order is asked, and requests after which those that wait are
-#: refused.
+#: Seconds without a reply after which another request is sent, and places of the
+#: issuers that are asked by turns before those that wait are refused: a lost datagram
+#: is more common than a failed issuer.
 _REPLY_TIMEOUT = 0.08
-_TRIES_EACH = 2
-_MOST_TRIES = 6
+_TURNS = (0, 0, 1, 0, 1, 0)
 #: Longest time, in seconds, for which a node refuses by itself what an issuer has just
 #: refused: each such request would cost two messages for the same answer.
 _LONGEST_BLOCK = 0.2
@@ -240,12 +239,12 @@
         lease.asked = self._number
         count = min(_MOST_TOKENS, max(1, len(lease.waiting) + self._ahead(lease)))
         self._asked[self._number] = _Asked(lease.account.name, now)
-        issuer = issuers[lease.tries // _TRIES_EACH % len(issuers)]
+        issuer = issuers[_TURNS[lease.tries] % len(issuers)]
         self._send(issuer, TokenRequest(self._number, lease.account.name, count))
 
     def _ask_again(self, lease: _Lease, now: float) -> None:
         lease.tries += 1
-        if lease.tries < _MOST_TRIES and lease.waiting:
+        if lease.tries < len(_TURNS) and lease.waiting:
             self._ask(lease, now)
             return
         lease.asked = lease.tries = 0
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
@@ -98,6 +98,8 @@
             if not self._reaches(sender.name, issuer):
                 return
             grant = node.issuer.issue(self.account, request.count, str(sender.name))
+            if grant is None:
+                return
             if issuer == sender.name:
                 sender.leases.on_reply(request.number, *grant)
                 return
--- a/packages/rattanfork-node/rattanfork_node/member/quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quota_task.py
@@ -127,6 +127,8 @@
         if account is None or not account.limited or not self._has_joined():
             return None
         grant = self.issuer.issue(account, request.count, request.sender)
+        if grant is None:
+            return None
         return QuotaReply(request.number, grant.tokens, ceil(grant.wait * 1000))
 
     def _send(self, issuer: str, request: TokenRequest) -> None:
