Move the rank of callers' requests into a module of its own

Tried beside it and taken back: requests that were refused and came back as told went before their like (told by what they ask for, at the first node).

--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -22,12 +22,10 @@
     Outcome,
     Reason,
     rank_of_call,
-    request_fate,
     spread_retry_after,
 )
-from rattanfork_core.request.importance import RANKS
 from rattanfork_core.revision import RevisionState
-from rattanfork_core.routes import Route, importance_of
+from rattanfork_core.routes import Route
 from rattanfork_core.routing import InstancePicker
 
 from rattanfork_node.config.holder import ConfigurationHolder
@@ -42,6 +40,7 @@
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.journal import Journal
+from rattanfork_node.relay.ranking import rank_of_request
 from rattanfork_node.relay.settings import RelaySettings
 from rattanfork_node.telemetry import Counters
 
@@ -230,7 +229,7 @@
             after = self._settings.retry_after
             self._refuse(exchange, Reason.LEAVING, after, route=route.name)
             return
-        rank = self._rank(exchange, route, rule_decides)
+        rank = rank_of_request(exchange, route, rule_decides)
         operation = self.operation(route, service)
         blocked = None
         if rank < self._chain.cut(operation, service):
@@ -383,15 +382,6 @@
             self.early.pressure(picker, self.operation(route, service)),
         )
 
-    def _rank(self, exchange: Exchange, route: Route, rule_decides: bool) -> float:
-        level = importance_of(route.priority)
-        fate = request_fate(exchange.request_id.decode("latin-1"))
-        account = exchange.account
-        if rule_decides or account is None or account.priority is None:
-            return level + fate
-        # Among accounts of one priority the route's orders.
-        return importance_of(account.priority) + (level + fate) / RANKS
-
     def _pass_up(self, parent: Job, admitted: Admitted, result: CallResult) -> None:
         operation, picker = admitted.operation, admitted.picker
         own_cut = self.gate.cut(operation)
