Shed waiters after a tenth of a second

Cause: a chain of eight reads has 0.15 to 0.45 s to spare in all. A read that waits for 0.2 s takes half of that, so what is shed then has little time left for another try, and the threshold falls late.

Change: 0.1 s (or the mean service time, if that is more) in place of 0.2 s.

Way that stood: 0.2 s.

--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -39,6 +39,8 @@
 #: above it has for its other calls.
 _QUEUE_SHARE = 1.5
 _QUEUE_SECONDS = 0.2
+#: Seconds after which a waiter is shed, or the mean service time if that is more.
+_LONGEST_WAIT = 0.1
 #: Arrivals looked at for a surge: a tenth of a second at a full upstream.
 _SURGE_SAMPLE = 100
 #: Reasons for which an arrival at the upstream came to nothing.
@@ -116,7 +118,7 @@
                 queue_share=_QUEUE_SHARE,
                 queue_seconds=_QUEUE_SECONDS,
                 surge_sample=_SURGE_SAMPLE,
-                longest_wait=_QUEUE_SECONDS,
+                longest_wait=_LONGEST_WAIT,
             ),
         )
         #: Thresholds that runs of the upstream have met at the services they call.
