--- a/packages/rattanfork-cli/rattanfork_cli/main.py
+++ b/packages/rattanfork-cli/rattanfork_cli/main.py
@@ -5,7 +5,7 @@
 from rattanfork_core.rules import RulesDocument
 from rattanfork_core.settings import NodeSettings
 
-from rattanfork_cli.commands import explain, logs, report, rules
+from rattanfork_cli.commands import accounts, explain, logs, report, rules
 from rattanfork_cli.documents import load_or_exit, read_text
 from rattanfork_cli.http import ask_node
 from rattanfork_cli.options import AsJson, File, Node
@@ -25,6 +25,7 @@
 app.add_typer(logs.app, name="logs")
 app.command()(logs.trace)
 app.command("explain")(explain.explain_request)
+app.command("accounts")(accounts.show_accounts)
 
 
 @app.command()
--- a/packages/rattanfork-core/rattanfork_core/client_accounts/index.py
+++ b/packages/rattanfork-core/rattanfork_core/client_accounts/index.py
@@ -38,6 +38,7 @@
     def __init__(self, accounts: Mapping[ClientAccount, Iterable[str]]) -> None:
         self._salted = sha256(os.urandom(_SALT_BYTES))
         self._accounts = {account.name: account for account in accounts}
+        self._key_counts = {a.name: len(set(keys)) for a, keys in accounts.items()}
         self._by_digest = {
             self._digest(key.encode()): account
             for account, keys in accounts.items()
@@ -54,6 +55,10 @@
         """How many keys there are."""
         return len(self._by_digest)
 
+    def keys_of(self, name: str) -> int:
+        """Return how many keys an account has; 0 for one that is not known."""
+        return self._key_counts.get(name, 0)
+
     def find(self, key: bytes) -> ClientAccount | None:
         """Return the account that holds a key, or None."""
         return self._by_digest.get(self._digest(key))
--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterable
 
 from rattanfork_soak.finding import Finding
+from rattanfork_soak.keys import ACCOUNT_NAME, KeyRing
 from rattanfork_soak.record import Record
 from rattanfork_soak.worker import DEADLY_PATH, Arrival, SoakWorker
 
 #: Statuses that promise that a request did not run and never will.
 _NOT_RUN = frozenset((408, 421, 429, 503))
+_UNAUTHENTICATED = 401
 #: Seconds after an acknowledged leaving in which work may still arrive, with
 #: what this process's own pauses add.
 _DRAIN = 2.0 + 0.3
@@ -34,12 +36,17 @@
     timeout : float or None
         Seconds after which a route's requests must have their answer; None
         judges no times.
+    keys : KeyRing
+        The keys of all clients.
     """
 
-    def __init__(self, workers: list[SoakWorker], timeout: float | None) -> None:
+    def __init__(
+        self, workers: list[SoakWorker], timeout: float | None, keys: KeyRing
+    ) -> None:
         self.findings: list[Finding] = []
         self._workers = workers
         self._timeout = timeout
+        self._keys = keys
         self._records: dict[str, Record] = {}
         self._runs: dict[str, list[Arrival]] = {}
         self._seen = [0] * len(workers)
@@ -66,6 +73,8 @@
             self._find("mixed", record.ended, f"{record}")
         if record.status in _NOT_RUN:
             self._check_not_run(record)
+        if record.status == _UNAUTHENTICATED:
+            self._check_denied(record)
 
     def on_probe(self, pid: int, version: int, status: int, at: float) -> None:
         """Judge a request on the route of one version, at one process."""
@@ -129,6 +138,10 @@
             self._find("twice", arrival.at, f"{runs}")
         if record.status in _NOT_RUN:
             self._check_not_run(record)
+        if self._keys.has_ended(record.key, record.sent):
+            self._find("revoked", arrival.at, f"{arrival} of {record}")
+        if arrival.has_key or arrival.account != ACCOUNT_NAME:
+            self._find("unasked", arrival.at, f"{arrival}")
         left = worker.left.get(arrival.incarnation)
         if left is not None and arrival.at > left + _DRAIN:
             text = f"{arrival}, {arrival.at - left:.2f} s after the acknowledgement"
@@ -144,6 +157,10 @@
         if record.status and late and not paused:
             self._find("time", record.ended, f"{record} after {took:.2f} s")
 
+    def _check_denied(self, record: Record) -> None:
+        if self._keys.is_known(record.key, record.sent):
+            self._find("denied", record.ended, f"{record}")
+
     def _check_not_run(self, record: Record) -> None:
         # Of what may be repeated an earlier attempt may have run and failed.
         runs = self._runs.get(record.request_id, ())
--- a/packages/rattanfork-soak/rattanfork_soak/client.py
+++ b/packages/rattanfork-soak/rattanfork_soak/client.py
@@ -6,9 +6,10 @@
 
 import aiohttp
 from rattanfork_adapter.tests.fleet import client_headers
-from rattanfork_adapter.tests.stand_in import STAMP
+from rattanfork_adapter.tests.stand_in import KEY, STAMP
 
 from rattanfork_soak.checks import Checks
+from rattanfork_soak.keys import KeyRing
 from rattanfork_soak.place import Place
 from rattanfork_soak.record import Record
 from rattanfork_soak.worker import DEADLY_PATH
@@ -18,6 +19,8 @@
 _WAIT_MS = 3000
 #: Share of the requests that test which configuration is in force.
 _PROBES = 0.08
+#: Share that carries the key that was taken away last.
+_OLD_KEYS = 0.05
 #: Share that travels on a connection of its own; the rest keeps one open until
 #: its process is gone.
 _FRESH = 0.2
@@ -39,6 +42,8 @@
         Source of choices.
     newest : callable
         Returns the newest version of the configuration.
+    keys : KeyRing
+        The keys of all clients.
     """
 
     def __init__(
@@ -48,12 +53,14 @@
         checks: Checks,
         random: Random,
         newest: Callable[[], int],
+        keys: KeyRing,
     ) -> None:
         self._name = name
         self._place = place
         self._checks = checks
         self._random = random
         self._newest = newest
+        self._keys = keys
         self._count = 0
 
     async def run_deadly(self, places: list[Place]) -> None:
@@ -96,6 +103,11 @@
         await self._send(session, record, "GET", path)
         self._checks.on_probe(record.pid, version, record.status, record.ended)
 
+    def _draw_key(self) -> str:
+        # Not of this client's source, which draws what it asks for.
+        old = self._count % round(1 / _OLD_KEYS) == 0
+        return self._keys.last_taken if old else self._keys.current
+
     def _record(self, method: str, path: str, idempotent: bool) -> Record:
         self._count += 1
         request_id = f"{self._name}-{self._count}"
@@ -108,6 +120,7 @@
             idempotent,
             self._place.now(),
             in_touch=self._place.in_touch,
+            key=self._draw_key(),
         )
         self._checks.on_sent(record)
         return record
@@ -115,7 +128,7 @@
     async def _send(
         self, session: aiohttp.ClientSession, record: Record, method: str, path: str
     ) -> None:
-        headers = client_headers(record.request_id, _WAIT_MS)
+        headers = {**client_headers(record.request_id, _WAIT_MS), KEY: record.key}
         body = record.text.split(" ", 2)[2].encode() or None
         try:
             async with session.request(
--- a/packages/rattanfork-soak/rattanfork_soak/place.py
+++ b/packages/rattanfork-soak/rattanfork_soak/place.py
@@ -9,6 +9,7 @@
 from rattanfork_adapter.tests.fleet import NodeProcess
 from rattanfork_testkit import FreePorts
 
+from rattanfork_soak.keys import REVOKE_WITHIN
 from rattanfork_soak.proxy import LoopbackProxy
 from rattanfork_soak.worker import SoakWorker
 
@@ -60,7 +61,10 @@
             service=self.worker.service,
             address=self.worker_link.address,
         )
-        self._node = NodeProcess(self.name, beside, self.store_link, folder, ports)
+        bounds = ("strictRevoke=true", f"revokeS={REVOKE_WITHIN:g}")
+        self._node = NodeProcess(
+            self.name, beside, self.store_link, folder, ports, bounds
+        )
         self.worker.announce = self._announce
         await self._node.spawn()
 
--- a/packages/rattanfork-soak/rattanfork_soak/record.py
+++ b/packages/rattanfork-soak/rattanfork_soak/record.py
@@ -30,6 +30,8 @@
         Body of the answer.
     stamp : str
         The worker's signature; "" without.
+    key : str
+        Key that it carried.
     error : str
         What became of the connection, if there was no answer.
     in_touch : bool
@@ -48,6 +50,7 @@
     stamp: str = ""
     error: str = ""
     in_touch: bool = True
+    key: str = ""
 
     @property
     def served(self) -> bool:
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -83,7 +83,8 @@
         """Play it; return what was found."""
         world = World(self._folder, self._settings.nodes, self._random)
         timeout = TIMEOUT if self._settings.judge_times else None
-        checks = Checks([place.worker for place in world.places], timeout)
+        workers = [place.worker for place in world.places]
+        checks = Checks(workers, timeout, world.keys)
         try:
             await world.start()
             self._begin(world, checks)
@@ -108,16 +109,23 @@
                     checks,
                     Random(self._random.getrandbits(64)),
                     lambda: world.version,
+                    world.keys,
                 )
                 self._tasks.append(asyncio.ensure_future(client.run()))
         # Draws of their own, so that the plan of faults is that of the seed alone.
         deadly = Client(
-            "deadly", world.places[0], checks, Random(self._seed), lambda: 1
+            "deadly",
+            world.places[0],
+            checks,
+            Random(self._seed),
+            lambda: 1,
+            world.keys,
         )
         for work in (
             deadly.run_deadly(world.places),
             world.revive_workers(),
             world.restore_store(Random(self._seed + 1)),
+            world.rotate_keys(Random(self._seed + 2)),
             self._watch(world, checks),
         ):
             self._tasks.append(asyncio.ensure_future(work))
--- a/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
@@ -4,6 +4,7 @@
 
 import pytest
 from rattanfork_soak.checks import Checks
+from rattanfork_soak.keys import KeyRing
 from rattanfork_soak.record import Record
 from rattanfork_soak.worker import Arrival, SoakWorker
 
@@ -13,7 +14,9 @@
 
     def __init__(self) -> None:
         self.worker = SoakWorker("i0", Random(1), lambda: 0.0)
-        self.checks = Checks([self.worker], timeout=2.0)
+        self.time = 0.0
+        self.keys = KeyRing(lambda: self.time)
+        self.checks = Checks([self.worker], timeout=2.0, keys=self.keys)
 
     def ask(self, request_id: str = "r1", idempotent: bool = False) -> Record:
         text = "GET /a/x " if idempotent else f"POST /p/x order {request_id}"
@@ -21,8 +24,9 @@
         self.checks.on_sent(record)
         return record
 
-    def run(self, record: Record, at: float = 1.1, text: str = "") -> None:
-        arrival = Arrival(record.request_id, at, "i0-1", text or record.text)
+    def run(self, record: Record, at: float = 1.1, text: str = "", **more) -> None:
+        text = text or record.text
+        arrival = Arrival(record.request_id, at, "i0-1", text, **more)
         self.worker.arrivals.append(arrival)
 
     def answer(self, record: Record, status: int, stamp: str = "", **more) -> None:
@@ -162,3 +166,31 @@
         history.run(record, at=at)
     history.checks.check_deadly()
     assert history.broken == found
+
+
+@pytest.mark.parametrize(("sent", "found"), [(4.0, set()), (4.5, {"revoked"})])
+def test_key_that_was_taken_away_is_seen_to_run(sent, found):
+    history = History()
+    old = history.keys.current
+    history.keys.add()
+    history.keys.take_away()
+    record = history.ask(idempotent=True)
+    record.key, record.sent = old, sent
+    history.run(record, at=sent + 0.1)
+    assert history.broken == found
+
+
+@pytest.mark.parametrize("more", [{"has_key": True}, {"account": ""}])
+def test_worker_that_gets_a_key_or_no_account_is_seen(more):
+    history = History()
+    history.run(history.ask(), **more)
+    assert history.broken == {"unasked"}
+
+
+@pytest.mark.parametrize(("sent", "found"), [(1.0, set()), (6.0, {"denied"})])
+def test_good_key_that_is_called_unknown_is_seen(sent, found):
+    history = History()
+    record = history.ask()
+    record.key, record.sent = history.keys.current, sent
+    history.answer(record, 401, at=sent + 0.1)
+    assert history.broken == found
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -8,13 +8,17 @@
 
 from aiohttp import web
 from rattanfork_adapter.tests.stand_in import (
+    ACCOUNT,
     EXPECTED,
     INSTANCE,
+    KEY,
     NOT_RUN,
     REQUEST_ID,
     STAMP,
 )
 
+from rattanfork_soak.keys import ACCOUNT_NAME
+
 #: Seconds between two announcements; the platform's workers take 1.5, and a
 #: shorter time only brings a restarted node its worker sooner.
 _HEARTBEAT = 0.4
@@ -47,6 +51,9 @@
     at: float
     incarnation: str
     fingerprint: str
+    #: Client account that the worker was told.
+    account: str = ACCOUNT_NAME
+    has_key: bool = False
 
 
 class SoakWorker:
@@ -142,7 +149,12 @@
             return web.Response(status=503, headers={**echo, NOT_RUN: "1"})
         body = await request.read()
         text = f"{request.method} {request.path} {body.decode()}"
-        self.arrivals.append(Arrival(request_id, self._now(), self.name, text))
+        headers = request.headers
+        account = headers.get(ACCOUNT, "")
+        arrival = Arrival(
+            request_id, self._now(), self.name, text, account, KEY in headers
+        )
+        self.arrivals.append(arrival)
         if request.path == DEADLY_PATH and self.died_at is None:
             self.died_at = self._now()
             self.crash()
--- a/packages/rattanfork-soak/rattanfork_soak/world.py
+++ b/packages/rattanfork-soak/rattanfork_soak/world.py
@@ -9,6 +9,7 @@
 from rattanfork_adapter.tests.stand_in import StoreStandIn
 from rattanfork_testkit import FreePorts
 
+from rattanfork_soak.keys import ACCOUNT_NAME, KeyRing
 from rattanfork_soak.place import Place
 from rattanfork_soak.worker import SoakWorker
 
@@ -20,6 +21,9 @@
 _RESTORE_PAUSE = (3.0, 9.0)
 _WRITTEN_AGAIN_AFTER = (0.05, 1.0)
 _MOST_WRITES_LOST = 8
+#: Seconds between two new keys, and until the one before is taken away.
+_KEY_PAUSE = (1.0, 4.0)
+_KEY_OVERLAP = (0.2, 2.0)
 #: Seconds that a route gives its requests.
 TIMEOUT = 2.0
 
@@ -43,6 +47,7 @@
         self.version = 0
         self.restores = 0
         self._began = monotonic()
+        self.keys = KeyRing(self.now)
         self._folder = folder
         self._ports = FreePorts()
         self.places = [
@@ -108,12 +113,23 @@
             await asyncio.sleep(random.uniform(*_WRITTEN_AGAIN_AFTER))
             await self.store.put("op", "config", self._configuration())
 
-    async def change_configuration(self) -> None:
-        """Write the next version, as the operator does."""
+    async def rotate_keys(self, random: Random) -> None:
+        """Add keys and take them away again, until cancelled."""
+        while True:
+            await asyncio.sleep(random.uniform(*_KEY_PAUSE))
+            self.keys.add()
+            await self.change_configuration()
+            await asyncio.sleep(random.uniform(*_KEY_OVERLAP))
+            await self.change_configuration(self.keys.in_force[1:])
+            self.keys.take_away()
+
+    async def change_configuration(self, keys: list[str] | None = None) -> None:
+        """Write the next version, as the operator does; with other keys, if given."""
         self.version += 1
-        await self.store.put("op", "config", self._configuration())
+        document = self._configuration(keys)
+        await self.store.put("op", "config", document)
 
-    def _configuration(self) -> str:
+    def _configuration(self, keys: list[str] | None = None) -> str:
         routes = {
             "read": route("/a/", "idempotent", TIMEOUT, priority=2),
             "post": route("/p/", "non_idempotent", TIMEOUT),
@@ -121,4 +137,6 @@
         for version in range(1, self.version + 1):
             name = f"v{version}"
             routes[name] = route(f"/{name}/", "idempotent", TIMEOUT, priority=2)
-        return configuration_of(self.version, routes)
+        held = self.keys.in_force if keys is None else keys
+        accounts = {ACCOUNT_NAME: {"apiKeys": held}}
+        return configuration_of(self.version, routes, accounts)
