--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -7,7 +7,6 @@
 from random import Random
 
 from rattanfork_core.account import RepeatGrants
-from rattanfork_core.client_accounts import AccountIndex
 from rattanfork_core.clock import BootClock, MonotonicClock
 from rattanfork_core.hints import GateReports
 from rattanfork_core.membership import (
@@ -23,6 +22,7 @@
 from rattanfork_core.trace import LineBudget
 from rattanfork_platform import WatchedPlatform
 
+from rattanfork_node.app.account_parts import AccountParts
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.app.observer import Observer
 from rattanfork_node.app.prober import Prober
@@ -38,10 +38,8 @@
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.member.gate_news import GateNewsTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
-from rattanfork_node.member.quota_task import QuotaTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import (
-    ClientAccounts,
     Departure,
     Gate,
     Journal,
@@ -260,14 +258,16 @@
             self._quarantine_task.persist_all,
             self._lease,
         )
-        self._quota_task = QuotaTask(
+        self._account_parts = AccountParts(
             self._clock,
             self._random,
+            settings.relay,
+            self._configuration,
+            self._lease,
             self._membership,
             self._member,
-            settings.relay.quota,
-            self._known_accounts,
-            lambda: self._store.joined,
+            self._store,
+            self._counters,
         )
         self._prober = Prober(self._clock, *settings.upstream, settings.names)
 
@@ -278,16 +278,6 @@
         self._directory = Directory(
             self._clock, self._random, self._membership, _LOCAL_LOAD
         )
-        self._accounts = ClientAccounts(
-            self._clock,
-            self._configuration,
-            self._lease,
-            self._quota_task.leases,
-            self._counters,
-            settings.relay.revoke_within,
-            self._store.lease.hasten,
-        )
-        self._store.lease.on_renewed = self._accounts.review
         self._relay = Relay(
             self._clock,
             self._random,
@@ -303,7 +293,7 @@
             self._journal,
             self._reports,
             self._quarantine,
-            self._accounts,
+            self._account_parts.accounts,
         )
         self._observer = Observer(
             self._clock,
@@ -387,9 +377,7 @@
             self._member.tick()
             self._gate_news.tick()
             self._quarantine_task.tick()
-            self._store.lease.tick()
-            self._quota_task.tick()
-            self._accounts.tick()
+            self._account_parts.tick()
             self._pool.heartbeat()
             self._keeper.tick()
             self._log.flush()
@@ -408,13 +396,9 @@
         gates = self._directory.size(self._settings.relay.service)
         self._gate.grants.share_among(gates)
 
-    def _known_accounts(self) -> AccountIndex | None:
-        current = self._configuration.current
-        return None if current is None else current.accounts
-
     def _on_member(self, member: Member, before: MemberStatus | None) -> None:
         self._observer.on_member(member, before)
-        self._quota_task.on_member(member, before)
+        self._account_parts.on_member(member, before)
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._observer.on_configuration()
@@ -424,7 +408,7 @@
             configuration.head_timeout,
             configuration.idle_timeout,
         )
-        self._accounts.review()
+        self._account_parts.on_configuration()
 
     async def _drain(self) -> int:
         shutdown = Shutdown(
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -34,13 +34,14 @@
 from rattanfork_node.member.directory import Directory
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted import Admitted, Attempted
-from rattanfork_node.relay.client_accounts import ClientAccounts, Refusal
+from rattanfork_node.relay.client_accounts import ClientAccounts
 from rattanfork_node.relay.departure import Departure
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.journal import Journal
 from rattanfork_node.relay.ranking import rank_of_request
+from rattanfork_node.relay.refusals import NOT_RUN_STATUS, Refusals
 from rattanfork_node.relay.settings import RelaySettings
 from rattanfork_node.telemetry import Counters
 
@@ -54,9 +55,7 @@
 #: configuration yet; it reads one within about a second of its start.
 _NOT_READY_RETRY = 0.3
 _NOBODY: frozenset[str] = frozenset()
-#: What a caller gets where no upstream answered: the first says that the
-#: request did not run and never will, the others that it may have.
-_NOT_RUN_STATUS = 503
+#: What a caller gets where no upstream answered and the request may have run.
 _TIMEOUT_STATUS = 504
 _UNKNOWN_STATUS = 502
 
@@ -140,11 +139,11 @@
         self.my_name = membership.me.name
         self._journal = journal
         self._accounts = accounts
+        self._refusals = Refusals(names, counters, journal, accounts)
         accounts.let_in = self._take
-        accounts.refuse = self._refuse_account
+        accounts.refuse = self._refusals.refuse_account
         self._random = random
         self._settings = settings
-        self._names = names
         self._configuration = configuration
         self._rules = rules
         self._ruler: Ruler | None = None
@@ -159,13 +158,13 @@
         configuration = self._configuration.current
         if configuration is None or not self._rules.ready:
             is_call = self.gate.parent_of(exchange.request_id) is not None
-            self._refuse(exchange, Reason.NOT_READY, _NOT_READY_RETRY, is_call=is_call)
+            self._refusals.refuse(
+                exchange, Reason.NOT_READY, _NOT_READY_RETRY, is_call=is_call
+            )
             return
         route = configuration.table.find(exchange.host, exchange.path)
         if route is None:
-            self.counters.events["relay.no-route"] += 1
-            self._journal.on_refused(exchange, 404, Reason.NO_ROUTE)
-            exchange.answer(404, self._id_line(exchange))
+            self._refusals.refuse_without_route(exchange)
             return
         accounts = configuration.accounts
         if accounts is None or self.gate.parent_of(exchange.request_id) is not None:
@@ -177,7 +176,7 @@
         """Take a request whose sender is known."""
         parent = self.gate.parent_of(exchange.request_id)
         if self.quarantine.active and self.quarantine.contains(exchange.fingerprint):
-            self._refuse(
+            self._refusals.refuse(
                 exchange,
                 Reason.QUARANTINED,
                 self.quarantine.seconds_left(exchange.fingerprint),
@@ -190,7 +189,7 @@
         picker = self.directory.picker(service)
         if picker is None or not picker.subset:
             after = self._settings.retry_after
-            self._refuse(
+            self._refusals.refuse(
                 exchange,
                 Reason.NO_INSTANCE,
                 after,
@@ -219,7 +218,7 @@
             rule_decides = verdict.sets_importance
             if verdict.refusal is not None:
                 after = verdict.retry_after or self._settings.retry_after
-                self._refuse(
+                self._refusals.refuse(
                     exchange, verdict.refusal, after, route=route.name, rule=rule
                 )
                 return
@@ -227,7 +226,7 @@
                 elsewhere = picker.outside(verdict.data_centre)
         if self._departure is not None and not self._departure.takes(route, picker):
             after = self._settings.retry_after
-            self._refuse(exchange, Reason.LEAVING, after, route=route.name)
+            self._refusals.refuse(exchange, Reason.LEAVING, after, route=route.name)
             return
         rank = rank_of_request(exchange, route, rule_decides)
         operation = self.operation(route, service)
@@ -235,7 +234,7 @@
         if rank < self._chain.cut(operation, service):
             blocked = self._blocked(picker, route, service, rank)
         if blocked is None:
-            self._refuse(
+            self._refusals.refuse(
                 exchange,
                 Reason.SHED_EARLY,
                 self._return_after(rank),
@@ -319,9 +318,9 @@
             after = self._return_after(admitted.rank)
             if reason is Reason.QUARANTINED:
                 after = self.quarantine.seconds_left(exchange.fingerprint)
-            self._answer_not_run(exchange, reason, after)
+            self._refusals.answer_not_run(exchange, reason, after)
         else:
-            exchange.answer(status, self._id_line(exchange))
+            exchange.answer(status, self._refusals.id_line(exchange))
 
     def close(self) -> None:
         """Stop what waits."""
@@ -396,51 +395,8 @@
     def _return_after(self, rank: float) -> float:
         return spread_retry_after(self._settings.retry_after, rank, self._random)
 
-    def _refuse(
-        self, exchange: Exchange, reason: Reason, after: float, **inputs: object
-    ) -> None:
-        """Refuse a request before any attempt."""
-        self._journal.on_refused(exchange, _NOT_RUN_STATUS, reason, after, **inputs)
-        self._answer_not_run(exchange, reason, after)
-
-    def _answer_not_run(
-        self,
-        exchange: Exchange,
-        reason: Reason,
-        after: float,
-        status: int = _NOT_RUN_STATUS,
-    ) -> None:
-        self.counters.events[f"relay.refused.{reason.label}"] += 1
-        self._accounts.release(exchange)
-        line = b"Retry-After: %.2f\r\n" % after
-        exchange.answer(status, self._id_line(exchange) + line)
-
-    def _refuse_account(
-        self, exchange: Exchange, route: Route, refusal: Refusal
-    ) -> None:
-        """Refuse a request for its account's sake."""
-        after = refusal.retry_after
-        self._journal.on_refused(
-            exchange,
-            refusal.status,
-            refusal.reason,
-            after,
-            route=route.name,
-            waited_ms=round(exchange.waited * 1000, 1),
-        )
-        if after:
-            self._answer_not_run(exchange, refusal.reason, after, refusal.status)
-            return
-        self.counters.events[f"relay.refused.{refusal.reason.label}"] += 1
-        exchange.answer(refusal.status, self._id_line(exchange))
-
-    def _id_line(self, exchange: Exchange) -> bytes:
-        if not exchange.request_id:
-            return b""
-        return self._names.request_id + b": " + exchange.request_id + b"\r\n"
-
 
 def _status_without_answer(outcome: Outcome, reason: Reason) -> int:
     if outcome is Outcome.NOT_RUN:
-        return _NOT_RUN_STATUS
+        return NOT_RUN_STATUS
     return _TIMEOUT_STATUS if reason is Reason.DEADLINE else _UNKNOWN_STATUS
