--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 
 SEEDS ?= 50
 FIRST ?= 0
-.PHONY: demo test bench speed starts shared matrix slopes confirmations reports soak lint format fuzz clean
+.PHONY: demo test bench speed starts shared matrix slopes confirmations reports accounts \
+    soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -62,6 +63,9 @@
 reports: $(READY)
 	$(BIN)/python bench/reports.py
 
+accounts: $(READY)
+	$(BIN)/python bench/client_accounts.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- /dev/null
+++ b/bench/client_accounts.py
@@ -0,0 +1,43 @@
+"""Time and memory of an index of client accounts, and the time of a look-up."""
+
+import secrets
+import tracemalloc
+from statistics import median
+from time import perf_counter
+
+from rattanfork_core.client_accounts import AccountIndex, ClientAccount
+
+ACCOUNTS = 1_000
+KEYS_EACH = 100
+RUNS = 5
+LOOKUPS = 10_000
+
+
+def main() -> None:
+    """Print the figures."""
+    accounts = {
+        ClientAccount(f"account-{number}", rate=10.0, burst=10.0): [
+            secrets.token_urlsafe(15) for _ in range(KEYS_EACH)
+        ]
+        for number in range(ACCOUNTS)
+    }
+    seconds = []
+    for _ in range(RUNS):
+        began = perf_counter()
+        index = AccountIndex(accounts)
+        seconds.append(perf_counter() - began)
+    tracemalloc.start()
+    index = AccountIndex(accounts)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    key = next(iter(accounts.values()))[0].encode()
+    began = perf_counter()
+    for _ in range(LOOKUPS):
+        index.find(key)
+    each = (perf_counter() - began) / LOOKUPS
+    print(f"{index.keys} keys: {median(seconds) * 1e3:.0f} ms, {held / 1e6:.0f} MB")
+    print(f"one look-up: {each * 1e6:.2f} us")
+
+
+if __name__ == "__main__":
+    main()
