Let slow replies serve what waits for them, and void tokens by a clock that never stops

And a node whose machine was suspended took tokens of before for valid.

Change: a reply that comes within 0.5 s lets in what waited for it; only what is kept is bound to the shorter time. Quotas use the clock that goes on while a machine is suspended. Test: replies after 0.3 s and 0.6 s; the first was dropped before.

--- a/packages/rattanfork-core/rattanfork_core/quota/leases.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/leases.py
@@ -15,6 +15,9 @@
 #: is more common than a failed issuer.
 _REPLY_TIMEOUT = 0.08
 _TURNS = (0, 0, 1, 0, 1, 0)
+#: Seconds after its request until which a reply lets in what has waited for it, though
+#: its tokens may not be kept any more.
+_LATEST_REPLY = 0.5
 #: Longest time, in seconds, for which a node refuses by itself what an issuer has just
 #: refused: each such request would cost two messages for the same answer.
 _LONGEST_BLOCK = 0.2
@@ -202,13 +205,13 @@
         if lease is None:
             return
         now = self._clock.now()
-        expires = asked.at + self._bound.lease_time(lease.account)
-        self._add(lease, tokens, expires, now)
         if number == lease.asked:
             lease.asked = lease.tries = 0
-        while lease.tokens and lease.waiting:
-            lease.tokens -= 1
+        left = tokens if now - asked.at < _LATEST_REPLY else 0
+        while left and lease.waiting:
+            left -= 1
             lease.waiting.popleft()(Verdict.GRANTED, 0.0)
+        self._add(lease, left, asked.at + self._bound.lease_time(lease.account), now)
         if wait > 0:
             lease.blocked_until = now + min(wait, _LONGEST_BLOCK)
             self._refuse(lease, Verdict.EXHAUSTED, wait)
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -1,11 +1,13 @@
 """Quotas over a whole fleet: never exceeded, and little refused below the limit."""
 
+from random import Random
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from rattanfork_core.client_accounts import ClientAccount
 from rattanfork_core.clock import ManualClock
-from rattanfork_core.quota import QuotaBound, TokenIssuer
+from rattanfork_core.quota import QuotaBound, TokenIssuer, TokenLeases, Verdict
 from rattanfork_core.quota.tests.fleet import EqualFleet, Fleet
 
 SMALL = ClientAccount("small", rate=5, burst=5)
@@ -172,6 +174,21 @@
         fleet.loss = 0.3
 
 
+def test_slow_replies_let_in_what_has_waited_for_them():
+    """Guards against tokens that are always void when they arrive."""
+    clock = ManualClock(100.0)
+    sent, verdicts = [], []
+    leases = TokenLeases(
+        clock, Random(1), BOUND, lambda name: ["n1"], lambda *asked: sent.append(asked)
+    )
+    for late, expected in ((0.3, [Verdict.GRANTED]), (0.6, [])):
+        leases.take(LARGE, lambda verdict, after: verdicts.append(verdict))
+        clock.advance(late)
+        leases.on_reply(sent[-1][1].number, tokens=1, wait=0.0)
+        assert verdicts == expected
+        verdicts.clear()
+
+
 def test_lowered_limit_binds_at_once_at_the_issuer():
     clock = ManualClock(100.0)
     issuer = TokenIssuer(
--- a/packages/rattanfork-node/rattanfork_node/app/account_parts.py
+++ b/packages/rattanfork-node/rattanfork_node/app/account_parts.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from rattanfork_core.client_accounts import AccountIndex
-from rattanfork_core.clock import Clock
+from rattanfork_core.clock import BootClock
 from rattanfork_core.membership import Member, Membership, MemberStatus
 from rattanfork_core.revision import ConfigurationLease
 
@@ -21,8 +21,6 @@
     Parameters
     ==========
 
-    clock : Clock
-        Source of the current time.
     random : Random
         Source of jitter.
     settings : RelaySettings
@@ -43,7 +41,6 @@
 
     def __init__(
         self,
-        clock: Clock,
         random: Random,
         settings: RelaySettings,
         configuration: ConfigurationHolder,
@@ -53,6 +50,8 @@
         store: StoreTasks,
         counters: Counters,
     ) -> None:
+        # Tokens are void also if the machine was suspended since.
+        clock = BootClock()
         self._configuration = configuration
         self._lease_task = store.lease
         self._quota = QuotaTask(
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -259,7 +259,6 @@
             self._lease,
         )
         self._account_parts = AccountParts(
-            self._clock,
             self._random,
             settings.relay,
             self._configuration,
