--- a/packages/rattanfork-core/rattanfork_core/client_accounts/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/client_accounts/__init__.py
@@ -1,4 +1,4 @@
-"""Client accounts: who sends a request, as its key tells."""
+"""Client accounts: the customers of the services, found by their keys."""
 
 from rattanfork_core.client_accounts.account import ClientAccount
 from rattanfork_core.client_accounts.findings import account_findings
--- a/packages/rattanfork-core/rattanfork_core/client_accounts/account.py
+++ b/packages/rattanfork-core/rattanfork_core/client_accounts/account.py
@@ -5,7 +5,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """A customer of the services, whose requests are told by their keys.
+    """A customer of the services, whose requests carry its keys.
 
     Parameters
     ==========
--- a/packages/rattanfork-core/rattanfork_core/client_accounts/index.py
+++ b/packages/rattanfork-core/rattanfork_core/client_accounts/index.py
@@ -15,8 +15,8 @@
     Explanation
     ===========
 
-    Keys are held as salted digests.  A look-up compares digests only, so how long it
-    takes tells nothing of how much of a key is right.
+    Keys are held as salted digests.  A look-up compares digests only, so its
+    duration does not depend on how much of a key is right.
 
     Parameters
     ==========
--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -142,7 +142,7 @@
     def issue(self, account: ClientAccount, count: int, asker: str) -> Grant | None:
         """Issue up to so many tokens of an account to a node.
 
-        None if there are none and another issuer can tell whether the limit is reached.
+        None if there are none and another issuer knows whether the limit is reached.
         """
         now = self._clock.now()
         state = self._state(account)
--- a/packages/rattanfork-core/rattanfork_core/quota/quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/quota.py
@@ -14,7 +14,7 @@
     GRANTED = "granted"
     #: The account's limit is reached.
     EXHAUSTED = "exhausted"
-    #: Nobody could tell: no issuer of tokens was reached.
+    #: No issuer of tokens was reached.
     UNREACHABLE = "unreachable"
 
 
--- a/packages/rattanfork-core/rattanfork_core/revision/lease.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/lease.py
@@ -19,7 +19,7 @@
     a key in only while a proof is recent that nothing newer had been accepted.
 
     A proof is dated by when it was *asked for*, on the node's own clock: from the
-    store, or from a peer that tells how old its own proof is.  What a peer volunteers
+    store, or from a peer that replies how old its own proof is.  What a peer volunteers
     proves nothing, as a datagram may have waited unread while this node stood still.
 
     Parameters
--- a/packages/rattanfork-node/rattanfork_node/config/lease_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/lease_task.py
@@ -36,8 +36,8 @@
     Explanation
     ===========
 
-    Readers ask the store in turn, and tell on the datagrams of the membership how
-    lately they did.  A node asks the peer that told of the newest proof for it, so
+    Readers ask the store in turn, and report on the datagrams of the membership how
+    lately they did.  A node asks the peer that reported the newest proof for it, so
     what the store is asked does not grow with the fleet.
 
     Parameters
@@ -79,27 +79,29 @@
         self._next_request = -inf
         self._next_store = -inf
         self._urgent = False
-        #: Who has the newest proof that was told of, and when that was made.
-        self._teller: Member | None = None
-        self._told_at = -inf
+        #: The peer that reported the newest proof, and when that was made.
+        self._freshest: Member | None = None
+        self._proven_at = -inf
         #: Called when the proof became newer.
         self.on_renewed: Callable[[], None] = _nothing
-        member_task.on_confirmed = self.on_told
+        member_task.on_confirmed = self.on_reported
         member_task.direct[LeaseRequest] = self.on_request
         member_task.direct[LeaseReply] = self.on_reply
 
-    def on_told(self, sender: Member, age: int) -> None:
-        """Take note of what a peer says of its own proof."""
-        told_at = self._lease.now() - age / 1000
-        if age != NEVER and told_at > self._told_at:
-            self._teller, self._told_at = sender, told_at
+    def on_reported(self, sender: Member, age: int) -> None:
+        """Take note of the age of a peer's proof, in milliseconds."""
+        proven_at = self._lease.now() - age / 1000
+        if age != NEVER and proven_at > self._proven_at:
+            self._freshest, self._proven_at = sender, proven_at
 
     def on_request(self, request: LeaseRequest, address: tuple[str, int]) -> None:
         """Reply with the age of the own proof."""
         age = self._lease.age
-        told = ceil(age * 1000) if isfinite(age) else NEVER
+        milliseconds = ceil(age * 1000) if isfinite(age) else NEVER
         version = self._configuration.version
-        self._member_task.send(LeaseReply(request.number, version, told), address)
+        self._member_task.send(
+            LeaseReply(request.number, version, milliseconds), address
+        )
 
     def on_reply(self, reply: LeaseReply, address: tuple[str, int]) -> None:
         """Take in a peer's proof."""
@@ -134,9 +136,9 @@
             self._ask_store()
 
     def _peers(self, confirmed_at: float) -> list[Member]:
-        """Return whom to ask: who told of a newer proof, or readers at random."""
-        if self._teller is not None and self._told_at > confirmed_at + _WORTHWHILE:
-            return [self._teller]
+        """Return the peer that reported a newer proof, or readers at random."""
+        if self._freshest is not None and self._proven_at > confirmed_at + _WORTHWHILE:
+            return [self._freshest]
         others = self._roster.others
         names = self._random.sample(others, min(_ASKED, len(others)))
         members = self._membership.members
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_lease_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_lease_task.py
@@ -81,12 +81,12 @@
         self.renewed += 1
 
 
-def test_peer_that_told_of_the_newest_proof_is_asked():
+def test_peer_that_reported_the_newest_proof_is_asked():
     node = Node()
     node.lease.confirm(node.clock.now())
     node.clock.advance(1.0)
-    node.task.on_told(node.peers[3], 300)
-    node.task.on_told(node.peers[7], 50)
+    node.task.on_reported(node.peers[3], 300)
+    node.task.on_reported(node.peers[7], 50)
     node.run(0.1)
     [(_, address)] = node.requests
     assert address == node.peers[7].address
--- a/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
@@ -35,9 +35,9 @@
 #: Seconds after which a caller comes back to a node without a recent proof.
 _UNCONFIRMED_RETRY = 0.5
 #: Seconds without a refusal after which an account is within its quota again, and
-#: accounts that are told of at a time.
+#: accounts that are logged at a time.
 _WITHIN_AFTER = 5.0
-_MOST_TOLD = 64
+_MOST_LOGGED = 64
 
 
 @dataclass(frozen=True, slots=True)
@@ -235,7 +235,7 @@
         self._quota.take(account, decided)
 
     def _note_limited(self, name: str, now: float) -> None:
-        if name not in self._limited and len(self._limited) < _MOST_TOLD:
+        if name not in self._limited and len(self._limited) < _MOST_LOGGED:
             log_change("account_over_quota", account=name)
             self._limited[name] = now
         elif name in self._limited:
