--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -161,11 +161,6 @@
             return Grant(tokens, 0.0)
         return Grant(tokens, 1 / max(rate, account.rate / 10))
 
-    def window(self, account: str) -> tuple[int, int]:
-        """Return the tokens issued and refused in the window that ends now."""
-        state = self._accounts.get(account)
-        return (0, 0) if state is None else state.counted.totals()
-
     def sweep(self) -> None:
         """Forget accounts that nobody asks for; call once a second or so."""
         now = self._clock.now()
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -83,7 +83,7 @@
     fleet.demand(12.0, 30.0)
     fleet.run(31.0)
     lost = len(fleet.refused) + len(fleet.unreachable)
-    assert lost <= 0.03 * len(fleet.granted)
+    assert lost <= 0.02 * len(fleet.granted)
     assert fleet.most_in_window() <= BOUND.most(MIDDLE)
 
 
