Keep the rate limit and the leaving that an upstream advertises in its responses

Callers saw nothing; upstreams in need did: two that had advertised limits of 19.3 and 24.9 requests a second got 332 and 246 requests in 4 s, where 121 and 154 are allowed.

Cause: the headers were forwarded to callers and read by no one, neither by the gate that sees each response first nor by the caller's node. Class of fault: a statement in the data path that no component owns.

The gate beside the upstream now keeps the limit as capacity of its admission control, so rank, queue, announced threshold and early shedding follow it, and refuses with the reason upstream-limit what it does not start. Leaving is final for an incarnation, whatever it announces later. Runs and their replies carry the report on an upstream, so that a restarted gate learns both from the request that would break the bound. The fields are optional and sent only to peers that have stated their message level in a ping.

Why it holds: every request to an upstream passes one gate; that gate counts each one before it is written, and the only state that can be lost, by a restart, comes back with each request of a node that has forwarded such a response.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -1,6 +1,6 @@
 """Admission controller: the last check before a request goes to its upstream."""
 
-from math import ceil
+from math import ceil, inf
 
 from rattanfork_core.admission.decisions import Decision, Refuse, Start
 from rattanfork_core.admission.estimate import ServiceTimeEstimate
@@ -9,6 +9,7 @@
 from rattanfork_core.admission.settings import AdmissionSettings
 from rattanfork_core.admission.threshold import AdmissionThreshold
 from rattanfork_core.admission.waiter import Waiter
+from rattanfork_core.advertised import AdvertisedRateLimit
 from rattanfork_core.clock import Clock
 from rattanfork_core.request.outcome import Reason
 
@@ -71,6 +72,7 @@
         self._limit = ConcurrencyLimit(
             clock, settings.slots, settings.warmup, settings.adaptive
         )
+        self._rate_limit = AdvertisedRateLimit(clock)
         self._estimate = ServiceTimeEstimate()
         self._threshold = AdmissionThreshold(settings.surge_sample)
         self._draining = False
@@ -99,6 +101,11 @@
         """The concurrency limit."""
         return self._limit
 
+    @property
+    def rate_limit(self) -> AdvertisedRateLimit:
+        """The rate limit that the upstream advertises."""
+        return self._rate_limit
+
     @property
     def service_time(self) -> float:
         """Mean service time in seconds; 0 while unknown."""
@@ -110,11 +117,12 @@
         return self._draining
 
     def reset_estimates(self) -> None:
-        """Discard service times and threshold after the upstream was replaced.
+        """Discard rate limit, service times and threshold of a replaced upstream.
 
         With its predecessor's service times, a faster upstream would be refused
         work that it can do, and a cold one sent more than it can complete.
         """
+        self._rate_limit.clear()
         self._estimate = ServiceTimeEstimate()
         self._threshold = AdmissionThreshold(self._settings.surge_sample)
 
@@ -131,7 +139,11 @@
             return [Refuse(waiter, Reason.LEAVING)]
         if self._cannot_finish(waiter):
             return [Refuse(waiter, Reason.TOO_LATE)]
-        if not self._queue and len(self._running) < self._limit.current:
+        if (
+            not self._queue
+            and len(self._running) < self._limit.current
+            and self._rate_limit.take()
+        ):
             return [self._start(waiter)]
         return self._enqueue(waiter)
 
@@ -180,7 +192,10 @@
             self._threshold.update(
                 capacity=self._throughput() * self.TICK_SECONDS,
                 queue_fill=len(self._queue) / self._max_queue_length(),
-                utilisation=self._take_busy_time() / (limit * self.TICK_SECONDS),
+                utilisation=max(
+                    self._take_busy_time() / (limit * self.TICK_SECONDS),
+                    1.0 - self._rate_limit.unused_share,
+                ),
             )
         return decisions
 
@@ -196,7 +211,8 @@
         for waiter in overdue:
             self._latest_start.pop(waiter.key, None)
             self._on_displaced(waiter)
-        return [Refuse(waiter, Reason.SHED) for waiter in overdue]
+        reason = self._shed_reason()
+        return [Refuse(waiter, reason) for waiter in overdue]
 
     def _add_busy_time(self) -> None:
         now = self._clock.now()
@@ -216,7 +232,9 @@
         would accept hundreds of requests that wait until their deadlines.  The time
         since the last completion therefore bounds the throughput.
         """
-        throughput = self._limit.current / self._estimate.mean
+        throughput = min(
+            self._limit.current / self._estimate.mean, self._rate_limit.rate
+        )
         stalled = self._clock.now() - self._last_progress
         if not self._running or stalled < _MAX_LOOP_PAUSE_SECONDS:
             return throughput
@@ -224,8 +242,19 @@
             return _MAX_MISSED_COMPLETIONS / stalled
         return throughput
 
+    def _is_rate_limited(self) -> bool:
+        """Return whether the advertised limit, not the slots, bounds the throughput."""
+        mean = self._estimate.mean
+        rate = self._rate_limit.rate
+        return rate < self._limit.current / mean if mean else rate < inf
+
+    def _shed_reason(self) -> Reason:
+        return Reason.UPSTREAM_LIMIT if self._is_rate_limited() else Reason.SHED
+
     def _max_queue_length(self) -> int:
         limit, settings = self._limit.current, self._settings
+        if self._is_rate_limited():
+            return max(1, int(self._rate_limit.rate * settings.queue_delay))
         bound = max(settings.min_queue_length, ceil(limit * settings.queue_ratio))
         if not self._estimate.mean:
             return bound
@@ -264,7 +293,7 @@
         displaced = self._queue.pop_highest_rank()
         self._on_displaced(displaced)
         self._latest_start.pop(displaced.key, None)
-        return [Refuse(displaced, Reason.SHED)]
+        return [Refuse(displaced, self._shed_reason())]
 
     def _on_displaced(self, waiter: Waiter) -> None:
         if not self._estimate.mean:
@@ -287,11 +316,16 @@
 
     def _start_next(self) -> list[Decision]:
         decisions: list[Decision] = []
-        while self._queue and len(self._running) < self._limit.current:
+        while (
+            self._queue
+            and len(self._running) < self._limit.current
+            and self._rate_limit.has_token()
+        ):
             waiter = self._queue.pop_lowest_rank()
             self._latest_start.pop(waiter.key, None)
             if self._cannot_finish(waiter):
                 decisions.append(Refuse(waiter, Reason.TOO_LATE))
             else:
+                self._rate_limit.take()
                 decisions.append(self._start(waiter))
         return decisions
--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -87,6 +87,8 @@
     QUOTA = 29
     #: No issuer of quota tokens could be reached.
     QUOTA_UNKNOWN = 30
+    #: The rate limit that the upstream advertises is exhausted.
+    UPSTREAM_LIMIT = 31
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-node/rattanfork_node/app/prober.py
+++ b/packages/rattanfork-node/rattanfork_node/app/prober.py
@@ -34,7 +34,9 @@
 
     def __init__(self, clock: Clock, host: str, port: int, names: HeaderNames) -> None:
         self._id_header = names.upstream.lower()
-        self._client = HttpClient(clock, host, port, frozenset((self._id_header,)))
+        self._leaving_header = names.leaving.lower()
+        captured = frozenset((self._id_header, self._leaving_header))
+        self._client = HttpClient(clock, host, port, captured)
 
     async def ask(self, path: str) -> str | None:
         """Return the ID of a healthy upstream; None if there is none or it leaves."""
@@ -44,6 +46,8 @@
             )
         except (ConnectionError, TimeoutError, OSError):
             return None
+        if self._leaving_header in response.headers:
+            return None
         name = response.headers.get(self._id_header, b"").decode("latin-1")
         return name if response.status == 200 and name else None
 
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -107,6 +107,7 @@
             running=self._gate.outstanding - self._gate.waiting,
             waiting=self._gate.waiting,
             cut=round(self._gate.own_threshold, 3),
+            upstream_limit=self._gate.rate_limit,
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
         )
@@ -123,7 +124,11 @@
         ]
 
     def gauges(self) -> dict[str, float]:
-        """Return the current gauge values by name."""
+        """Return the current gauge values by name.
+
+        ``upstream_rate_limit`` is absent while the upstream advertises no limit.
+        """
+        limit = self._gate.rate_limit
         members = Counter(m.status for m in self._membership.members.values())
         return {
             **{
@@ -137,6 +142,8 @@
             "accepting": int(self._gate.accepting),
             "quarantined": len(self._quarantine.fingerprints),
             "impaired": int(self._gate.health.impaired),
+            "upstream_leaving": int(self._gate.advertised.leaving),
+            **({} if limit is None else {"upstream_rate_limit": limit}),
             "repeats_granted": self._gate.grants.spent,
             "repeats_allowed": self._gate.grants.allowed,
             "ready": int(self._is_ready()),
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -12,6 +12,7 @@
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.tests.fakes import member
+from rattanfork_node.http1 import UpstreamResponse
 from rattanfork_node.relay.tests.fakes import GateHarness
 from rattanfork_node.telemetry import Counters
 
@@ -73,6 +74,11 @@
         while self.waiting:
             asyncio.run(self.waiting.pop())
 
+    def state_leaving(self) -> None:
+        """Let the attached upstream state in a response that it leaves."""
+        headers = {b"rattanfork-leaving": b"1"}
+        self.gate.advertised.on_response(UpstreamResponse(200, b"", b"", headers))
+
     @property
     def serving(self) -> str | None:
         """Name of the upstream that receives new requests."""
@@ -166,6 +172,30 @@
     assert harness.gate.upstream.born == 1000
 
 
+def test_upstream_that_states_leaving_in_a_response_is_detached_for_good():
+    """Guards against announcements as ready that attach a leaving upstream again."""
+    harness = MonitorHarness()
+    harness.announce("i1", 1)
+    harness.state_leaving()
+    assert harness.serving is None
+    assert not harness.membership.me.ready
+    harness.announce("i1", 2)
+    harness.probe("i1")
+    assert harness.serving is None
+    harness.announce("i2", 1)
+    assert harness.serving == "i2"
+
+
+def test_restart_with_same_id_is_attached_after_leaving_stated_in_a_response():
+    harness = MonitorHarness()
+    harness.announce("i1", 5, born=1000)
+    harness.state_leaving()
+    harness.announce("i1", 6, born=1000)
+    assert harness.serving is None
+    harness.announce("i1", 1, born=2000)
+    assert harness.serving == "i1"
+
+
 def test_upstream_of_another_service_is_not_attached():
     """Guards against requests being executed by an upstream of another service."""
     harness = MonitorHarness()
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -31,6 +31,9 @@
     attaches an upstream that has announced its leaving, since the probe may have been
     answered before that announcement.
 
+    An upstream may also state in its responses that it leaves.  It is then detached,
+    and later announcements of the same incarnation do not attach it again.
+
     Parameters
     ==========
 
@@ -80,6 +83,9 @@
         self._probing = False
         self._next_probe = 0.0
         self._last_slots = 0
+        #: Last incarnation that stated in a response that it leaves.
+        self._leaving: Upstream | None = None
+        gate.advertised.on_leaving = self._on_leaving_stated
 
     def on_announcement(self, announcement: Announcement) -> bool:
         """Handle an announcement of the upstream.
@@ -95,7 +101,9 @@
             return False
         if not self._tracker.accept(announcement):
             self._counters.events["announcement.late"] += 1
-        elif announcement.leaving:
+        elif announcement.leaving or self._has_stated_leaving(
+            announcement.upstream, announcement.born
+        ):
             self._detach("leaving", announcement.upstream)
         else:
             self._last_slots = announcement.slots
@@ -135,6 +143,8 @@
         self._next_probe = self._clock.now() + _PROBE_INTERVAL_S
         if name is None or self._tracker.is_retired(name):
             return
+        if self._has_stated_leaving(name, born=0):
+            return
         current = self._tracker.current
         if current is not None and current.upstream == name:
             if current.leaving:
@@ -143,6 +153,17 @@
             return
         self._attach(name, self._last_slots or _DEFAULT_SLOTS)
 
+    def _on_leaving_stated(self, upstream: Upstream) -> None:
+        self._leaving = upstream
+        self._gate.detach()
+        self._membership.update_me(ready=False)
+
+    def _has_stated_leaving(self, name: str, born: int) -> bool:
+        leaving = self._leaving
+        if leaving is None:
+            return False
+        return leaving.is_same_incarnation(leaving._replace(name=name, born=born))
+
     def _attach(self, name: str, slots: int, born: int = 0) -> None:
         if self._closed:
             return
--- a/packages/rattanfork-node/rattanfork_node/http1/headers.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/headers.py
@@ -50,6 +50,11 @@
         Set by an upstream in its response if it did not execute the request.
     upstream : bytes
         ID of the upstream, in its response to a probe.
+    rate_limit : bytes
+        Requests per second that an upstream accepts from all nodes together, in its
+        responses while it advertises a limit.
+    leaving : bytes
+        Set to 1 by an upstream in its responses once it leaves.
     """
 
     request_id: bytes = b"Rattanfork-Request-Id"
@@ -60,6 +65,8 @@
     expected_upstream: bytes = b"Rattanfork-Expect-Upstream"
     not_run: bytes = b"Rattanfork-Not-Run"
     upstream: bytes = b"Rattanfork-Upstream"
+    rate_limit: bytes = b"Rattanfork-Rate-Limit"
+    leaving: bytes = b"Rattanfork-Leaving"
 
     def stripped_from_requests(self) -> frozenset[bytes]:
         """Return the lower-case names of request headers that are not forwarded."""
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -31,13 +31,17 @@
     body : bytes
         Response body.
     headers : dict
-        Values of the captured headers by lower-case name.
+        Values of the captured headers by lower-case name; several headers of one name
+        are joined with commas.
+    received_at : float
+        When its head was received, in seconds of the clock.
     """
 
     status: int
     header_block: bytes
     body: bytes
     headers: dict[bytes, bytes]
+    received_at: float = 0.0
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -184,13 +188,15 @@
         elif lower in (b"content-length", b"transfer-encoding"):
             self._until_close = False
         if lower in self._captured:
-            self._headers[lower] = value
+            known = self._headers.get(lower)
+            self._headers[lower] = value if known is None else known + b", " + value
         if lower not in NOT_FORWARDED:
             self._block += name + b": " + value + b"\r\n"
 
     def on_headers_complete(self) -> None:
         """Record the status; complete the response if it answers a HEAD request."""
         self._in_body = True
+        self._received_at = self._clock.now()
         self._status = self._parser.get_status_code()
         if self._is_head:
             self._complete(reusable=False)
@@ -219,6 +225,7 @@
         self._body: list[bytes] = []
         self._size = 0
         self._status = 0
+        self._received_at = 0.0
         self._in_body = False
         self._until_close = True
 
@@ -229,7 +236,11 @@
             return
         on_response, self._on_response = self._on_response, None
         response = UpstreamResponse(
-            self._status, bytes(self._block), b"".join(self._body), self._headers
+            self._status,
+            bytes(self._block),
+            b"".join(self._body),
+            self._headers,
+            self._received_at,
         )
         if mismatched:
             self._transport.abort()
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -12,6 +12,7 @@
 from rattanfork_node.peer.handler import PeerHandler
 from rattanfork_node.peer.handshake import check_proof, make_proof, make_unpacker
 from rattanfork_node.peer.messages import (
+    MESSAGE_LEVEL,
     PROTOCOL_VERSION,
     REPLIES,
     BurnRequest,
@@ -114,6 +115,7 @@
         self._last_heartbeat = clock.now()
         self._ping_sent_at = 0.0
         self._late_replies = 0
+        self._peer_level = 0
         #: Tasks or jobs of the peer's requests by number, kept by the handler.
         self.calls: dict[int, Any] = {}
 
@@ -132,6 +134,11 @@
         """Data centre that the peer reported."""
         return self._peer_data_centre
 
+    @property
+    def peer_level(self) -> int:
+        """Message level of the peer; 0 while unknown."""
+        return self._peer_level
+
     @property
     def usable(self) -> bool:
         """Whether requests may be sent."""
@@ -238,7 +245,7 @@
             # A request may take longer than the silence timeout.  A ping is
             # answered at once, which distinguishes a busy peer from a lost one.
             self._ping_sent_at = now
-            self.send(Ping(0))
+            self.send(Ping(MESSAGE_LEVEL))
 
     def close(self, reason: str) -> None:
         """Abort the connection and fail all pending requests."""
@@ -295,9 +302,12 @@
             else:
                 future.set_result(message)
         elif isinstance(message, Ping):
-            self.send(Pong(message.number))
+            self._peer_level = max(0, message.number)
+            self.send(Pong(message.number + MESSAGE_LEVEL))
         elif isinstance(message, Pong):
-            pass
+            # A peer of level 0 returns the number of the ping.
+            self._peer_level = max(0, message.number - MESSAGE_LEVEL)
+            self._set_ready()
         elif self._is_client:
             raise FrameError(f"{type(message).__name__}: not valid from a server")
         else:
@@ -371,10 +381,16 @@
         # Each handshake message waits for the previous one, so the small
         # unpacker that is replaced here holds no unread data.
         self._unpacker = make_unpacker(self._max_body_bytes + _FRAME_OVERHEAD_BYTES)
+        if self._is_client:
+            # Ready with the reply, so that the first request is sent at its level.
+            self.send(Ping(MESSAGE_LEVEL))
+        else:
+            self._set_ready()
+            self._handler.on_open(self)
+
+    def _set_ready(self) -> None:
         if not self._ready.done():
             self._ready.set_result(None)
-        if not self._is_client:
-            self._handler.on_open(self)
 
     def _mark_lost(self, reason: str) -> None:
         if self._closed:
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -4,13 +4,19 @@
 Times are durations in milliseconds; no wall-clock time is sent.
 """
 
+from math import isfinite
 from typing import Any, NamedTuple
 
 import msgpack
+from rattanfork_core.advertised.report import NO_LIMIT
 
 from rattanfork_node.peer.errors import FrameError
 
 PROTOCOL_VERSION = 4
+#: Optional fields that a node understands: 1 adds the reports on upstreams to runs and
+#: their replies.  Nodes exchange their levels in pings, so that a node of a lower level
+#: never gets a field that it would reject.
+MESSAGE_LEVEL = 1
 #: Maximum characters of a header or path.
 _MAX_TEXT_LENGTH = 16_384
 _MAX_HEADERS = 200
@@ -95,7 +101,9 @@
     the order of shedding (higher ranks are shed first).  ``attempt`` is the number
     of the attempt, ``may_have_arrived`` is true if an earlier one may have reached an
     upstream, and ``repeated`` if the run that made this request was itself a retry.
-    ``account`` is the name of the client account, or "".
+    ``account`` is the name of the client account, or "".  The fields from ``upstream``
+    on are the sender's report on the receiver's upstream; without one, ``upstream`` is
+    "" and they are not sent.
     """
 
     number: int
@@ -113,6 +121,10 @@
     may_have_arrived: bool
     attempt: int
     account: str
+    upstream: str = ""
+    born: int = 0
+    rate_limit: float = NO_LIMIT
+    leaving: bool = False
 
 
 class RunReply(NamedTuple):
@@ -120,7 +132,8 @@
 
     ``cut`` is the rank from which the gate sheds, ``busy`` its number of queued
     and running requests; ``services_reached`` names the services that runs of the
-    operation call, at any depth.
+    operation call, at any depth.  The fields from ``upstream`` on are the gate's report
+    on its upstream; without one, ``upstream`` is "" and they are not sent.
     """
 
     number: int
@@ -133,6 +146,10 @@
     cut: float
     busy: int
     services_reached: list
+    upstream: str = ""
+    born: int = 0
+    rate_limit: float = NO_LIMIT
+    leaving: bool = False
 
 
 class ConfigurationRequest(NamedTuple):
@@ -202,13 +219,13 @@
 
 
 class Ping(NamedTuple):
-    """Checks that the peer answers."""
+    """Checks that the peer answers; the number is the sender's message level."""
 
     number: int
 
 
 class Pong(NamedTuple):
-    """Reply to a ping."""
+    """Reply to a ping: its number plus the message level of the replying node."""
 
     number: int
 
@@ -305,6 +322,11 @@
 _KINDS: tuple[type, ...] = Message.__args__
 _KIND_NUMBERS = {kind: number for number, kind in enumerate(_KINDS)}
 _FIELD_TYPES = [tuple(kind.__annotations__.values()) for kind in _KINDS]
+#: Number of fields at the end that are left out if the message has no report.
+_REPORT_FIELDS = 4
+_KINDS_WITH_REPORT = frozenset(map(_KIND_NUMBERS.__getitem__, (Run, RunReply)))
+#: Maximum characters of an upstream's ID.
+_MAX_UPSTREAM_LENGTH = 200
 _KINDS_WITH_LONG_TEXT = {_KIND_NUMBERS[RulesReply]}
 _pack = msgpack.Packer(autoreset=True).pack
 
@@ -318,7 +340,10 @@
     >>> list(encode_message(Ping(5)))
     [146, 9, 5]
     """
-    return _pack((_KIND_NUMBERS[type(message)], *message))
+    kind = _KIND_NUMBERS[type(message)]
+    if kind in _KINDS_WITH_REPORT and not message.upstream:
+        return _pack((kind, *message[:-_REPORT_FIELDS]))
+    return _pack((kind, *message))
 
 
 def decode_message(frame: Any) -> Message:
@@ -346,7 +371,11 @@
     if type(kind) is not int or not 0 <= kind < len(_KINDS):
         raise FrameError("a message must start with the number of a known kind")
     types = _FIELD_TYPES[kind]
-    if len(frame) != len(types) + 1:
+    fields = len(frame) - 1
+    has_report = kind in _KINDS_WITH_REPORT
+    if has_report and fields == len(types) - _REPORT_FIELDS:
+        types = types[:fields]
+    elif fields != len(types):
         raise FrameError(f"{_KINDS[kind].__name__}: wrong number of fields")
     for value, expected in zip(frame[1:], types, strict=True):
         if type(value) is not expected:
@@ -373,14 +402,26 @@
         type(s) is not str for s in message.services_reached
     ):
         raise FrameError("RunReply.services_reached: names of services must be strings")
+    if type(message) in (Run, RunReply) and message.upstream:
+        _check_report(message)
     if type(message) is Call and len(message.path) > _MAX_TEXT_LENGTH:
         raise FrameError("path is too long")
 
 
+def _check_report(message: Run | RunReply) -> None:
+    name = type(message).__name__
+    if len(message.upstream) > _MAX_UPSTREAM_LENGTH:
+        raise FrameError(f"{name}.upstream: ID is too long")
+    if message.born < 0:
+        raise FrameError(f"{name}.born: must be at least 0")
+    if not isfinite(message.rate_limit):
+        raise FrameError(f"{name}.rate_limit: must be finite")
+
+
 def _field_type_error(kind: int, frame: list) -> FrameError:
     name = _KINDS[kind].__name__
     annotations = _KINDS[kind].__annotations__
-    for value, (field, expected) in zip(frame[1:], annotations.items(), strict=True):
+    for value, (field, expected) in zip(frame[1:], annotations.items(), strict=False):
         if type(value) is not expected:
             return FrameError(f"{name}.{field}: {expected.__name__} expected")
     return FrameError(f"{name}: wrong type")
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -183,6 +183,8 @@
             "upstream": upstream,
             "failed_calls": job.failed_calls,
         }
+        if admission.rate_limit.value is not None:
+            fields["rate_limit"] = admission.rate_limit.value
         self._log.write("run", job.request_id, fields)
 
     def _versions(self) -> dict[str, int]:
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -6,6 +6,7 @@
 from math import inf
 from typing import TYPE_CHECKING
 
+from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.budgets import LocalRequestBudget
 from rattanfork_core.request import (
     CallResult,
@@ -257,6 +258,8 @@
         self._link = link
         self._number = link.next_number()
         left = admitted.deadline - self._relay.clock.now()
+        reports = self._relay.upstream_reports
+        report = reports.get(member.instance) if link.peer_level else None
         run = Run(
             self._number,
             member.boot,
@@ -273,8 +276,9 @@
             self._may_have_arrived,
             attempt,
             exchange.account_name,
+            *(report or ()),
         )
-        link.send_run(run, lambda reply: self._on_reply(attempt, member.name, reply))
+        link.send_run(run, lambda reply: self._on_reply(attempt, member, reply))
 
     def _connect_and_send(self, member: Member | None, attempt: int) -> None:
         """Open a link and send the attempt, unless it has ended by then."""
@@ -305,7 +309,7 @@
         result = CallResult(Outcome.NOT_RUN, Reason.NO_INSTANCE, retry_elsewhere=True)
         self._on_result(attempt, result)
 
-    def _on_reply(self, attempt: int, name: str, reply: RunReply | None) -> None:
+    def _on_reply(self, attempt: int, member: Member, reply: RunReply | None) -> None:
         if reply is None:
             self._update_instance_state(failed=True)
             self._record_attempt(Reason.CONNECTION)
@@ -313,7 +317,10 @@
             self._may_have_arrived = True
             self._execute(self._machine.on_connection_lost(attempt))
             return
-        self._relay.early_shedder.update(self._admitted.operation, name, reply.cut)
+        self._update_report(member, reply)
+        self._relay.early_shedder.update(
+            self._admitted.operation, member.name, reply.cut
+        )
         if self._instance_state is not None:
             self._instance_state.busy = reply.busy
         result = CallResult(
@@ -327,11 +334,30 @@
         )
         self._on_result(attempt, result)
 
+    def _update_report(self, member: Member, reply: RunReply) -> None:
+        """Store what the upstream of an instance advertises.
+
+        Only a response of the upstream shows that it advertises nothing: the gate may
+        refuse requests before it knows what it advertises.
+        """
+        report = None
+        if reply.upstream:
+            report = UpstreamReport(
+                reply.upstream, reply.born, reply.rate_limit, reply.leaving
+            )
+        elif reply.outcome != Outcome.ANSWERED:
+            return
+        self._relay.upstream_reports.update(member.instance, report)
+
     def _on_result(self, attempt: int, result: CallResult) -> None:
         if self._machine.finished:
             self._update_instance_state(failed=False, counted=False)
             return
-        self._update_instance_state(failed=result.reason in _INSTANCE_FAILURE_REASONS)
+        # A refusal within a millisecond would make a limited instance look fast.
+        self._update_instance_state(
+            failed=result.reason in _INSTANCE_FAILURE_REASONS,
+            counted=result.reason is not Reason.UPSTREAM_LIMIT,
+        )
         self._record_attempt(result.reason, result.status)
         self._last_reason = result.reason
         self._may_have_arrived |= result.reason in _REACHED_UPSTREAM_REASONS
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -26,9 +26,11 @@
     UpstreamResponse,
     render_head,
 )
+from rattanfork_node.relay.advertised_state import AdvertisedState
 from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.decision_log import DecisionLog
 from rattanfork_node.relay.gate_results import (
+    MISDIRECTED_STATUS,
     connection_lost,
     not_run,
     result_from_response,
@@ -133,6 +135,13 @@
                 max_wait=_MAX_WAIT_S,
             ),
         )
+        #: What the upstream advertises in its responses.
+        self.advertised = AdvertisedState(
+            clock, names, self._admission.rate_limit, counters
+        )
+        #: Incarnations of the upstream so far; a late response of an earlier one says
+        #: nothing about the current one.
+        self._incarnation = 0
         #: Admission thresholds announced by the services that the upstream calls.
         self._downstream_thresholds = ThresholdCache(clock)
         #: Detects an upstream that fails or has become slow.
@@ -166,7 +175,7 @@
     @property
     def accepting(self) -> bool:
         """Whether new requests are admitted."""
-        return self._accepting
+        return self._accepting and not self.advertised.leaving
 
     @property
     def own_threshold(self) -> float:
@@ -183,6 +192,11 @@
         """Number of requests that may run concurrently."""
         return self._admission.limit.current
 
+    @property
+    def rate_limit(self) -> float | None:
+        """Rate limit that the upstream advertises, per second; None without one."""
+        return self._admission.rate_limit.value
+
     @property
     def waiting(self) -> int:
         """Number of requests in the queue."""
@@ -201,6 +215,7 @@
         elif not upstream.born:
             upstream = upstream._replace(born=known.born)
         self._upstream = upstream
+        self.advertised.update_upstream(upstream)
         self._admission.limit.set_slots(max(1, int(upstream.slots * _SLOT_UTILIZATION)))
         self._accepting = True
         self.misdirected = False
@@ -233,7 +248,7 @@
         if job.boot != self._boot:
             self._refuse(job, Reason.STALE_INSTANCE)
             return
-        if not self._accepting:
+        if not self.accepting:
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
@@ -314,6 +329,8 @@
             self._pool.retire()
         self._pool = self._make_pool(upstream, connections)
         self._crash_detector.watch(self._pool, upstream)
+        self._incarnation += 1
+        self.advertised.reset(upstream)
         self._admission.reset_estimates()
         self.health = UpstreamHealth(self._clock)
 
@@ -324,7 +341,7 @@
             upstream.port,
             connections,
             self._names.request_id,
-            frozenset((self._not_run_name,)),
+            self.advertised.header_names | {self._not_run_name},
         )
 
     def _abort_predecessor_runs(self) -> None:
@@ -363,6 +380,7 @@
             self._finish_run(job, not_run(reason), False)
             return
         job.connection = connection
+        job.incarnation = self._incarnation
         self.health.on_started(job.waiter.key, job.operation)
         connection.send(
             self._render_request_head(job) + job.body,
@@ -392,6 +410,12 @@
         return render_head(job.method, job.target, job.block, len(job.body), headers)
 
     def _on_response(self, job: Job, response: UpstreamResponse | None) -> None:
+        if (
+            response is not None
+            and response.status != MISDIRECTED_STATUS
+            and job.incarnation == self._incarnation
+        ):
+            self.advertised.on_response(response)
         if job.ended:
             return
         result = result_from_response(job, response, self._not_run_name)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
@@ -16,11 +16,12 @@
         Reason.UPSTREAM_SHED,
         Reason.NO_INSTANCE,
         Reason.NO_REPEAT,
+        Reason.UPSTREAM_LIMIT,
     )
 )
 
 #: 421 Misdirected Request: another incarnation listens at the address.
-_MISDIRECTED = 421
+MISDIRECTED_STATUS = 421
 
 
 def result_from_response(
@@ -41,7 +42,7 @@
     """
     if response is None:
         return connection_lost()
-    if response.status == _MISDIRECTED:
+    if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.STALE_INSTANCE)
     if not_run_name in response.headers:
         return not_run(Reason.UPSTREAM_SHED)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -68,6 +68,8 @@
     account: str = ""
     waiter: Waiter | None = None
     connection: UpstreamConnection | None = None
+    #: Incarnation of the upstream that it was sent to, as the gate numbers them.
+    incarnation: int = 0
     handed_over: bool = False
     ended: bool = False
     #: Whether the retry budget was charged for it.
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -2,8 +2,9 @@
 
 from collections.abc import Callable
 
+from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.clock import Clock
-from rattanfork_core.request import CallResult
+from rattanfork_core.request import CallResult, Reason
 from rattanfork_core.request.importance import RANK_LIMIT
 from rattanfork_core.revision import RevisionState
 
@@ -86,6 +87,9 @@
             run.account,
         )
         link.calls[run.number] = job
+        if run.upstream:
+            report = UpstreamReport(run.upstream, run.born, run.rate_limit, run.leaving)
+            self._gate.advertised.on_report(report, link.peer)
         self._gate.submit(job)
 
     def on_cancel(self, link: PeerLink, number: int) -> None:
@@ -134,11 +138,17 @@
     ) -> Callable[[CallResult], None]:
         def reply(result: CallResult) -> None:
             link.calls.pop(number, None)
+            report = ()
+            reason = result.reason
+            if link.peer_level:
+                report = self._gate.advertised.report() or ()
+            elif reason is Reason.UPSTREAM_LIMIT:
+                reason = Reason.SHED
             link.send_batched(
                 RunReply(
                     number,
                     int(result.outcome),
-                    int(result.reason),
+                    int(reason),
                     result.status,
                     result.block,
                     result.body,
@@ -146,6 +156,7 @@
                     float(self._gate.threshold(operation)),
                     self._gate.outstanding,
                     list(result.services_reached),
+                    *report,
                 )
             )
 
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import TYPE_CHECKING
 
+from rattanfork_core.advertised import UpstreamReportTable
 from rattanfork_core.clock import Clock
 from rattanfork_core.gate_status import (
     CallChainThresholds,
@@ -134,6 +135,8 @@
         self.counters = counters
         self.quarantine = quarantine
         self.early_shedder = EarlyShedder(clock)
+        #: What the upstreams of other instances have advertised.
+        self.upstream_reports = UpstreamReportTable()
         #: Services behind each operation, learned from the responses to callers.
         self.dependencies = OperationDependencies()
         self._reports = reports
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -158,6 +158,7 @@
     """A link to a peer node that is played by the test."""
 
     connection_id = "c1"
+    peer_level = 1
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
