Let the soak's workers advertise limits and leave by responses alone

Limits of 0 to 12 requests a second for 4 to 9 s, and workers that state in responses only that they leave, while nodes are killed, paused, stopped and their links cut. Two checks, leaving and limit, by what clients and workers saw.

--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -9,6 +9,9 @@
   client account and without the key.
 - ``lost``: a draining node responds to requests that a worker has run.
 - ``drain``: no request arrives at a worker after its draining was acknowledged.
+- ``leaving``: no request arrives at a worker from a node that has forwarded its
+  statement that it leaves.
+- ``limit``: a worker gets no more requests than the rate limit that it advertises.
 - ``budget``: a request that crashes workers is quarantined.
 - ``revoked`` and ``denied``: a revoked key is rejected, a valid key accepted.
 - ``configuration``: a change comes into force in time and is not reverted.
@@ -92,6 +95,8 @@
             self._check_not_run(record)
         if record.status == _UNAUTHENTICATED:
             self._check_unauthenticated(record)
+        if record.advertised:
+            self._record_forwarded(record)
 
     def on_probe(self, pid: int, version: int, status: int, at: float) -> None:
         """Check that no process loses a configuration version that it had in force."""
@@ -165,6 +170,27 @@
                 f"{arrival}, {arrival.at - drained_at:.2f} s after the acknowledgement"
             )
             self._add_violation("drain", arrival.at, text)
+        self._check_advertised(worker, record, arrival)
+
+    def _record_forwarded(self, record: Record) -> None:
+        incarnation = record.stamp.rpartition(".")[0]
+        for worker in self._workers:
+            for advertised in worker.advertisements:
+                if advertised.incarnation == incarnation:
+                    advertised.on_forwarded(record)
+
+    def _check_advertised(
+        self, worker: SoakWorker, record: Record, arrival: Arrival
+    ) -> None:
+        for advertised in worker.advertisements:
+            if advertised.incarnation != arrival.incarnation:
+                continue
+            for invariant, text in (
+                ("leaving", advertised.check_leaving(record, arrival.at)),
+                ("limit", advertised.check_limit(record, arrival.at)),
+            ):
+                if text is not None:
+                    self._add_violation(invariant, arrival.at, text)
 
     def _was_stable(self, arrival: Arrival) -> bool:
         record = self._records.get(arrival.request_id)
--- a/packages/rattanfork-soak/rattanfork_soak/client.py
+++ b/packages/rattanfork-soak/rattanfork_soak/client.py
@@ -8,6 +8,7 @@
 from rattanfork_adapter.tests.fakes import KEY, STAMP
 from rattanfork_adapter.tests.fleet import client_headers
 
+from rattanfork_soak.advertising import LEAVING, LIMIT
 from rattanfork_soak.checks import Checks
 from rattanfork_soak.keys import KeyRing
 from rattanfork_soak.record import Record
@@ -120,6 +121,7 @@
             self._site.now(),
             stable=self._site.stable,
             key=self._choose_key(),
+            interrupted_at=self._site.interrupted_at,
         )
         self._checks.on_sent(record)
         return record
@@ -139,6 +141,7 @@
                 record.body = await response.text()
                 record.status = response.status
                 record.stamp = response.headers.get(STAMP, "")
+                record.advertised = bool({LIMIT, LEAVING} & set(response.headers))
         except (aiohttp.ClientError, TimeoutError) as error:
             record.status = 0
             record.error = type(error).__name__
--- a/packages/rattanfork-soak/rattanfork_soak/environment.py
+++ b/packages/rattanfork-soak/rattanfork_soak/environment.py
@@ -25,6 +25,15 @@
 _KEY_ROTATION_INTERVAL_S = (1.0, 4.0)
 #: Bounds of the time for which the old and the new key are both valid.
 _KEY_OVERLAP_S = (0.2, 2.0)
+#: Bounds of the time between two rate limits that a worker advertises, of the time for
+#: which it does, and of the limit in requests per second.
+_LIMIT_INTERVAL_S = (0.5, 3.0)
+_LIMIT_TIME_S = (4.0, 9.0)
+_LIMIT_PER_S = (0.0, 12.0)
+#: Bounds of the time between two workers that leave without an announcement, and of the
+#: time for which such a worker serves after it has stated so.
+_LEAVING_INTERVAL_S = (3.0, 8.0)
+_LEAVING_TIME_S = (2.5, 5.0)
 #: Timeout of requests, in the configuration of each route.
 ROUTE_TIMEOUT_S = 2.0
 
@@ -127,6 +136,36 @@
             await self.change_configuration(self.keys.valid[1:])
             self.keys.revoke_oldest()
 
+    async def advertise_limits(self, random: Random) -> None:
+        """Let one worker after the other advertise a rate limit, until cancelled."""
+        while True:
+            await asyncio.sleep(random.uniform(*_LIMIT_INTERVAL_S))
+            site = random.choice(self.sites)
+            if site.worker.advertised is not None:
+                continue
+            site.worker.advertise(round(random.uniform(*_LIMIT_PER_S), 1))
+            await asyncio.sleep(random.uniform(*_LIMIT_TIME_S))
+            if (
+                site.worker.advertised is not None
+                and not site.worker.advertised.leaving
+            ):
+                site.worker.stop_advertising()
+
+    async def state_leaving(self, random: Random) -> None:
+        """Let workers leave that state so only in their responses, until cancelled."""
+        while True:
+            await asyncio.sleep(random.uniform(*_LEAVING_INTERVAL_S))
+            site = random.choice(self.sites)
+            serving_time = random.uniform(*_LEAVING_TIME_S)
+            if self.worker_lock(site).locked():
+                continue
+            async with self.worker_lock(site):
+                site.worker.advertise(None, leaving=True)
+                await asyncio.sleep(serving_time)
+                site.record_disturbance()
+                site.worker.crash()
+                await site.worker.start()
+
     async def change_configuration(self, keys: list[str] | None = None) -> None:
         """Write the next version of the configuration, with ``keys`` if given."""
         self.version += 1
--- a/packages/rattanfork-soak/rattanfork_soak/record.py
+++ b/packages/rattanfork-soak/rattanfork_soak/record.py
@@ -34,6 +34,10 @@
         Client key in the request.
     error : str
         Type of the exception, if there was no response.
+    interrupted_at : float
+        When the node was last killed, paused or resumed before the request was sent.
+    advertised : bool
+        Whether the response carried what its worker advertises.
     stable : bool
         Whether the node had run without start, stop, pause or fault for a while, so
         that its view of the fleet must be up to date.
@@ -52,6 +56,8 @@
     error: str = ""
     stable: bool = True
     key: str = ""
+    interrupted_at: float = float("-inf")
+    advertised: bool = False
 
     @property
     def served(self) -> bool:
--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -42,6 +42,8 @@
         #: When the running node got SIGTERM; None if it did not.
         self.stop_requested_at: float | None = None
         self._disturbed_at = float("-inf")
+        #: When the node's process was last killed, paused or resumed.
+        self.interrupted_at = float("-inf")
         self._started_at = float("-inf")
         self._paused = False
         self._exit_expected = False
@@ -113,7 +115,7 @@
 
     def kill(self) -> None:
         """Send SIGKILL to the node."""
-        self.record_disturbance()
+        self._record_interruption()
         self._exit_expected = True
         self._signal(signal.SIGKILL)
 
@@ -125,7 +127,7 @@
 
     def pause(self) -> None:
         """Pause the node's process (SIGSTOP)."""
-        self.record_disturbance()
+        self._record_interruption()
         self._paused = True
         self._signal(signal.SIGSTOP)
 
@@ -133,7 +135,7 @@
         """Resume the node's process (SIGCONT)."""
         self._signal(signal.SIGCONT)
         self._paused = False
-        self.record_disturbance()
+        self._record_interruption()
 
     def reload(self) -> None:
         """Send SIGHUP: the settings may have changed."""
@@ -167,6 +169,10 @@
         self._node.worker.name = self.worker.name
         return await self._node.announce(state, _ANNOUNCED_SLOTS)
 
+    def _record_interruption(self) -> None:
+        self.record_disturbance()
+        self.interrupted_at = self.now()
+
     def _signal(self, number: int) -> None:
         if self._node.process.returncode is None:
             self._node.process.send_signal(number)
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -126,6 +126,8 @@
             environment.restart_crashed_workers(),
             environment.restore_store(Random(self._seed + 1)),
             environment.rotate_keys(Random(self._seed + 2)),
+            environment.advertise_limits(Random(self._seed + 3)),
+            environment.state_leaving(Random(self._seed + 4)),
             self._review_forever(environment, checks),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -17,6 +17,7 @@
     STAMP,
 )
 
+from rattanfork_soak.advertising import Advertisement
 from rattanfork_soak.keys import ACCOUNT_NAME
 
 #: Interval of announcements.  The platform's workers use 1.5 s; a shorter one only
@@ -83,6 +84,9 @@
         self.announce: Callable[[str], Awaitable[int | None]] = _ignore_announcement
         #: When the node acknowledged the draining of an incarnation, by its ID.
         self.drained_at: dict[str, float] = {}
+        #: What the worker advertises in its responses, and all that it ever did.
+        self.advertised: Advertisement | None = None
+        self.advertisements: list[Advertisement] = []
         #: When a deadly request crashed this incarnation; None if none did.
         self.crashed_at: float | None = None
         self._random = random
@@ -98,8 +102,21 @@
         """ID of the current incarnation."""
         return f"{self.base_name}-{self._number}"
 
+    def advertise(self, rate_limit: float | None, leaving: bool = False) -> None:
+        """Add a rate limit, or that the worker leaves, to all responses from now on."""
+        self.stop_advertising()
+        self.advertised = Advertisement(self.name, rate_limit, leaving)
+        self.advertisements.append(self.advertised)
+
+    def stop_advertising(self) -> None:
+        """Respond without these headers from now on."""
+        if self.advertised is not None:
+            self.advertised.ended_at = self._now()
+            self.advertised = None
+
     async def start(self) -> None:
         """Start a new incarnation at the same address."""
+        self.stop_advertising()
         self._number += 1
         self._draining = False
         self.crashed_at = None
@@ -136,6 +153,16 @@
             await asyncio.sleep(_HEARTBEAT_S)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        name = self.name
+        response = await self._respond(request)
+        advertised = self.advertised
+        if advertised is not None and advertised.incarnation == name:
+            response.headers.update(advertised.headers())
+            if advertised.began_at is None and REQUEST_ID in request.headers:
+                advertised.began_at = self._now()
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.transport is not None:
             self._transports.add(request.transport)
         if self.crashed_at is not None and request.transport is not None:
