Keep a quota's bound when a partition leaves few nodes with the issuer

What callers saw: none was refused wrongly; an account over its limit got up to 20 requests more in a window than its quota allows, after a change of the issuer.

The parts of the allowance did not add up to it. Besides, a node that was asked for tokens before it became the primary skipped its first window: 397 tokens in 4 s at a rate of 90.

Change: a successor whose predecessor is uncertain issues a quarter of the allowance in the longest time for which an issuer at its limit issues nothing; variation of the arrivals has 0.4 of the allowance in place of 0.55, so the four parts add up. The time since which no other node can have issued starts anew with each change of the primary.

--- a/packages/rattanfork-core/rattanfork_core/quota/bound.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/bound.py
@@ -5,11 +5,13 @@
 from rattanfork_core.client_accounts import ClientAccount
 
 #: Fractions of the allowance that may be used up by random variation of the arrivals,
-#: by tokens that are leased and unused, and by issuers that take an account over.  The
-#: rest covers the time in which the membership views of nodes differ.
-_VARIATION_FRACTION = 0.55
+#: by tokens that are leased and unused, by the initial tokens of issuers that take an
+#: account over, and by what a new primary issues while its predecessor may have used
+#: the whole limit of the window.
+_VARIATION_FRACTION = 0.4
 _LEASE_FRACTION = 0.15
 _TAKEOVER_FRACTION = 0.2
+_SUCCESSION_FRACTION = 0.25
 #: Most tokens of an issuer that takes an account over; several may do so at once.
 _MAX_INITIAL_TOKENS = 5.0
 #: Bounds of the time after which a leased token expires.
@@ -85,6 +87,20 @@
         seconds = leased / self.sustained_rate(account)
         return min(max(seconds, _MIN_LEASE_SECONDS), _MAX_LEASE_SECONDS)
 
+    def exhausted_time(self, account: ClientAccount) -> float:
+        """Return the longest time for which an issuer at its limit issues nothing.
+
+        An account that exceeds its limit uses the whole bucket and then all that is
+        refilled, until the limit of the window is reached.  The next tokens are issued
+        when those of the full bucket leave the window.
+        """
+        return self.window * self.bucket_depth(account) / self.issue_limit(account)
+
+    def succession_rate(self, account: ClientAccount) -> float:
+        """Return the tokens per second that a successor may issue in that time."""
+        tokens = _SUCCESSION_FRACTION * self.allowance(account)
+        return tokens / self.exhausted_time(account)
+
     def initial_level(self, account: ClientAccount) -> float:
         """Return the initial tokens of an issuer that takes an account over."""
         return min(_TAKEOVER_FRACTION * self.allowance(account), _MAX_INITIAL_TOKENS)
--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -227,10 +227,14 @@
             if self._predecessor_uncertain(name)
             else _HANDOVER_SECONDS
         )
-        if now - state.primary_since < handover:
+        elapsed = now - state.primary_since
+        if elapsed < handover:
             self._drop_old_requesters(state, now)
             fraction = min(1.0, len(state.requesters) / max(1, self._fleet_size()))
-            return _HANDOVER_FRACTION * account.rate * fraction
+            rate = _HANDOVER_FRACTION * account.rate
+            if elapsed < min(handover, self._bound.exhausted_time(account)):
+                rate = min(rate, self._bound.succession_rate(account))
+            return rate * fraction
         fraction = self._visible_fraction
         if now - state.since < self._bound.window:
             return _FIRST_WINDOW_FRACTION * account.rate * fraction
@@ -240,7 +244,7 @@
         if not self._is_primary(name):
             state.primary_since = None
         elif state.primary_since is None:
-            state.primary_since = now
+            state.primary_since = state.since = now
 
     def _drop_old_requesters(self, state: _AccountState, now: float) -> None:
         oldest = now - _REQUESTER_TIMEOUT_SECONDS
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -122,6 +122,53 @@
     assert fleet.most_in_window() <= BOUND.max_requests(account)
 
 
+@pytest.mark.parametrize("account", [SMALL, MIDDLE, LARGE], ids=lambda a: a.name)
+@pytest.mark.parametrize("together", [2, 3, 6])
+def test_bound_holds_if_few_nodes_are_partitioned_with_the_primary(account, together):
+    """Guards against a successor that adds to what its predecessor has used up.
+
+    The account uses its full bucket at once.  By the time at which the other nodes
+    detect the partition, the few nodes on the side of the primary have used the rest of
+    the window's limit.
+    """
+    fleet = Fleet(12, account)
+    fleet.run(6.0)
+    fleet.demand(6 * account.rate, 15.0)
+    order = fleet.nodes[0].order(account.name)
+    side = {order[0], *order[1 - together :]}
+    fleet.at(2.4, lambda: fleet.split(side, set(range(12)) - side))
+    fleet.run(16.0)
+    assert fleet.most_in_window() <= BOUND.max_requests(account)
+
+
+def test_new_primary_starts_with_a_first_window():
+    """Guards against a successor that skips it because it was asked for tokens before.
+
+    Requests whose reply was lost go to the second issuer, which therefore keeps state
+    of the account while another node is its primary.
+    """
+    clock = ManualClock(100.0)
+    primary = False
+    issuer = TokenIssuer(
+        clock,
+        BOUND,
+        is_primary=lambda name: primary,
+        predecessor_uncertain=lambda name: False,
+        visible_nodes=lambda: 12,
+        fleet_size=lambda: 12,
+        order_changed_at=lambda: 0.0,
+    )
+    for _ in range(100):
+        clock.advance(0.1)
+        issuer.issue(LARGE, 1, "n1")
+    primary = True
+    issued = 0
+    for _ in range(40):
+        clock.advance(0.1)
+        issued += issuer.issue(LARGE, 100, "n1").tokens
+    assert issued <= 0.75 * LARGE.rate * 4.0
+
+
 def test_bound_holds_with_isolated_nodes():
     """Guards against isolated nodes that issue the whole limit as the only issuer."""
     fleet = Fleet(30, LARGE)
