Update the primary of all quota accounts when the issuers change

Change: a change of the set of issuers updates all accounts at once, in the node and in the simulated fleet.

--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -180,6 +180,17 @@
             return Grant(tokens, 0.0)
         return Grant(tokens, 1 / max(rate, account.rate / 10))
 
+    def on_issuers_changed(self) -> None:
+        """Update which accounts this node is the primary of.
+
+        Has to be called after each change of the set of issuers.  An account without
+        requests meanwhile would otherwise keep the time at which this node became its
+        primary before another one did.
+        """
+        now = self._clock.now()
+        for name, state in self._accounts.items():
+            self._update_primary(name, state, now)
+
     def drop_idle_accounts(self) -> None:
         """Drop the state of unused accounts; has to be called about once a second."""
         now = self._clock.now()
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
@@ -67,6 +67,7 @@
             self.order_changed_at = self.fleet.clock.now()
         self.alive = alive | {self.name}
         self.fleet_size.update(len(self.alive))
+        self.issuer.on_issuers_changed()
 
 
 class Fleet:
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -192,6 +192,12 @@
 
 @given(_FAULTS, st.sampled_from((SMALL, MIDDLE, LARGE)), st.floats(0.5, 6.0))
 @example([("halves", 2.5, {0})], LARGE, 4.0)
+@example(
+    [("isolate", 5.16, {8, 10}), ("halves", 2.19, {8}), ("heal", 3.37, {1})]
+    + [("halves", 4.21, {11})],
+    MIDDLE,
+    3.04,
+)
 @settings(max_examples=40, deadline=None)
 def test_bound_holds_in_every_window_under_random_faults(faults, account, load):
     fleet = Fleet(12, account)
--- a/packages/rattanfork-node/rattanfork_node/member/quota_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/quota_task.py
@@ -198,9 +198,11 @@
         self._alive_count = len(newest)
         self._fleet_size.update(self._alive_count)
         issuers = _select_issuers(newest)
-        if issuers.keys() != self._issuers.keys():
-            self._settled_at = self._clock.now()
+        changed = issuers.keys() != self._issuers.keys()
         self._issuers = issuers
+        if changed:
+            self._settled_at = self._clock.now()
+            self.issuer.on_issuers_changed()
 
     def _expire_failures(self) -> None:
         oldest = self._clock.now() - _DOUBT_PERIOD_S
