Parse whole numbers from outside by one parser with bounds

What callers got: a timeout of ms was accepted beside a maximum of 600,000, as only nine digits were compared; /rattanfork/keys?count=%C2%B2 and a count of 5,000 digits got 500 where 400 is due. On the route path a timeout of 400 digits overflowed and ended the connection unanswered; 1_000 was taken for 1000.

Cause: isdigit accepts digits that int rejects, int accepts more than digits and rejects long texts, and each place checked for itself.

Looked at and left: numbers in datagrams and rows are typed by msgpack and msgspec; the configuration's version is hexadecimal digits that the store has checked.

--- a/packages/rattanfork-node/rattanfork_node/admin/admin.py
+++ b/packages/rattanfork-node/rattanfork_node/admin/admin.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from pydantic import ValidationError
+from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.request import Importance
 from rattanfork_core.revision import RevisionState
 from rattanfork_core.rules import RequestFacts, explain
@@ -12,6 +13,9 @@
 from rattanfork_node.admin.fleet import FleetSource
 from rattanfork_node.telemetry.metrics import Metrics
 
+#: Highest number of an attempt in a question about the rules.
+_MAX_ATTEMPT = 1000
+
 
 class Admin:
     """Admin HTTP server of a node.
@@ -140,6 +144,13 @@
         query.get("method", "GET").upper(),
         query.get("data_centre", ""),
         Importance.parse(query.get("importance", "normal")),
-        float(query.get("load", "0")),
-        int(query.get("attempt", "1")),
+        _parse_load(query.get("load", "0")),
+        parse_whole_number(query.get("attempt", "1"), 1, _MAX_ATTEMPT),
     )
+
+
+def _parse_load(text: str) -> float:
+    load = float(text)
+    if not 0 <= load <= 1:
+        raise ValueError(f"load: expected a number from 0 to 1, got {text!r}")
+    return load
--- a/packages/rattanfork-node/rattanfork_node/edge/parse.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/parse.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from aiohttp import web
+from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.request import Importance
 
 from rattanfork_node.call_ingress import IncomingRequest
@@ -82,9 +83,10 @@
 def _parse_integer(text: str | None, name: str, maximum: int) -> int | None:
     if text is None:
         return None
-    if not (text.isascii() and text.isdigit()) or not 1 <= int(text[:9]) <= maximum:
-        raise BadRequestError(f"{name}: a whole number from 1 to {maximum} is expected")
-    return int(text)
+    try:
+        return parse_whole_number(text, 1, maximum)
+    except ValueError as error:
+        raise BadRequestError(f"{name}: {error}") from None
 
 
 def _check_token(name: str, text: str, max_length: int) -> None:
--- a/packages/rattanfork-node/rattanfork_node/edge/server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 from rattanfork_core.clock import Clock
+from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.request import CallResult, Outcome, Reason
 from rattanfork_core.settings import LimitSettings
 
@@ -169,12 +170,13 @@
 
     async def _issue_keys(self, request: web.BaseRequest) -> web.Response:
         service = request.query.get("service", "")
-        count = request.query.get("count", "1")
-        if request.method != "POST" or not service or not count.isdigit():
+        if request.method != "POST" or not service:
             return self._bad_request(f"POST {_KEYS_PATH}?service=NAME&count=N")
-        if not 1 <= int(count) <= _MAX_KEYS:
-            return self._bad_request(f"count: from 1 to {_MAX_KEYS}")
-        keys = await self._ingress.issue_keys(service, int(count))
+        try:
+            count = parse_whole_number(request.query.get("count", "1"), 1, _MAX_KEYS)
+        except ValueError as error:
+            return self._bad_request(f"count: {error}")
+        keys = await self._ingress.issue_keys(service, count)
         if not keys:
             return self._refuse(Reason.NO_INSTANCE, "")
         return web.Response(
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
+from rattanfork_core.parsing import parse_whole_number
 
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.limits import RequestLimits
@@ -20,6 +21,8 @@
 _MAX_PIPELINED = 64
 #: Seconds for which a client may leave responses unread.
 _SLOW_READER_TIMEOUT_S = 20.0
+#: Longest timeout of a client in milliseconds; a longer one is ignored.
+_MAX_TIMEOUT_MS = 86_400_000
 #: Bytes of unsent responses to one client at which reading of requests pauses.
 _WRITE_BUFFER_BYTES = 256 << 10
 
@@ -279,10 +282,16 @@
 
 
 def _parse_timeout(milliseconds: bytes) -> float | None:
+    """Return a client's timeout in seconds; None if it is malformed.
+
+    A negative one means that the client no longer waits.
+    """
+    is_negative = milliseconds.startswith(b"-")
     try:
-        return max(0.0, int(milliseconds) / 1000)
+        number = parse_whole_number(milliseconds.removeprefix(b"-"), 0, _MAX_TIMEOUT_MS)
     except ValueError:
         return None
+    return 0.0 if is_negative else number / 1000
 
 
 def _strip_port(host: bytes) -> str:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -20,6 +20,20 @@
     )
 
 
+@pytest.mark.parametrize("value", ["9" * 400, "9" * 5000, "1_000", "\xb2", "--5", "x"])
+def test_malformed_timeout_is_ignored(value):
+    """Guards against a header that ends the connection of its sender unanswered."""
+    client = Client()
+    client.send(request(more=f"Rattanfork-Timeout-Ms: {value}\r\n"))
+    assert [e.client_timeout for e in client.handled] == [None]
+
+
+def test_negative_timeout_has_passed():
+    client = Client()
+    client.send(request(more="Rattanfork-Timeout-Ms: -5\r\n"))
+    assert [e.client_timeout for e in client.handled] == [0.0]
+
+
 def test_request_after_connection_close_is_not_handled():
     """Guards against executing a request twice.
 
