Send a poll that was requested while another one is in progress

What an operator saw: nothing certain; a change announced to a node while it polled could wait a whole interval, as the poll in progress may have read the store before the change.

Cause: schedule_now only moved the next time forward, and the end of the poll in progress set it anew. Both schedules now send the next poll right after one that succeeds; after a failure the pause holds. Elsewhere: no other schedule has such a call.

--- a/packages/rattanfork-core/rattanfork_core/revision/confirmation_schedule.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/confirmation_schedule.py
@@ -85,6 +85,8 @@
         self._retry_at = clock.now()
         self._retry_pause = _FIRST_RETRY_S
         self._in_progress = False
+        #: Whether another poll was made due while one was in progress.
+        self._requested_again = False
 
     @property
     def confirmed(self) -> bool:
@@ -130,7 +132,8 @@
             self._wait = self._draw_wait()
 
     def schedule_now(self) -> None:
-        """Make a poll due now, except during the pause after a failure."""
+        """Make a poll due now, or after a poll in progress or a failure's pause."""
+        self._requested_again = self._in_progress
         self._wait = 0.0
 
     def due(self) -> bool:
@@ -154,6 +157,9 @@
         if succeeded:
             self._retry_pause = _FIRST_RETRY_S
             self.on_confirmation(self._clock.now() - self._polled_at)
+            if self._requested_again:
+                self._wait = 0.0
+            self._requested_again = False
             return
         self._retry_at = self._clock.now() + self._retry_pause * self._random.uniform(
             0.7, 1.3
--- a/packages/rattanfork-core/rattanfork_core/revision/poll_schedule.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/poll_schedule.py
@@ -56,6 +56,8 @@
         self._pause = interval
         self._next_at = clock.now()
         self._in_progress = False
+        #: Whether another request was made due while one was in progress.
+        self._requested_again = False
 
     def due(self) -> bool:
         """Return whether to send a request now."""
@@ -73,7 +75,11 @@
         else:
             self._pause = min(self._max_interval, 2 * self._pause)
         self._next_at = self._clock.now() + self._pause * self._random.uniform(0.8, 1.2)
+        if succeeded and self._requested_again:
+            self._next_at = self._clock.now()
+        self._requested_again = False
 
     def schedule_now(self) -> None:
-        """Make the next request due now; no effect while one is in progress."""
+        """Make the next request due now, or as soon as the one in progress succeeds."""
+        self._requested_again = self._in_progress
         self._next_at = min(self._next_at, self._clock.now())
