Drop the entry updated longest ago from full caches of gate status

Cause: dictionaries keep the place of a key that is written again, so a full threshold cache and a full table of gate reports dropped the gate known longest, which may be the one that sheds right now. An update now moves the entry to the end. One failing test each.

Dismissed: allow_probe takes a missing time for 0.0. It is compared with the time of the report, which is never below 0.0, so a missing probe never counts as outstanding.

--- a/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
@@ -268,7 +268,8 @@
         return _threshold_at(stored, self._clock.now()), until
 
     def _store(self, service: str, gate: int, stored: _StoredReport) -> None:
-        if len(self._stored) >= _MAX_STORED and (service, gate) not in self._stored:
+        self._stored.pop((service, gate), None)
+        if len(self._stored) >= _MAX_STORED:
             self._drop(next(iter(self._stored)))
         self._stored[service, gate] = stored
         self._by_service.setdefault(service, {})[gate] = stored
--- a/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_gate_reports.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_gate_reports.py
@@ -8,7 +8,9 @@
     MAX_REPORTERS,
     GateReport,
     GateReportTable,
+    gate_reports,
 )
+from rattanfork_core.gate_status.gate_reports import gate_hash
 from rattanfork_core.gate_status.tests.gossip_simulation import GossipSimulation
 from rattanfork_core.gate_status.tests.overload_simulation import (
     FILING,
@@ -138,3 +140,14 @@
     used = simulation.outcomes[FILING.name].succeeded * needed
     assert used > 0.75 * granted
     assert simulation.success_rate(SEARCH) > 0.4
+
+
+def test_full_table_drops_the_report_received_longest_ago(monkeypatch):
+    """Guards against a gate that reports now and is forgotten for one that did once."""
+    monkeypatch.setattr(gate_reports, "_MAX_STORED", 2)
+    table = GateReportTable(ManualClock(9.0), "me")
+    for sequence, name in enumerate(("w1", "w2", "w1", "w3"), 1):
+        report = GateReport(gate_hash(name), sequence, 100, False, 0)
+        table.merge({"donors": [report]})
+    states = {name: table.gate_state("donors", name)[0] for name in ("w1", "w2", "w3")}
+    assert states == {"w1": 2.0, "w2": 5.0, "w3": 2.0}
--- a/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_threshold_cache.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_threshold_cache.py
@@ -55,3 +55,14 @@
     for i in range(thresholds.MAX_ENTRIES + 100):
         thresholds.update(f"donors/{i}", "w1", 1.0)
     assert len(thresholds) == thresholds.MAX_ENTRIES
+
+
+def test_full_cache_drops_the_entry_updated_longest_ago(monkeypatch):
+    """Guards against a gate that sheds now and is forgotten for one that did once."""
+    monkeypatch.setattr(ThresholdCache, "MAX_ENTRIES", 2)
+    thresholds, clock = cache_with(2.0)
+    thresholds.update("donors/search", "w2", 1.0)
+    thresholds.update("donors/search", "w1", 2.0)
+    thresholds.update("donors/search", "w3", 3.0)
+    reported = {w: thresholds.threshold("donors/search", w) for w in ("w1", "w2", "w3")}
+    assert reported == {"w1": 2.0, "w2": 5.0, "w3": 3.0}
--- a/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
@@ -84,7 +84,8 @@
             self._entries.pop(key, None)
             self._probed_at.pop(key, None)
             return
-        if len(self._entries) >= self.MAX_ENTRIES and key not in self._entries:
+        self._entries.pop(key, None)
+        if len(self._entries) >= self.MAX_ENTRIES:
             oldest = next(iter(self._entries))
             del self._entries[oldest]
             self._probed_at.pop(oldest, None)
