Accept reports on upstreams with IDs as long as an announcement may have

An upstream's ID comes from a path of up to 16 KB; a report on one of over 200 characters would have closed the link between two nodes. Seen on reading the change; the test of the bound now uses that of other texts.

--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -17,7 +17,7 @@
 #: their replies.  Nodes exchange their levels in pings, so that a node of a lower level
 #: never gets a field that it would reject.
 MESSAGE_LEVEL = 1
-#: Maximum characters of a header or path.
+#: Maximum characters of a header, a path or the ID of an upstream.
 _MAX_TEXT_LENGTH = 16_384
 _MAX_HEADERS = 200
 
@@ -325,8 +325,6 @@
 #: Number of fields at the end that are left out if the message has no report.
 _REPORT_FIELDS = 4
 _KINDS_WITH_REPORT = frozenset(map(_KIND_NUMBERS.__getitem__, (Run, RunReply)))
-#: Maximum characters of an upstream's ID.
-_MAX_UPSTREAM_LENGTH = 200
 _KINDS_WITH_LONG_TEXT = {_KIND_NUMBERS[RulesReply]}
 _pack = msgpack.Packer(autoreset=True).pack
 
@@ -410,7 +408,7 @@
 
 def _check_report(message: Run | RunReply) -> None:
     name = type(message).__name__
-    if len(message.upstream) > _MAX_UPSTREAM_LENGTH:
+    if len(message.upstream) > _MAX_TEXT_LENGTH:
         raise FrameError(f"{name}.upstream: ID is too long")
     if message.born < 0:
         raise FrameError(f"{name}.born: must be at least 0")
