Name a malformed success report so

What another node's operator saw: a malformed success report was counted and named as a malformed crash report. Shown: only the label was wrong; the report is rejected whole before anything of it is counted, so no request is refused for it.

--- a/packages/rattanfork-core/rattanfork_core/quarantine/report.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/report.py
@@ -52,11 +52,7 @@
         if not isinstance(fields, list | tuple) or len(fields) != len(cls._fields):
             raise ValueError("crash report: three fields expected")
         incarnation, age, fingerprints = fields
-        if not isinstance(fingerprints, list | tuple):
-            raise ValueError("crash report: list of fingerprints expected")
-        for number in (incarnation, age, *fingerprints):
-            if type(number) is not int or not 0 <= number < _INTEGER_LIMIT:
-                raise ValueError("crash report: integers from 0 to 2**64 - 1 expected")
+        _check_numbers("crash report", fingerprints, incarnation, age)
         return cls(incarnation, age, tuple(fingerprints))
 
 
@@ -87,9 +83,17 @@
         """
         if not isinstance(fields, list | tuple) or len(fields) != len(cls._fields):
             raise ValueError("success report: two fields expected")
-        # Both fields are checked like those of a crash report.
-        _, age, fingerprints = CrashReport.from_fields((0, *fields))
-        return cls(age, fingerprints)
+        age, fingerprints = fields
+        _check_numbers("success report", fingerprints, age)
+        return cls(age, tuple(fingerprints))
+
+
+def _check_numbers(kind: str, fingerprints: object, *others: object) -> None:
+    if not isinstance(fingerprints, list | tuple):
+        raise ValueError(f"{kind}: list of fingerprints expected")
+    for number in (*others, *fingerprints):
+        if type(number) is not int or not 0 <= number < _INTEGER_LIMIT:
+            raise ValueError(f"{kind}: integers from 0 to 2**64 - 1 expected")
 
 
 def incarnation_hash(name: str, started: int) -> int:
--- a/packages/rattanfork-core/rattanfork_core/quarantine/tests/test_quarantine.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/tests/test_quarantine.py
@@ -271,3 +271,11 @@
                 view.receive_successes([SuccessReport(age * 1000, (7,))])
         views.append(view)
     assert views[0].contains(7) == views[1].contains(7)
+
+
+def test_malformed_success_report_is_named_so():
+    """Guards against an error that sends its reader to the wrong kind of message."""
+    with pytest.raises(ValueError, match="^success report: integers"):
+        SuccessReport.from_fields((-1, (7,)))
+    with pytest.raises(ValueError, match="^success report: list"):
+        SuccessReport.from_fields((1, 7))
