--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -56,7 +56,10 @@
     else:
         raise fail("--node or --metrics is needed", BAD_INPUT)
     if html is not None:
-        html.write_text(render_burn_report(lines, unknown))
+        try:
+            html.write_text(render_burn_report(lines, unknown))
+        except OSError as error:
+            raise fail(f"--html {html}: {error.strerror}", BAD_INPUT) from None
     if as_json:
         print_json({"objectives": [_to_json(line) for line in lines], **unknown})
         return
@@ -128,7 +131,12 @@
         raise fail(
             "--plot needs matplotlib: pip install 'rattanfork-cli[plot]'", BAD_INPUT
         ) from None
-    plot_losses(report, path)
+    try:
+        plot_losses(report, path)
+    except ValueError as error:
+        raise fail(f"--plot {path}: {error}", BAD_INPUT) from None
+    except OSError as error:
+        raise fail(f"--plot {path}: {error.strerror}", BAD_INPUT) from None
 
 
 def _burn_by_rules(node: str) -> tuple[list[BurnLine], dict[str, object]]:
--- a/packages/rattanfork-cli/rattanfork_cli/tests/test_logs.py
+++ b/packages/rattanfork-cli/rattanfork_cli/tests/test_logs.py
@@ -3,6 +3,9 @@
 import json
 from pathlib import Path
 
+import pytest
+from rattanfork_cli.commands import report
+from rattanfork_cli.exits import BAD_INPUT
 from rattanfork_cli.main import app
 from typer.testing import CliRunner
 
@@ -92,3 +95,21 @@
     result = run("report", "losses", "--every", "0", write_log(tmp_path, REQUEST))
     assert result.exit_code == 2
     assert "--every" in result.output
+
+
+@pytest.mark.parametrize("name", ["losses.unknown", "missing/losses.png"])
+def test_plot_that_cannot_be_written_is_bad_input(name, tmp_path):
+    """Guards against a traceback for a file name that the command takes."""
+    log = write_log(tmp_path, REQUEST)
+    result = run("report", "losses", "--plot", tmp_path / name, log)
+    assert result.exit_code == BAD_INPUT
+    assert "--plot" in result.stderr
+
+
+def test_burn_report_page_that_cannot_be_written_is_bad_input(tmp_path, monkeypatch):
+    """Guards against a traceback for a file name that the command takes."""
+    monkeypatch.setattr(report, "_burn_by_rules", lambda node: ([], {}))
+    page = tmp_path / "missing" / "burn.html"
+    result = run("report", "burn", "--node", "127.0.0.1:1", "--html", page)
+    assert result.exit_code == BAD_INPUT
+    assert "--html" in result.stderr
