Serve the calls of runs on new connections while a node of the call path drains

What callers got: a run that was at work when its node began to drain failed if its upstream opened a new connection for a call, as the listener was closed; a graceful shutdown cut off what it had accepted.

Cause: draining closed the listener to keep callers out; calls of runs use the same one. Now the listener stays open until the process ends; callers are refused as not run, with the reason leaving and a closed connection, calls are served.

On the route path the listener stays open already, and calls are accepted until the exit; a test of a new connection to a draining server now says so (it passed before). Not shown: a play three deep over processes.

--- a/packages/rattanfork-node/rattanfork_node/edge/server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/server.py
@@ -31,9 +31,8 @@
     Explanation
     ===========
 
-    While the node drains, the listener is closed and requests of callers on open
-    connections are refused.  Child calls on open connections are still served, so
-    that runs in progress can complete.
+    While the node drains, requests of callers are refused.  Child calls are still
+    served, also on new connections, so that runs in progress can complete.
 
     Parameters
     ==========
@@ -101,14 +100,14 @@
         )
 
     def drain(self) -> None:
-        """Close the listener and refuse new requests of callers."""
+        """Refuse new requests of callers."""
         self._draining = True
-        if self._listener is not None:
-            self._listener.close()
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
         self.drain()
+        if self._listener is not None:
+            self._listener.close()
         if self._server is not None:
             await self._server.shutdown(0.5)
 
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rattanfork_node.http1 import RequestLimits
-from rattanfork_node.http1.tests.fakes import Client, request
+from rattanfork_node.http1 import RequestLimits, ServerConnection
+from rattanfork_node.http1.tests.fakes import Client, FakeTransport, request
 
 
 def test_pipelined_requests_run_concurrently_and_are_answered_in_order():
@@ -48,6 +48,16 @@
     assert client.transport.closed
 
 
+def test_draining_server_handles_first_request_of_a_new_connection():
+    """Guards against a run that fails in a drain, as its calls find no listener."""
+    client = Client()
+    client.server.leave()
+    connection = ServerConnection(client.server)
+    connection.connection_made(FakeTransport())
+    connection.data_received(request(request_id="r1.1"))
+    assert [e.request_id for e in client.handled] == [b"r1.1"]
+
+
 def test_draining_server_answers_received_request_and_drops_later_ones():
     """The node begins to drain while a client waits for its response.
 
