--- a/packages/rattanfork-soak/rattanfork_soak/advertising.py
+++ b/packages/rattanfork-soak/rattanfork_soak/advertising.py
@@ -68,23 +68,23 @@
 
     def check_leaving(self, record: Record, at: float) -> str | None:
         """Return what is wrong with a request that arrived at the worker, or None."""
-        told_at = self._told_at(record)
-        if not self.leaving or told_at is None:
+        forwarded_at = self._forwarded_at(record)
+        if not self.leaving or forwarded_at is None:
             return None
-        if record.sent <= told_at + _DRAIN_LIMIT_S:
+        if record.sent <= forwarded_at + _DRAIN_LIMIT_S:
             return None
-        return f"{record} arrived at {at:.2f}, told at {told_at:.2f}"
+        return f"{record} arrived at {at:.2f}, forwarded leaving at {forwarded_at:.2f}"
 
     def check_limit(self, record: Record, at: float) -> str | None:
         """Count a request that arrived; return what is wrong with the count, or None.
 
         Requests arrive in order of time, so each window is checked at its last one.
         """
-        told_at = self._told_at(record)
-        if self.rate_limit is None or self.began_at is None or told_at is None:
+        forwarded_at = self._forwarded_at(record)
+        if self.rate_limit is None or self.began_at is None or forwarded_at is None:
             return None
         begins = self.began_at + _BINDING_AFTER_S
-        if at < begins or told_at > at - _FORWARDED_BEFORE_S:
+        if at < begins or forwarded_at > at - _FORWARDED_BEFORE_S:
             return None
         if self.ended_at is not None and at > self.ended_at:
             return None
@@ -98,9 +98,9 @@
             f"{self.rate_limit:g} allows {allowed:g}"
         )
 
-    def _told_at(self, record: Record) -> float | None:
-        """Return when the node of a request was told; None if that is excused."""
-        told_at = self.forwarded.get(record.pid)
-        if told_at is None or record.interrupted_at >= told_at:
+    def _forwarded_at(self, record: Record) -> float | None:
+        """Return when the node of a request forwarded it; None if that is excused."""
+        forwarded_at = self.forwarded.get(record.pid)
+        if forwarded_at is None or record.interrupted_at >= forwarded_at:
             return None
-        return told_at
+        return forwarded_at
