Look up gate reports once per request at the entry node

For each request, the entry node looked up the threshold of each of 16 instances in two tables, hashed the name of each gate, and read the clock for each lookup: about 800 function calls per request while some gate reported overload. Hashes of gate names are cached, the clock is read once, and operations without a stored threshold skip the table.

--- a/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
@@ -55,9 +55,13 @@
 
     def threshold(self, operation: str, service: str) -> float:
         """Return the lowest threshold of the service and its dependencies."""
-        if not len(self._reports):
-            return float(RANK_LIMIT)
-        return min(self.thresholds_by_service(operation, service).values())
+        reports = self._reports
+        lowest = float(RANK_LIMIT)
+        for name in (service, *self._dependencies.services(operation)):
+            if reports.has_reports(name):
+                threshold = reports.service_threshold(name, self._instances(name))
+                lowest = min(lowest, threshold)
+        return lowest
 
     def thresholds_by_service(self, operation: str, service: str) -> dict[str, float]:
         """Return the thresholds of the service and of the operation's dependencies."""
--- a/packages/rattanfork-core/rattanfork_core/gate_status/early_shedding.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/early_shedding.py
@@ -58,7 +58,7 @@
     ) -> frozenset[str] | None:
         """Return the instances that would shed a rank; None if all would."""
         thresholds = self._thresholds
-        if not len(thresholds):
+        if not thresholds.has_entries(operation):
             return _NO_INSTANCES
         shedding = []
         admitted = False
--- a/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
@@ -2,15 +2,19 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from functools import lru_cache
 from math import ceil
 from typing import NamedTuple
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.hashing import hash64
 from rattanfork_core.request.importance import RANK_LIMIT
+from rattanfork_core.routing import InstanceState
 
 #: Threshold of a gate that sheds nothing.
 _OPEN = float(RANK_LIMIT)
+#: Gates whose hashes are cached.
+_MAX_CACHED_HASHES = 8192
 #: Units of a threshold in a datagram, per rank.
 _UNITS_PER_RANK = 50
 #: Gates of one service that report their thresholds.  More would add no information,
@@ -250,7 +254,7 @@
         if not by_gate:
             return _OPEN
         now = self._clock.now()
-        thresholds = sorted(_threshold_at(stored, now) for stored in by_gate.values())
+        thresholds = sorted([_threshold_at(stored, now) for stored in by_gate.values()])
         reporters = min(max(len(thresholds), instances), MAX_REPORTERS)
         index = ceil(_MIN_SHEDDING_SHARE * reporters) - 1
         return thresholds[index] if index < len(thresholds) else _OPEN
@@ -267,6 +271,43 @@
         until = stored.reported_at + _IMPAIRED_HOLD_SECONDS if stored.impaired else 0.0
         return _threshold_at(stored, self._clock.now()), until
 
+    def has_reports(self, service: str) -> bool:
+        """Return whether any gate of a service has reported its status."""
+        return service in self._by_service
+
+    def shedding_instances(
+        self, service: str, states: Iterable[InstanceState], rank: float
+    ) -> set[str]:
+        """Return the instances whose gates shed a rank, by their reports.
+
+        Also updates until when the upstream of each instance counts as impaired.
+
+        Parameters
+        ==========
+
+        service : str
+            Service of the instances.
+        states : iterable of InstanceState
+            The instances.
+        rank : float
+            Rank of the request.
+        """
+        by_gate = self._by_service.get(service)
+        shedding = set()
+        now = self._clock.now()
+        for state in states:
+            stored = by_gate.get(gate_hash(state.name)) if by_gate else None
+            if stored is None:
+                state.impaired_until = 0.0
+                continue
+            impaired = stored.impaired
+            state.impaired_until = (
+                stored.reported_at + _IMPAIRED_HOLD_SECONDS if impaired else 0.0
+            )
+            if stored.cut <= rank and _threshold_at(stored, now) <= rank:
+                shedding.add(state.name)
+        return shedding
+
     def _store(self, service: str, gate: int, stored: _StoredReport) -> None:
         self._stored.pop((service, gate), None)
         if len(self._stored) >= _MAX_STORED:
@@ -292,6 +333,7 @@
             del self._by_service[service]
 
 
+@lru_cache(_MAX_CACHED_HASHES)
 def gate_hash(name: str) -> int:
     """Return the 16-bit hash that identifies a gate in reports.
 
--- a/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
@@ -73,6 +73,8 @@
         self._probed_at: dict[tuple[str, str], float] = {}
         #: Reported threshold and time of the report, by operation and instance.
         self._entries: dict[tuple[str, str], tuple[float, float]] = {}
+        #: Number of entries by operation; most operations have none.
+        self._instance_counts: dict[str, int] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -81,15 +83,18 @@
         """Store the threshold that came with a reply."""
         key = (operation, instance)
         if threshold >= _OPEN:
-            self._entries.pop(key, None)
-            self._probed_at.pop(key, None)
+            if key in self._entries:
+                self._drop(key)
+                self._probed_at.pop(key, None)
             return
-        self._entries.pop(key, None)
-        if len(self._entries) >= self.MAX_ENTRIES:
+        if key in self._entries:
+            self._drop(key)
+        elif len(self._entries) >= self.MAX_ENTRIES:
             oldest = next(iter(self._entries))
-            del self._entries[oldest]
+            self._drop(oldest)
             self._probed_at.pop(oldest, None)
         self._entries[key] = (threshold, self._clock.now())
+        self._instance_counts[operation] = self._instance_counts.get(operation, 0) + 1
 
     def threshold(self, operation: str, instance: str) -> float:
         """Return the rank from which the instance is expected to shed the operation."""
@@ -104,6 +109,10 @@
             else min(_OPEN, reported + stale_for * self._rise)
         )
 
+    def has_entries(self, operation: str) -> bool:
+        """Return whether any instance has a threshold for the operation."""
+        return operation in self._instance_counts
+
     def last_reported(self, operation: str, instance: str) -> float:
         """Return the threshold as reported; all ranks pass once it has expired."""
         entry = self._entries.get((operation, instance))
@@ -139,3 +148,12 @@
             return False
         self._probed_at[key] = now
         return True
+
+    def _drop(self, key: tuple[str, str]) -> None:
+        del self._entries[key]
+        operation = key[0]
+        count = self._instance_counts[operation] - 1
+        if count:
+            self._instance_counts[operation] = count
+        else:
+            del self._instance_counts[operation]
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -268,16 +268,12 @@
         )
         if blocked is None or not len(self._reports):
             return blocked
-        shedding = set()
-        for state in picker.subset:
-            threshold, state.impaired_until = self._reports.gate_state(
-                service, state.name
-            )
-            if threshold <= rank:
-                shedding.add(state.name)
+        shedding = self._reports.shedding_instances(service, picker.subset, rank)
         # Reports may be outdated: if all instances shed by them, the reports are
         # ignored and the gate that receives the request decides.
-        return blocked | shedding if len(shedding) < len(picker.subset) else blocked
+        if not shedding or len(shedding) == len(picker.subset):
+            return blocked
+        return blocked | shedding
 
     def drain(self, policy: DrainPolicy) -> None:
         """Accept only callers' requests that a drain policy accepts.
