Read clock, limit and throughput once per admission decision

Each arrival at a gate with a queue read the clock and computed limit and throughput several times. The fingerprint of a request is hashed in one call instead of two for each part; its value is the same.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -134,10 +134,11 @@
 
     def offer(self, waiter: Waiter) -> list[Decision]:
         """Start, enqueue or refuse a request that has arrived."""
-        self._threshold.on_arrival(waiter.rank, self._clock.now())
+        now = self._clock.now()
+        self._threshold.on_arrival(waiter.rank, now)
         if self._draining:
             return [Refuse(waiter, Reason.LEAVING)]
-        if self._cannot_finish(waiter):
+        if self._cannot_finish(waiter, now):
             return [Refuse(waiter, Reason.TOO_LATE)]
         if (
             not self._queue
@@ -145,15 +146,15 @@
             and self._rate_limit.take()
         ):
             return [self._start(waiter)]
-        return self._enqueue(waiter)
+        return self._enqueue(waiter, now)
 
     def finish(self, key: int, succeeded: bool = True) -> list[Decision]:
         """Record that a run has ended, and start waiting requests."""
-        self._add_busy_time()
+        now = self._clock.now()
+        self._add_busy_time(now)
         waiter = self._running.pop(key, None)
-        self._last_progress = self._clock.now()
+        self._last_progress = now
         if waiter is not None and succeeded:
-            now = self._clock.now()
             duration = now - waiter.started
             self._estimate.add(waiter.operation, duration)
             limited = len(self._queue) > 0
@@ -189,9 +190,10 @@
         decisions += self._shed_overdue(now)
         limit = self._limit.current
         if self._estimate.mean:
+            throughput = self._throughput(now, limit)
             self._threshold.update(
-                capacity=self._throughput() * self.TICK_SECONDS,
-                queue_fill=len(self._queue) / self._max_queue_length(),
+                capacity=throughput * self.TICK_SECONDS,
+                queue_fill=len(self._queue) / self._max_queue_length(limit, throughput),
                 utilisation=max(
                     self._take_busy_time() / (limit * self.TICK_SECONDS),
                     1.0 - self._rate_limit.unused_share,
@@ -214,17 +216,16 @@
         reason = self._shed_reason()
         return [Refuse(waiter, reason) for waiter in overdue]
 
-    def _add_busy_time(self) -> None:
-        now = self._clock.now()
+    def _add_busy_time(self, now: float) -> None:
         self._busy_time += len(self._running) * (now - self._busy_since)
         self._busy_since = now
 
     def _take_busy_time(self) -> float:
-        self._add_busy_time()
+        self._add_busy_time(self._clock.now())
         busy, self._busy_time = self._busy_time, 0.0
         return busy
 
-    def _throughput(self) -> float:
+    def _throughput(self, now: float, limit: int) -> float:
         """Return the upstream's throughput in runs per second.
 
         Requires a known service time.  An upstream that hangs completes no run, so
@@ -232,10 +233,8 @@
         would accept hundreds of requests that wait until their deadlines.  The time
         since the last completion therefore bounds the throughput.
         """
-        throughput = min(
-            self._limit.current / self._estimate.mean, self._rate_limit.rate
-        )
-        stalled = self._clock.now() - self._last_progress
+        throughput = min(limit / self._estimate.mean, self._rate_limit.rate)
+        stalled = now - self._last_progress
         if not self._running or stalled < _MAX_LOOP_PAUSE_SECONDS:
             return throughput
         if stalled * throughput > _MAX_MISSED_COMPLETIONS:
@@ -244,24 +243,24 @@
 
     def _is_rate_limited(self) -> bool:
         """Return whether the advertised limit, not the slots, bounds the throughput."""
-        mean = self._estimate.mean
         rate = self._rate_limit.rate
-        return rate < self._limit.current / mean if mean else rate < inf
+        if rate == inf:
+            return False
+        mean = self._estimate.mean
+        return not mean or rate < self._limit.current / mean
 
     def _shed_reason(self) -> Reason:
         return Reason.UPSTREAM_LIMIT if self._is_rate_limited() else Reason.SHED
 
-    def _max_queue_length(self) -> int:
-        limit, settings = self._limit.current, self._settings
+    def _max_queue_length(self, limit: int, throughput: float) -> int:
+        """Return the bound on the queue; a throughput of 0 means that it is unknown."""
+        settings = self._settings
         if self._is_rate_limited():
             return max(1, int(self._rate_limit.rate * settings.queue_delay))
         bound = max(settings.min_queue_length, ceil(limit * settings.queue_ratio))
-        if not self._estimate.mean:
-            return bound
-        return max(bound, int(self._throughput() * settings.queue_delay))
+        return max(bound, int(throughput * settings.queue_delay))
 
-    def _cannot_finish(self, waiter: Waiter, wait: float = 0.0) -> bool:
-        now = self._clock.now()
+    def _cannot_finish(self, waiter: Waiter, now: float, wait: float = 0.0) -> bool:
         if waiter.deadline <= now:
             return True
         if not self._running:
@@ -272,23 +271,22 @@
         needed = wait + self._estimate.lower_bound(waiter.operation)
         return now + needed > waiter.deadline
 
-    def _enqueue(self, waiter: Waiter) -> list[Decision]:
+    def _enqueue(self, waiter: Waiter, now: float) -> list[Decision]:
         mean = self._estimate.mean
-        wait = (
-            (self._queue.count_ahead(waiter.rank) + 1) / self._throughput()
-            if mean
-            else 0.0
-        )
-        if self._cannot_finish(waiter, max(0.0, wait - mean)):
+        limit = self._limit.current
+        throughput = self._throughput(now, limit) if mean else 0.0
+        wait = (self._queue.count_ahead(waiter.rank) + 1) / throughput if mean else 0.0
+        if self._cannot_finish(waiter, now, max(0.0, wait - mean)):
             self._on_displaced(waiter)
             return [Refuse(waiter, Reason.TOO_LATE)]
         shortest = self._estimate.lower_bound(waiter.operation)
         self._latest_start[waiter.key] = waiter.deadline - shortest
         self._queue.push(waiter)
-        bound = self._max_queue_length()
-        if len(self._queue) <= bound:
-            if 2 * len(self._queue) > bound and mean:
-                self._threshold.on_pressure(self._clock.now(), self._throughput())
+        length = len(self._queue)
+        bound = self._max_queue_length(limit, throughput)
+        if length <= bound:
+            if 2 * length > bound and mean:
+                self._threshold.on_pressure(now, throughput)
             return []
         displaced = self._queue.pop_highest_rank()
         self._on_displaced(displaced)
@@ -299,7 +297,9 @@
         if not self._estimate.mean:
             # Cold start: the upstream's throughput is not known yet.
             return
-        self._threshold.on_displaced(waiter.rank, self._clock.now(), self._throughput())
+        now = self._clock.now()
+        throughput = self._throughput(now, self._limit.current)
+        self._threshold.on_displaced(waiter.rank, now, throughput)
 
     def _refuse_waiter(self, waiter: Waiter, reason: Reason) -> Refuse:
         self._queue.remove(waiter)
@@ -307,8 +307,9 @@
         return Refuse(waiter, reason)
 
     def _start(self, waiter: Waiter) -> Start:
-        self._add_busy_time()
-        waiter.started = self._clock.now()
+        now = self._clock.now()
+        self._add_busy_time(now)
+        waiter.started = now
         if not self._running:
             self._last_progress = waiter.started
         self._running[waiter.key] = waiter
@@ -317,13 +318,13 @@
     def _start_next(self) -> list[Decision]:
         decisions: list[Decision] = []
         while (
-            self._queue
+            len(self._queue)
             and len(self._running) < self._limit.current
             and self._rate_limit.has_token()
         ):
             waiter = self._queue.pop_lowest_rank()
             self._latest_start.pop(waiter.key, None)
-            if self._cannot_finish(waiter):
+            if self._cannot_finish(waiter, self._clock.now()):
                 decisions.append(Refuse(waiter, Reason.TOO_LATE))
             else:
                 self._rate_limit.take()
--- a/packages/rattanfork-core/rattanfork_core/admission/limit.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/limit.py
@@ -103,6 +103,8 @@
     @property
     def current(self) -> int:
         """Requests that may run at once; at least one."""
+        if self._warmup <= 0:
+            return max(1, int(self._limit))
         return max(1, int(self._limit * self._warmup_fraction()))
 
     @property
@@ -161,8 +163,6 @@
             self._limit = max(1.0, min(self._limit, running) * 0.9)
 
     def _warmup_fraction(self) -> float:
-        if self._warmup <= 0:
-            return 1.0
         age = self._clock.now() - self._warmup_started
         return min(1.0, 0.1 + 0.9 * age / self._warmup)
 
--- a/packages/rattanfork-core/rattanfork_core/gate_status/upstream_health.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/upstream_health.py
@@ -101,6 +101,7 @@
     @property
     def impaired(self) -> bool:
         """Whether callers should prefer other instances."""
+        self._update_sums()
         return self._current_failure_rate() > _MAX_FAILURE_RATE or self._is_slow()
 
     def on_started(self, key: int, operation: str) -> None:
@@ -111,7 +112,7 @@
             mean = 0.0
         if mean:
             self._spending_rate += 1.0 / mean
-        self._running[key] = (operation, self._clock.now(), mean)
+        self._running[key] = (operation, self._updated_at, mean)
 
     def on_ended(self, key: int, failed: bool, counts: bool = True) -> None:
         """Record that a run has ended.
@@ -138,16 +139,16 @@
             return
         if mean:
             self._completed += 1.0
-        self._failure_rate = self._current_failure_rate()
-        self._failure_rate += _FAILURE_SMOOTHING * (
-            (1.0 if failed else 0.0) - self._failure_rate
+        rate = self._current_failure_rate()
+        self._failure_rate = rate + _FAILURE_SMOOTHING * (
+            (1.0 if failed else 0.0) - rate
         )
         self._failure_rate_at = self._updated_at
         if not failed and not self._is_slow():
             self._update_mean(operation, self._updated_at - started_at)
 
     def _current_failure_rate(self) -> float:
-        elapsed = self._clock.now() - self._failure_rate_at
+        elapsed = self._updated_at - self._failure_rate_at
         return self._failure_rate * 0.5 ** (elapsed / _FAILURE_HALF_LIFE_SECONDS)
 
     def _update_mean(self, operation: str, duration: float) -> None:
@@ -162,7 +163,6 @@
         self._means[operation] = (max(mean, 1e-4), now, min(runs + 1, _MIN_RUNS))
 
     def _is_slow(self) -> bool:
-        self._update_sums()
         if self._spent + _PRIOR_RUNS > _SLOW_FACTOR * (self._completed + _PRIOR_RUNS):
             self._slow_until = self._updated_at + _SLOW_HOLD_SECONDS
         return self._updated_at < self._slow_until
--- a/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
+++ b/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
@@ -1,6 +1,6 @@
 """Fingerprints that identify a request sent again under another request ID."""
 
-from xxhash import xxh3_64
+from xxhash import xxh3_64_intdigest
 
 #: Size of the length field that is hashed in front of each part.
 _LENGTH_BYTES = 8
@@ -32,11 +32,11 @@
     >>> first == request_fingerprint(b"GET", b"shop.example", b"/receipts", b"/7")
     False
     """
-    digest = xxh3_64()
+    chunks = []
     for part in parts:
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
-        digest.update(part)
-    return digest.intdigest()
+        chunks.append(len(part).to_bytes(_LENGTH_BYTES, "big"))
+        chunks.append(part)
+    return xxh3_64_intdigest(b"".join(chunks))
 
 
 def format_fingerprint(fingerprint: int) -> str:
