Parse log lines with orjson, and with the standard library where it refuses

Values that only the standard library accepts (NaN, Infinity, unpaired surrogates) are parsed by it as before, so no line is lost; a test covers them. Text without a brace is skipped at once.

--- a/packages/rattanfork-core/rattanfork_core/trace/log_line.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/log_line.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import orjson
+
 _PREFIX = "rattanfork:"
 
 
@@ -55,10 +57,9 @@
     True
     """
     _, brace, rest = text.partition("{")
-    try:
-        record = json.loads(brace + rest)
-    except ValueError:
+    if not brace:
         return None
+    record = _load_json(brace + rest)
     if not isinstance(record, dict):
         return None
     kind = record.pop("message_type", "")
@@ -74,6 +75,19 @@
     return LogLine(float(at), instance, kind.removeprefix(_PREFIX), request_id, record)
 
 
+def _load_json(text: str) -> object:
+    """Return the value of a JSON text, or None if it is malformed."""
+    try:
+        return orjson.loads(text)
+    except ValueError:
+        pass
+    # The standard library also accepts NaN, Infinity and unpaired surrogates.
+    try:
+        return json.loads(text)
+    except ValueError:
+        return None
+
+
 def parse_lines(texts: Iterable[str]) -> Iterator[LogLine]:
     """Parse log lines, and skip those that no node wrote."""
     for text in texts:
--- a/packages/rattanfork-core/rattanfork_core/trace/tests/test_trace.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/tests/test_trace.py
@@ -55,6 +55,13 @@
     assert list(parse_lines([text])) == [] or parse_line(text) is not None
 
 
+@pytest.mark.parametrize("value", ["NaN", "Infinity", '"\\ud800"', str(1 << 70)])
+def test_values_outside_strict_json_lose_no_line(value):
+    """The fast parser refuses some values that the standard library accepts."""
+    text = f'{{"timestamp": 1.0, "message_type": "rattanfork:run", "ms": {value}}}'
+    assert parse_line(text).kind == "run"
+
+
 @given(
     st.dictionaries(
         st.sampled_from(["timestamp", "message_type", "id", "instance", "tries"]),
