Let reports ask whether a request is in the log sample

Cause: an estimate from sampled lines needs the rule by which the nodes sample.

The rule moves from the sampler into the function is_sampled, which the sampler calls. Effect: the same lines are written as before.

--- a/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
@@ -15,7 +15,30 @@
 _SAMPLE_BELOW = 0.5
 _OMIT_BELOW = 0.25
 #: Fraction of the successful requests in the sample.
-_SAMPLE_RATE = 1 / 16
+SAMPLE_RATE = 1 / 16
+
+
+def is_sampled(request_id: str) -> bool:
+    """Return whether a request is in the sample of successful requests.
+
+    All nodes sample the same roots: only the ID of the root request counts, which is
+    the part before the first dot.
+
+    Parameters
+    ==========
+
+    request_id : str
+        ID of the request, or of a downstream call made for it.
+
+    Examples
+    ========
+
+    >>> is_sampled("r3") == is_sampled("r3.0a1b2c3d")
+    True
+    >>> sum(is_sampled(f"r{number}") for number in range(16_000))
+    1032
+    """
+    return request_tiebreak(request_id.partition(".")[0]) < SAMPLE_RATE
 
 
 class LogSampler:
@@ -95,8 +118,7 @@
             return True
         if self._tokens <= _OMIT_BELOW * self._burst:
             return False
-        root = request_id.partition(b".")[0]
-        return request_tiebreak(root.decode("latin-1")) < _SAMPLE_RATE
+        return is_sampled(request_id.decode("latin-1"))
 
     def _refill(self) -> None:
         now = self._clock.now()
