Add the command report slots

Cause: operators need to see which requests use the slots of a service that is full.

The command prints slot time by service and time span, the useful share of each service with its bounds and queued time, requests by route and reason, runs that ended badly, and the size of the sample; also as JSON and as a chart. Writing charts is shared with report losses.

--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -1,21 +1,25 @@
-"""Commands that report on all nodes: burn rates and lost requests."""
+"""Commands that report on all nodes: burn rates, lost requests and slot time."""
 
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated
 
 import typer
 from rattanfork_core.burn import BurnLine, burn_report
 from rattanfork_core.rules import ObjectiveModel
-from rattanfork_core.trace import LossReport, count_losses, parse_lines
+from rattanfork_core.trace import count_losses, parse_lines
 
 from rattanfork_cli.burn_html import render_burn_report
+from rattanfork_cli.commands.report_slots import report_slots
 from rattanfork_cli.exits import BAD_INPUT, FAILED
 from rattanfork_cli.http import call_admin_api
 from rattanfork_cli.log_files import LogFiles, format_time_of_day, read_log_lines
 from rattanfork_cli.options import AsJson, Node
 from rattanfork_cli.output import fail, print_json, print_table
+from rattanfork_cli.plots import write_plot
 
 app = typer.Typer(no_args_is_help=True, help="Reports on all nodes.")
+app.command("slots")(report_slots)
 
 
 @app.command()
@@ -99,7 +103,7 @@
     except ValueError as error:
         raise fail(f"--every: {error}", BAD_INPUT) from None
     if plot is not None:
-        _plot_losses(report, plot)
+        write_plot(plot, _load_loss_plotter, report)
     if as_json:
         entries = [{n: getattr(x, n) for n in x.__slots__} for x in report.losses]
         totals = {
@@ -123,20 +127,10 @@
         print(f"lines left out, {kind}: {count}")
 
 
-def _plot_losses(report: LossReport, path: Path) -> None:
-    # Imported here because matplotlib is an optional dependency.
-    try:
-        from rattanfork_cli.loss_plot import plot_losses
-    except ImportError:
-        raise fail(
-            "--plot needs matplotlib: pip install 'rattanfork-cli[plot]'", BAD_INPUT
-        ) from None
-    try:
-        plot_losses(report, path)
-    except ValueError as error:
-        raise fail(f"--plot {path}: {error}", BAD_INPUT) from None
-    except OSError as error:
-        raise fail(f"--plot {path}: {error.strerror}", BAD_INPUT) from None
+def _load_loss_plotter() -> Callable[..., None]:
+    from rattanfork_cli.loss_plot import plot_losses
+
+    return plot_losses
 
 
 def _burn_by_rules(node: str) -> tuple[list[BurnLine], dict[str, object]]:
