Validate the fields of request and run lines in one place

Cause: a report on client accounts needs the same fields as the one on slot time.

The checks of fields move from slot_time into line_fields, which returns data classes.

--- a/packages/rattanfork-core/rattanfork_core/trace/slot_time.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/slot_time.py
@@ -2,10 +2,15 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from math import isfinite
 
 from ddsketch import DDSketch
 
+from rattanfork_core.trace.line_fields import (
+    checked_span,
+    left_out_fields,
+    request_fields,
+    run_fields,
+)
 from rattanfork_core.trace.log_line import LogLine
 from rattanfork_core.trace.log_sampler import is_sampled
 from rattanfork_core.trace.missing_lines import MissingLineCounter, MissingLines
@@ -21,15 +26,9 @@
     SlotTimeReport,
 )
 
-#: Latest time stamp accepted, in seconds since 1970: the year 9999.
-_MAX_TIME = 253_402_300_799.0
 #: Relative error of the percentiles of queued time.
 _QUEUED_ACCURACY = 0.01
 _MEDIAN, _HIGH_PERCENTILE = 0.5, 0.95
-_NUMBER_TYPES = (int, float)
-_ANSWERED = "answered"
-_NOT_RUN = "not-run"
-_UNKNOWN_PLACE = "-"
 
 
 class SlotTimeCounter:
@@ -58,9 +57,7 @@
     """
 
     def __init__(self, span: float, roots: SampledRoots | None = None) -> None:
-        if not span > 0 or not isfinite(span):
-            raise ValueError(f"the span must be above 0 and finite, not {span}")
-        self._span = span
+        self._span = checked_span(span)
         self._roots = SampledRoots() if roots is None else roots
         self._missing = MissingLineCounter()
         self._routes: Counter[tuple[str, RequestResult, str]] = Counter()
@@ -80,8 +77,7 @@
         if handler is None:
             return
         self._lines += 1
-        has_id = line.request_id or line.kind == "counted"
-        if not (has_id and 0 <= line.at <= _MAX_TIME and handler(line)):
+        if not handler(line):
             self._malformed += 1
 
     def report(self) -> SlotTimeReport:
@@ -135,63 +131,47 @@
         )
 
     def _add_request(self, line: LogLine) -> bool:
-        fields = line.fields
-        status, ms = fields.get("status", 0), fields.get("ms", 0.0)
-        objective = fields.get("objective_ms")
-        if not (_is_number(status) and _is_number(ms)):
-            return False
-        if objective is not None and not _is_number(objective):
+        fields = request_fields(line)
+        if fields is None:
             return False
-        result = request_result(fields.get("outcome", ""), status, ms, objective)
         sampled = is_sampled(line.request_id)
-        tries = fields.get("tries")
-        attempts = len(tries) if isinstance(tries, list) else 0
-        if 200 <= status < 300 and attempts == 1 and result is not RequestResult.LATE:
+        if fields.is_plain:
             self._missing.add_plain(line.instance, sampled)
-        if fields.get("call"):
+        if fields.is_call:
             return True
-        route = str(fields.get("route") or _UNKNOWN_PLACE)
-        key = (route, result, str(fields.get("reason", "none")))
+        key = (fields.route, fields.result, fields.reason)
         self._routes[key] += 1
         if sampled:
             self._sampled_routes[key] += 1
-        if sampled and self._roots.holds(line.request_id):
-            account = str(fields.get("account") or "")
-            self._roots.add_request(line.request_id, result, account)
+            if self._roots.holds(line.request_id):
+                self._roots.add_request(line.request_id, fields.result, fields.account)
         return True
 
     def _add_run(self, line: LogLine) -> bool:
-        fields = line.fields
-        status = fields.get("status", 0)
-        queued_ms, run_ms = fields.get("queued_ms") or 0.0, fields.get("run_ms")
-        if not (_is_duration(status) and _is_duration(queued_ms)):
-            return False
-        if run_ms is not None and not _is_duration(run_ms):
+        fields = run_fields(line)
+        if fields is None:
             return False
-        service = str(fields.get("operation", "")).rpartition("/")[2] or _UNKNOWN_PLACE
-        outcome = str(fields.get("outcome", _UNKNOWN_PLACE))
+        service = fields.service
         sampled = is_sampled(line.request_id)
-        if outcome == _ANSWERED and status < 400:
+        if fields.is_plain:
             self._missing.add_plain(line.instance, sampled)
-            self._missing.add_run_time(line.instance, service, run_ms or 0.0)
+            self._missing.add_run_time(line.instance, service, fields.run_ms or 0.0)
         else:
-            reason = str(fields.get("reason", "none"))
-            self._bad_runs[service, outcome, reason, int(status)] += 1
+            key = (service, fields.outcome, fields.reason, fields.status)
+            self._bad_runs[key] += 1
         if not (sampled and self._roots.holds(line.request_id)):
             return True
         sketch = self._queued.get(service)
         if sketch is None:
             sketch = self._queued[service] = DDSketch(_QUEUED_ACCURACY)
-        sketch.add(queued_ms)
+        sketch.add(fields.queued_ms)
         begins = line.at // self._span * self._span
-        self._roots.add_run(line.request_id, service, begins, run_ms)
+        self._roots.add_run(line.request_id, service, begins, fields.run_ms)
         return True
 
     def _add_counted(self, line: LogLine) -> bool:
-        left_out = line.get("lines_left_out", {})
-        if not isinstance(left_out, dict) or not all(
-            isinstance(count, int) and count >= 0 for count in left_out.values()
-        ):
+        left_out = left_out_fields(line)
+        if left_out is None:
             return False
         self._missing.add_left_out(line.instance, left_out)
         return True
@@ -231,52 +211,9 @@
     return counter.report()
 
 
-def request_result(
-    outcome: object, status: float, ms: float, objective_ms: float | None
-) -> RequestResult:
-    """Return the result of a caller's request.
-
-    Parameters
-    ==========
-
-    outcome : object
-        Label of the outcome as logged.
-    status : float
-        Status of the final response.
-    ms, objective_ms : float
-        Latency and latency objective in milliseconds; None without an objective.
-
-    Examples
-    ========
-
-    >>> request_result("answered", 200, 20.0, 80.0).value
-    'in-time'
-    >>> request_result("not-run", 503, 20.0, 80.0).value
-    'refused'
-    >>> request_result("unknown", 502, 20.0, 80.0).value
-    'failed'
-    """
-    if outcome == _NOT_RUN:
-        return RequestResult.REFUSED
-    if outcome != _ANSWERED or not 200 <= status < 300:
-        return RequestResult.FAILED
-    if objective_ms is not None and ms > objective_ms:
-        return RequestResult.LATE
-    return RequestResult.IN_TIME
-
-
 def _all_results(sums: Counter[RequestResult]) -> dict[str, float]:
     return {result.value: sums[result] for result in RequestResult}
 
 
 def _quantile(sketch: DDSketch | None, quantile: float) -> float | None:
     return None if sketch is None else sketch.get_quantile_value(quantile)
-
-
-def _is_number(value: object) -> bool:
-    # Unlike isinstance, this excludes bool, and takes a quarter of the time.
-    return type(value) in _NUMBER_TYPES and isfinite(value)
-
-
-def _is_duration(value: object) -> bool:
-    return _is_number(value) and value >= 0
