Measure the requests and slot shares of client accounts over time

Cause: when one account sends many times its usual rate, logs did not show what it takes from the others.

Requests that were not answered in time have all their lines, those in time are sampled.

--- a/packages/rattanfork-core/rattanfork_core/trace/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/__init__.py
@@ -1,5 +1,10 @@
 """Request logging: sampling of lines at the node, and analysis of logs afterwards."""
 
+from rattanfork_core.trace.account_load import (
+    AccountLoad,
+    AccountLoadReport,
+    measure_account_load,
+)
 from rattanfork_core.trace.log_line import LogLine, parse_line, parse_lines
 from rattanfork_core.trace.log_sampler import LogSampler
 from rattanfork_core.trace.losses import Loss, LossReport, count_losses, loss_cause
@@ -10,6 +15,8 @@
 from rattanfork_core.trace.summary import ReasonCount, count_reasons
 
 __all__ = [
+    "AccountLoad",
+    "AccountLoadReport",
     "LogSampler",
     "LogLine",
     "Loss",
@@ -23,6 +30,7 @@
     "count_losses",
     "count_reasons",
     "loss_cause",
+    "measure_account_load",
     "measure_slot_time",
     "parse_line",
     "parse_lines",
