--- a/packages/rattanfork-cli/rattanfork_cli/commands/report.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report.py
@@ -1,4 +1,4 @@
-"""Commands that report on all nodes: burn rates, lost requests and slot time."""
+"""Commands that report on all nodes: burn rates, losses, slots and accounts."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -10,6 +10,7 @@
 from rattanfork_core.trace import count_losses, parse_lines
 
 from rattanfork_cli.burn_html import render_burn_report
+from rattanfork_cli.commands.report_accounts import report_accounts
 from rattanfork_cli.commands.report_slots import report_slots
 from rattanfork_cli.exits import BAD_INPUT, FAILED
 from rattanfork_cli.http import call_admin_api
@@ -20,6 +21,7 @@
 
 app = typer.Typer(no_args_is_help=True, help="Reports on all nodes.")
 app.command("slots")(report_slots)
+app.command("accounts")(report_accounts)
 
 
 @app.command()
