--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 SEEDS ?= 50
 FIRST ?= 0
-.PHONY: demo test bench speed starts shared matrix slopes confirmations reports accounts \
+.PHONY: demo test bench speed hops starts shared matrix slopes confirmations reports accounts \
     soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -40,6 +40,9 @@
 speed: $(READY)
 	$(BIN)/python bench/speed.py
 
+hops: $(READY)
+	$(BIN)/python bench/hops.py
+
 starts: $(READY)
 	$(BIN)/python bench/starts.py
 
