Let periodic tasks of a node share wakeups

The polls of peers, the checks of the store's confirmation and of its era each had timers of their own: an idle node woke 32 times a second, and each wakeup runs on cold caches. They now sleep until a common tick. The restore tests replace the sleep itself instead of its interval, to the same length as before.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -52,8 +52,8 @@
     RequestLog,
     log_change,
 )
+from rattanfork_node.ticks import TICK_SECONDS, sleep_ticks
 
-_TICK_SECONDS = 0.1
 #: Ticks between two sweeps of idle connections.
 _SWEEP_TICKS = 5
 #: Ticks between two summary lines in the log.
@@ -180,7 +180,7 @@
             self._clock,
             self._random,
             me,
-            MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=_TICK_SECONDS),
+            MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=TICK_SECONDS),
         )
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
@@ -389,7 +389,7 @@
                 self._sweep()
             if ticks % _SUMMARY_TICKS == 0:
                 self._state_reporter.log_summary()
-            await asyncio.sleep(_TICK_SECONDS)
+            await sleep_ticks(1)
 
     def _sweep(self) -> None:
         self._objectives.flush()
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -16,14 +16,15 @@
 from rattanfork_node.member import GossipTask
 from rattanfork_node.peer import ConfigurationRequest, LinkLostError, PeerPool
 from rattanfork_node.telemetry import Counters, log_change
+from rattanfork_node.ticks import sleep_ticks
 
 #: Longest wait of one watch; each wait that expires costs the store one call.
 _WATCH_WAIT_S = 20.0
 #: Bounds of the exponential back-off while the store does not answer.
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 1.0
-#: Interval between requests to peers while a newer version is known to exist.
-_PEER_POLL_INTERVAL_S = 0.15
+#: Ticks between requests to peers while a newer version is known to exist.
+_PEER_POLL_TICKS = 1
 _PEER_TIMEOUT_S = 0.6
 
 
@@ -147,7 +148,7 @@
 
     async def _run_peer_polling(self) -> None:
         while True:
-            await asyncio.sleep(_PEER_POLL_INTERVAL_S * self._random.uniform(0.7, 1.3))
+            await sleep_ticks(_PEER_POLL_TICKS)
             # A responsive store has answered before the first iteration.  A silent
             # one is detected only after more than a second, during which callers'
             # requests would wait.
--- a/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -11,12 +11,13 @@
 from rattanfork_node.config.store_replica import StoreReplica
 from rattanfork_node.member import GossipTask
 from rattanfork_node.telemetry import Counters, log_change
+from rattanfork_node.ticks import sleep_ticks
 
 #: Interval at which a reader checks the schedule.
-_READER_TICK_S = 0.05
-#: The same for all other nodes.  Their delays are seconds, and the shorter interval
-#: would account for most of the CPU use of an idle node.
-_OTHER_TICK_S = 0.25
+_READER_INTERVAL_S = 0.05
+#: Ticks between the checks of all other nodes.  Their delays are seconds, and the
+#: shorter interval would account for most of the CPU use of an idle node.
+_OTHER_TICKS = 2
 #: Members notified directly of a confirmation; gossip reaches the others.
 _MAX_NOTIFIED = 16
 #: Age from which confirmation counts as lost: twice the worst case with a responsive
@@ -111,9 +112,10 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(
-                _READER_TICK_S if self._readers.includes_self else _OTHER_TICK_S
-            )
+            if self._readers.includes_self:
+                await asyncio.sleep(_READER_INTERVAL_S)
+            else:
+                await sleep_ticks(_OTHER_TICKS)
             self._report_age()
             if self._readers.version != self._readers_version:
                 self._update_readers()
--- a/packages/rattanfork-node/rattanfork_node/config/restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/restore_task.py
@@ -12,9 +12,10 @@
 
 from rattanfork_node.member.records import MEMBERS_TABLE, missing_records, record_key
 from rattanfork_node.telemetry import Counters, log_change
+from rattanfork_node.ticks import sleep_ticks
 
-#: Interval at which the era of the store is checked.
-_ERA_CHECK_INTERVAL_S = 0.25
+#: Ticks between checks of the era of the store.
+_ERA_CHECK_TICKS = 2
 #: Readers that repair the store.
 _MAX_WRITERS = 3
 #: Delay between the starts of two readers, so that later ones find the writes of
@@ -89,7 +90,7 @@
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(_ERA_CHECK_INTERVAL_S)
+            await sleep_ticks(_ERA_CHECK_TICKS)
             before, self._era = self._era, self._platform.era
             if before and self._era != before:
                 self._counters.events["store.restored"] += 1
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
@@ -116,7 +116,7 @@
     """Run a test on an event loop with short delays."""
 
     def run(monkeypatch):
-        monkeypatch.setattr(restore_task, "_ERA_CHECK_INTERVAL_S", 0.01)
+        monkeypatch.setattr(restore_task, "sleep_ticks", lambda _: asyncio.sleep(0.01))
         monkeypatch.setattr(restore_task, "_WRITER_STAGGER_S", 0.01)
         monkeypatch.setattr(restore_task, "_MIN_RETRY_DELAY_S", 0.01)
         on_loop(test)()
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules at the top of the package."""
