--- a/packages/rattanfork-core/rattanfork_core/trace/account_load.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/account_load.py
@@ -305,9 +305,9 @@
     Examples
     ========
 
-    >>> run = LogLine(7.5, "n2", "run", "r13.1", {"operation": "lookup/claims",
+    >>> run = LogLine(7.5, "n2", "run", "r26.1", {"operation": "lookup/claims",
     ...     "outcome": "answered", "status": 200, "run_ms": 50.0})
-    >>> request = LogLine(7.6, "n1", "request", "r13", {"account": "acme",
+    >>> request = LogLine(7.6, "n1", "request", "r26", {"account": "acme",
     ...     "outcome": "answered", "status": 200, "ms": 90.0, "objective_ms": 80.0})
     >>> [load] = measure_account_load([run, request], span=1).accounts
     >>> load.account, load.sent, load.late, load.slot_shares
--- a/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
@@ -18,11 +18,16 @@
 SAMPLE_RATE = 1 / 16
 
 
+#: Appended to the ID of a root request before it is hashed for the sample.
+_SAMPLE_SALT = "/log"
+
+
 def is_sampled(request_id: str) -> bool:
     """Return whether a request is in the sample of successful requests.
 
     All nodes sample the same roots: only the ID of the root request counts, which is
-    the part before the first dot.
+    the part before the first dot.  Whether a request is in the sample is independent of
+    its position in the shedding order.
 
     Parameters
     ==========
@@ -36,9 +41,12 @@
     >>> is_sampled("r3") == is_sampled("r3.0a1b2c3d")
     True
     >>> sum(is_sampled(f"r{number}") for number in range(16_000))
-    1032
+    989
     """
-    return request_tiebreak(request_id.partition(".")[0]) < SAMPLE_RATE
+    root = request_id.partition(".")[0]
+    # Shedding orders requests by the hash of the ID alone.  A sample by the same hash
+    # would hold only requests that are shed last.
+    return request_tiebreak(root + _SAMPLE_SALT) < SAMPLE_RATE
 
 
 class LogSampler:
--- a/packages/rattanfork-core/rattanfork_core/trace/sampled_roots.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/sampled_roots.py
@@ -75,10 +75,10 @@
     ========
 
     >>> roots = SampledRoots()
-    >>> roots.holds("r13.1")
+    >>> roots.holds("r26.1")
     True
-    >>> roots.add_run("r13.1", "claims", 7.0, 20.0)
-    >>> roots.add_request("r13", RequestResult.LATE, "")
+    >>> roots.add_run("r26.1", "claims", 7.0, 20.0)
+    >>> roots.add_request("r26", RequestResult.LATE, "")
     >>> [record.slot_ms for record in roots]
     [{('claims', 7.0): 20.0}]
     """
--- a/packages/rattanfork-core/rattanfork_core/trace/slot_time.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/slot_time.py
@@ -197,9 +197,9 @@
     Examples
     ========
 
-    >>> run = LogLine(7.5, "n2", "run", "r13.1", {"operation": "lookup/claims",
+    >>> run = LogLine(7.5, "n2", "run", "r26.1", {"operation": "lookup/claims",
     ...     "outcome": "answered", "status": 200, "run_ms": 50.0})
-    >>> request = LogLine(7.6, "n1", "request", "r13", {"route": "lookup",
+    >>> request = LogLine(7.6, "n1", "request", "r26", {"route": "lookup",
     ...     "outcome": "answered", "status": 200, "ms": 90.0, "objective_ms": 80.0})
     >>> [slot] = measure_slot_time([run, request], span=1).slots
     >>> slot.begins, slot.service, slot.seconds["late"], slot.useful_share
--- a/packages/rattanfork-core/rattanfork_core/trace/tests/test_trace.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/tests/test_trace.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from rattanfork_core.clock import ManualClock
+from rattanfork_core.request import request_tiebreak
 from rattanfork_core.trace import (
     LogLine,
     LogSampler,
@@ -14,6 +15,7 @@
     parse_lines,
     trace_request,
 )
+from rattanfork_core.trace.log_sampler import is_sampled
 
 
 def test_surge_writes_lines_within_rate_and_counts_the_omitted():
@@ -120,3 +122,10 @@
 def test_span_of_zero_is_refused():
     with pytest.raises(ValueError, match="above 0"):
         count_reasons([], span=0)
+
+
+def test_sample_is_independent_of_the_shedding_order():
+    """Guards against a sample that holds only the requests that are shed last."""
+    roots = [f"r{number}" for number in range(16_000)]
+    sample = [request_tiebreak(root) for root in roots if is_sampled(root)]
+    assert 0.45 < sum(sample) / len(sample) < 0.55
