Move the log reports out of what a node imports

The node imported the reports with the log sampler, and one of them needs a library that is not deployed, so every node exited at its start.

--- a/packages/rattanfork-cli/rattanfork_cli/account_plot.py
+++ b/packages/rattanfork-cli/rattanfork_cli/account_plot.py
@@ -3,7 +3,7 @@
 from pathlib import Path
 
 import matplotlib
-from rattanfork_core.trace import AccountLoadReport
+from rattanfork_core.log_reports import AccountLoadReport
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402  the backend is chosen before
--- a/packages/rattanfork-cli/rattanfork_cli/commands/report_slots.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/report_slots.py
@@ -6,12 +6,12 @@
 from typing import Annotated
 
 import typer
-from rattanfork_core.trace import (
+from rattanfork_core.log_reports import (
     RequestResult,
     SlotTimeReport,
     measure_slot_time,
-    parse_lines,
 )
+from rattanfork_core.trace import parse_lines
 
 from rattanfork_cli.exits import BAD_INPUT
 from rattanfork_cli.log_files import LogFiles, format_time_of_day, read_log_lines
--- a/packages/rattanfork-cli/rattanfork_cli/slot_plot.py
+++ b/packages/rattanfork-cli/rattanfork_cli/slot_plot.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 import matplotlib
-from rattanfork_core.trace import RequestResult, SlotTime, SlotTimeReport
+from rattanfork_core.log_reports import RequestResult, SlotTime, SlotTimeReport
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402  the backend is chosen before
--- a/packages/rattanfork-core/rattanfork_core/trace/account_load.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/account_load.py
@@ -4,16 +4,16 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from rattanfork_core.trace.line_fields import (
+from rattanfork_core.log_reports.line_fields import (
     checked_span,
     left_out_fields,
     request_fields,
     run_fields,
 )
+from rattanfork_core.log_reports.missing_lines import MissingLineCounter, MissingLines
+from rattanfork_core.log_reports.sampled_roots import RequestResult, SampledRoots
 from rattanfork_core.trace.log_line import LogLine
 from rattanfork_core.trace.log_sampler import SAMPLE_RATE, is_sampled
-from rattanfork_core.trace.missing_lines import MissingLineCounter, MissingLines
-from rattanfork_core.trace.sampled_roots import RequestResult, SampledRoots
 
 #: In place of an account's name, which has no parentheses.
 NO_ACCOUNT = "(none)"
--- a/packages/rattanfork-core/rattanfork_core/trace/line_fields.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/line_fields.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from math import isfinite
 
+from rattanfork_core.log_reports.sampled_roots import RequestResult
 from rattanfork_core.trace.log_line import LogLine
-from rattanfork_core.trace.sampled_roots import RequestResult
 
 #: Latest time stamp accepted, in seconds since 1970: the year 9999.
 _MAX_TIME = 253_402_300_799.0
--- a/packages/rattanfork-core/rattanfork_core/trace/slot_time.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/slot_time.py
@@ -5,26 +5,26 @@
 
 from ddsketch import DDSketch
 
-from rattanfork_core.trace.line_fields import (
+from rattanfork_core.log_reports.line_fields import (
     checked_span,
     left_out_fields,
     request_fields,
     run_fields,
 )
-from rattanfork_core.trace.log_line import LogLine
-from rattanfork_core.trace.log_sampler import is_sampled
-from rattanfork_core.trace.missing_lines import MissingLineCounter, MissingLines
-from rattanfork_core.trace.sampled_roots import (
+from rattanfork_core.log_reports.missing_lines import MissingLineCounter, MissingLines
+from rattanfork_core.log_reports.sampled_roots import (
     RequestResult,
     SampledRoots,
 )
-from rattanfork_core.trace.slot_time_report import (
+from rattanfork_core.log_reports.slot_time_report import (
     BadRunCount,
     RouteCount,
     ServiceSlotTime,
     SlotTime,
     SlotTimeReport,
 )
+from rattanfork_core.trace.log_line import LogLine
+from rattanfork_core.trace.log_sampler import is_sampled
 
 #: Relative error of the percentiles of queued time.
 _QUEUED_ACCURACY = 0.01
--- a/packages/rattanfork-core/rattanfork_core/trace/slot_time_report.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/slot_time_report.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
+from rattanfork_core.log_reports.missing_lines import MissingLines
+from rattanfork_core.log_reports.sampled_roots import RequestResult
 from rattanfork_core.trace.log_sampler import SAMPLE_RATE
-from rattanfork_core.trace.missing_lines import MissingLines
-from rattanfork_core.trace.sampled_roots import RequestResult
 
 
 def useful_share(seconds: dict[str, float]) -> float | None:
--- a/packages/rattanfork-core/rattanfork_core/trace/tests/test_account_load.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/tests/test_account_load.py
@@ -2,9 +2,10 @@
 
 import pytest
 from rattanfork_core.clock import ManualClock
+from rattanfork_core.log_reports import measure_account_load
+from rattanfork_core.log_reports.account_load import NO_ACCOUNT, UNKNOWN_ACCOUNT
 from rattanfork_core.request import request_tiebreak
-from rattanfork_core.trace import LogLine, LogSampler, measure_account_load
-from rattanfork_core.trace.account_load import NO_ACCOUNT, UNKNOWN_ACCOUNT
+from rattanfork_core.trace import LogLine, LogSampler
 from rattanfork_core.trace.log_sampler import is_sampled
 
 SAMPLED = [f"r{n}" for n in range(2000) if is_sampled(f"r{n}")]
--- a/packages/rattanfork-core/rattanfork_core/trace/tests/test_slot_time.py
+++ b/packages/rattanfork-core/rattanfork_core/log_reports/tests/test_slot_time.py
@@ -6,16 +6,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from rattanfork_core.clock import ManualClock
-from rattanfork_core.trace import (
-    LogLine,
-    LogSampler,
+from rattanfork_core.log_reports import (
     RequestResult,
     SlotTimeCounter,
     measure_slot_time,
-    parse_lines,
 )
+from rattanfork_core.log_reports.sampled_roots import SampledRoots
+from rattanfork_core.trace import LogLine, LogSampler, parse_lines
 from rattanfork_core.trace.log_sampler import SAMPLE_RATE, is_sampled
-from rattanfork_core.trace.sampled_roots import SampledRoots
 
 SAMPLED = [f"r{n}" for n in range(8000) if is_sampled(f"r{n}")]
 OUTSIDE = [f"r{n}" for n in range(8000) if not is_sampled(f"r{n}")]
