Refuse operations of which hardly any request completes

Cause: while the upstreams of the bottleneck service reject 55% of their runs for 8.5 s, whatever their load, a request with eight runs there completes in one of 600 cases. No threshold sheds it, as the upstreams have spare capacity, so three other services work for nothing, and the calls use up the retry budget.

Change: a circuit breaker for each operation at the entry node. It opens only while fewer than one in ten admitted requests completes, admits a small share by the request hash, and closes with the first requests that complete.

--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -89,6 +89,8 @@
     QUOTA_UNKNOWN = 30
     #: The rate limit that the upstream advertises is exhausted.
     UPSTREAM_LIMIT = 31
+    #: Nearly all recent requests of the operation failed at a downstream service.
+    CIRCUIT_OPEN = 32
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from rattanfork_core.advertised import UpstreamReportTable
+from rattanfork_core.circuit_breaker import OperationBreakers
 from rattanfork_core.clock import Clock
 from rattanfork_core.gate_status import (
     CallChainThresholds,
@@ -44,7 +45,7 @@
 from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
 from rattanfork_node.relay.request_rank import rank_of_request
 from rattanfork_node.relay.settings import RelaySettings
-from rattanfork_node.telemetry import Counters
+from rattanfork_node.telemetry import Counters, log_change
 
 if TYPE_CHECKING:
     from rattanfork_node.relay.rule_decisions import RuleDecision, RuleEvaluator
@@ -139,6 +140,9 @@
         self.upstream_reports = UpstreamReportTable()
         #: Services behind each operation, learned from the responses to callers.
         self.dependencies = OperationDependencies()
+        #: Circuit breakers of the operations that callers request.
+        self.breakers = OperationBreakers(clock)
+        self.breakers.on_change = _log_circuit
         self._reports = reports
         self._chain_thresholds = CallChainThresholds(
             reports, self.dependencies, directory.instance_count
@@ -241,6 +245,18 @@
             return
         rank = rank_of_request(exchange, route, rule_sets_importance)
         operation = self.operation(route, service)
+        share = self.breakers.share(operation)
+        if share < 1.0 and not self.breakers.admits(
+            operation, exchange.request_id.decode("latin-1")
+        ):
+            self._refusals.refuse(
+                exchange,
+                Reason.CIRCUIT_OPEN,
+                self._jittered_retry_after(rank),
+                route=route.name,
+                admitted_share=round(share, 3),
+            )
+            return
         blocked = None
         if rank < self._chain_thresholds.threshold(operation, service):
             blocked = self._shedding_instances(picker, route, service, rank)
@@ -316,7 +332,9 @@
     ) -> None:
         """Send the final response to a request."""
         parent = admitted.parent
-        if parent is not None:
+        if parent is None:
+            self._record_completion(admitted.operation, result)
+        else:
             parent.call_cancels.pop(id(exchange), None)
             self._report_to_parent(parent, admitted, result)
         outcome, reason = result.outcome, result.reason
@@ -395,6 +413,16 @@
             self.early_shedder.shed_share(picker, self.operation(route, service)),
         )
 
+    def _record_completion(self, operation: str, result: CallResult) -> None:
+        """Record whether a caller's request completed or a downstream call failed.
+
+        Other failures say nothing of the services that the operation calls.
+        """
+        if 200 <= result.status < 300:
+            self.breakers.record(operation, completed=True)
+        elif result.status >= 500 and result.reason is Reason.NONE:
+            self.breakers.record(operation, completed=False)
+
     def _report_to_parent(
         self, parent: Job, admitted: AdmittedRequest, result: CallResult
     ) -> None:
@@ -416,6 +444,10 @@
         return jittered_retry_after(self._settings.retry_after, rank, self._random)
 
 
+def _log_circuit(operation: str, is_open: bool) -> None:
+    log_change("circuit_opened" if is_open else "circuit_closed", operation=operation)
+
+
 def _status_without_response(outcome: Outcome, reason: Reason) -> int:
     if outcome is Outcome.NOT_RUN:
         return NOT_RUN_STATUS
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -168,6 +168,27 @@
     assert harness.send_request(request_id="r3").output is None
 
 
+@on_loop
+async def test_requests_are_refused_while_all_fail_at_a_downstream_service():
+    """Guards against work for requests of which none completes.
+
+    A call of a run at the node's own upstream still passes: its parent has begun.
+    """
+    harness = RelayHarness(peers=1)
+    for number in range(40):
+        exchange = harness.send_request(request_id=f"r{number}")
+        if exchange.output is None:
+            harness.links[0].reply(-1, ANSWERED, status=500)
+    exchange = harness.send_request(request_id="refused")
+    assert exchange.output[0] == 503
+    assert b"Retry-After" in exchange.output[1]
+    assert harness.log.lines[-1]["reason"] == "circuit-open"
+    harness.gate_harness.submit("run", rank=2.5)
+    assert (
+        harness.send_request("/a/x", request_id="run.0123456789abcdef").output is None
+    )
+
+
 @on_loop
 async def test_request_avoids_instance_whose_gate_sheds_it():
     """One of two gates has reported by gossip that it sheds."""
