Add a bounded budget and a state machine for the bodies of uploads

Uploads are read completely into memory before anything is decided, so a burst of them can take a node over its memory limit. BodyBudget grants room for whole bodies in order of their requests; BodyIntake decides from the declared length, the received bytes and the time whether a body waits, is read, is complete or is refused; DrainBound limits how much of a refused body is still read. Routes get a field that marks those of the kind upload. Nothing uses them yet.

--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -89,6 +89,12 @@
     QUOTA_UNKNOWN = 30
     #: The rate limit that the upstream advertises is exhausted.
     UPSTREAM_LIMIT = 31
+    #: There was no room for the body of the upload in time.
+    NO_BODY_ROOM = 32
+    #: The body of the upload was not received in time.
+    BODY_TIMEOUT = 33
+    #: The body of the upload ended early, was malformed or longer than declared.
+    BODY_INCOMPLETE = 34
 
     @property
     def label(self) -> str:
--- a/packages/rattanfork-core/rattanfork_core/routes/route.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/route.py
@@ -49,6 +49,8 @@
         Maximum number of upstreams that one request is sent to.
     anonymous : bool
         Whether requests are accepted without an API key of a client account.
+    upload : bool
+        Whether requests with large bodies are decided on before the body is read.
     """
 
     name: str
@@ -61,6 +63,7 @@
     priority: int = 2
     most_upstreams: int = 2
     anonymous: bool = False
+    upload: bool = False
 
 
 def importance_of_priority(priority: int) -> int:
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
@@ -0,0 +1,23 @@
+"""Uploads: when the body of a large request may be read, and when it is refused."""
+
+from rattanfork_core.uploads.body_budget import (
+    BodyBudget,
+    Reservation,
+    body_budget_bytes,
+)
+from rattanfork_core.uploads.body_intake import (
+    BodyIntake,
+    IntakeState,
+    is_large_body,
+)
+from rattanfork_core.uploads.drain_bound import DrainBound
+
+__all__ = [
+    "BodyBudget",
+    "BodyIntake",
+    "DrainBound",
+    "IntakeState",
+    "Reservation",
+    "body_budget_bytes",
+    "is_large_body",
+]
