Decide on uploads from their heads and read bodies within a budget

Bodies of uploads were read completely into memory before anything was decided on them, and a refusal came only after the whole body.

A request with a Content-Length over 16 KiB or a chunked body on a route of uploads is now taken over from its head: account, rules, draining and load shedding decide first; then the body is read once there is room for it, and reading from the client pauses until then. A refusal is written at once with Connection: close, and the rest of the body is discarded for at most 1 s and 1 MB. The quarantine, draining and shedding are checked again once the body is there. Gates bound the bytes of the uploads that they hold. An upload is not sent again after an upstream refused it.

Other requests pay one comparison per received block of bytes and two function calls per request.

--- a/packages/rattanfork-core/rattanfork_core/routes/configuration.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/configuration.py
@@ -46,6 +46,8 @@
         The client accounts; None if requests carry no API keys.
     table : RouteTable
         Index of the routes.
+    upload_routes : frozenset of str
+        Names of the routes of uploads.
     """
 
     version: int
@@ -57,6 +59,9 @@
     idle_timeout: float = 15.0
     accounts: AccountIndex | None = None
     table: RouteTable = field(init=False, repr=False, compare=False)
+    upload_routes: frozenset[str] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "table", RouteTable(self.routes))
+        uploads = frozenset(route.name for route in self.routes if route.upload)
+        object.__setattr__(self, "upload_routes", uploads)
--- a/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
@@ -6,6 +6,7 @@
     body_budget_bytes,
 )
 from rattanfork_core.uploads.body_intake import (
+    LARGE_BODY_BYTES,
     BodyIntake,
     IntakeState,
     is_large_body,
@@ -13,6 +14,7 @@
 from rattanfork_core.uploads.drain_bound import DrainBound
 
 __all__ = [
+    "LARGE_BODY_BYTES",
     "BodyBudget",
     "BodyIntake",
     "DrainBound",
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -20,6 +20,7 @@
 from rattanfork_core.revision import ConfigurationLease, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LogSampler
+from rattanfork_core.uploads import BodyBudget, body_budget_bytes
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
@@ -32,7 +33,7 @@
 from rattanfork_node.app.store_tasks import StoreTasks
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
 from rattanfork_node.config.holder import ConfigurationHolder
-from rattanfork_node.http1 import HttpServer, RequestLimits
+from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.directory import InstanceDirectory
@@ -182,6 +183,7 @@
             me,
             MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=_TICK_SECONDS),
         )
+        self._body_budget = BodyBudget(body_budget_bytes(settings.memory_bytes))
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
         self._membership.on_status = self._on_member
@@ -209,6 +211,7 @@
                 relay.retry_budget_window,
             ),
             self._quarantine,
+            self._body_budget.capacity,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -309,6 +312,7 @@
             self._platform,
             lambda: self._store.confirmed_age,
             lambda: self.ready,
+            self._body_budget,
         )
         self._upstream_monitor = UpstreamMonitor(
             self._clock,
@@ -331,6 +335,9 @@
             for address, handler in handlers
         ]
         self._callers = self._servers[0][1]
+        self._callers.uploads = UploadResources(
+            self._body_budget, self._counters.events
+        )
         self._metrics = HttpServer(
             self._clock,
             settings.names,
--- a/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
@@ -43,6 +43,8 @@
         Address at which metrics are served; None to serve none.
     grace : float
         Seconds from SIGTERM until the process is killed.
+    memory_bytes : int or None
+        Memory limit of the node, in bytes; None if it is not known.
     """
 
     instance: str
@@ -59,3 +61,4 @@
     data_centres: int = 1
     metrics: Address | None = None
     grace: float = 6.0
+    memory_bytes: int | None = None
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -7,6 +7,7 @@
 from rattanfork_core.membership import Member, Membership, MemberStatus
 from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.revision import RevisionState
+from rattanfork_core.uploads import BodyBudget
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.config.holder import ConfigurationHolder
@@ -44,6 +45,8 @@
         than this node.
     is_ready : callable
         Returns whether new requests of callers are accepted.
+    body_budget : BodyBudget
+        Budget for the bodies of uploads.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         platform: WatchedPlatform,
         confirmed_age: Callable[[], float],
         is_ready: Callable[[], bool],
+        body_budget: BodyBudget,
     ) -> None:
         self._clock = clock
         self._log = log
@@ -71,6 +75,7 @@
         self._platform = platform
         self._confirmed_age = confirmed_age
         self._is_ready = is_ready
+        self._body_budget = body_budget
         self._configuration_since = clock.now()
 
     def on_configuration(self) -> None:
@@ -108,10 +113,22 @@
             waiting=self._gate.waiting,
             cut=round(self._gate.own_threshold, 3),
             upstream_limit=self._gate.rate_limit,
+            upload=self._upload_fields(),
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
         )
 
+    def _upload_fields(self) -> dict[str, int]:
+        """Return what the bodies of uploads hold at this node, in bytes."""
+        budget = self._body_budget
+        return {
+            "held": budget.held,
+            "peak": budget.peak,
+            "budget": budget.capacity,
+            "waiting": budget.waiting,
+            "gate_held": self._gate.upload_bytes,
+        }
+
     def _store_pending(self) -> list[dict[str, object]]:
         """Return the unanswered store calls; counters hold only completed ones."""
         return [
@@ -144,6 +161,10 @@
             "impaired": int(self._gate.health.impaired),
             "upstream_leaving": int(self._gate.advertised.leaving),
             **({} if limit is None else {"upstream_rate_limit": limit}),
+            "upload_bytes_held": self._body_budget.held,
+            "upload_bytes_budget": self._body_budget.capacity,
+            "uploads_waiting": self._body_budget.waiting,
+            "upload_bytes_at_gate": self._gate.upload_bytes,
             "repeats_granted": self._gate.grants.spent,
             "repeats_allowed": self._gate.grants.allowed,
             "ready": int(self._is_ready()),
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -16,6 +16,7 @@
 from rattanfork_node.http1.render import render_head, render_response
 from rattanfork_node.http1.server import HttpServer
 from rattanfork_node.http1.server_connection import ServerConnection
+from rattanfork_node.http1.upload import Upload, UploadResources
 from rattanfork_node.http1.upstream import UpstreamConnection, UpstreamResponse
 
 __all__ = [
@@ -26,6 +27,8 @@
     "RequestHandler",
     "RequestLimits",
     "ServerConnection",
+    "Upload",
+    "UploadResources",
     "UpstreamResponse",
     "UpstreamConnection",
     "UpstreamPool",
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
@@ -0,0 +1,60 @@
+"""Reads and discards the rest of a refused body before its connection closes."""
+
+import asyncio
+from collections import Counter
+
+from rattanfork_core.clock import Clock
+from rattanfork_core.uploads import DrainBound
+from rattanfork_core.uploads.drain_bound import DRAIN_SECONDS
+
+
+class BodyDrain:
+    """Keeps a connection open until the rest of a refused body was discarded.
+
+    Explanation
+    ===========
+
+    The response has been written.  Closing with unread bytes would reset the
+    connection, and the client could lose the response.
+
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+    transport : asyncio.Transport
+        The connection to close at the end.
+    events : Counter
+        Counts how drains end.
+    """
+
+    __slots__ = ("_bound", "_events", "_timer", "_transport")
+
+    def __init__(
+        self, clock: Clock, transport: asyncio.Transport, events: Counter[str]
+    ) -> None:
+        self._bound = DrainBound(clock)
+        self._transport = transport
+        self._events = events
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(DRAIN_SECONDS, self._cut)
+
+    def on_bytes(self, count: int) -> None:
+        """Record discarded bytes; close the connection at the bound."""
+        if not self._bound.on_bytes(count):
+            self._cut()
+
+    def finish(self) -> None:
+        """Close the connection: the body has ended."""
+        self._events["upload.drained"] += 1
+        self.cancel()
+        self._transport.close()
+
+    def cancel(self) -> None:
+        """Stop waiting, as the connection is closed."""
+        self._timer.cancel()
+
+    def _cut(self) -> None:
+        self._events["upload.drain-cut"] += 1
+        self.cancel()
+        self._transport.close()
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -1,14 +1,23 @@
 """An HTTP request received by a node and its response."""
 
+from __future__ import annotations
+
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 from rattanfork_core.client_accounts import ClientAccount
 
 from rattanfork_node.http1.fingerprints import fingerprint_of
 
+if TYPE_CHECKING:
+    from rattanfork_node.http1.upload import Upload
+
 
 class Exchange:
-    """A completely received request, and its response once there is one.
+    """A received request, and its response once there is one.
+
+    It is complete unless it is an upload, whose body is read after its head was
+    decided on.
 
     Parameters
     ==========
@@ -52,11 +61,12 @@
         "output",
         "request_id",
         "target",
+        "upload",
     )
 
     def __init__(
         self,
-        connection: "object",
+        connection: object,
         method: bytes,
         target: bytes,
         host: str,
@@ -84,6 +94,9 @@
         self.granted_at: float | None = None
         #: Seconds spent waiting for authentication and quota.
         self.account_delay = 0.0
+        #: The body while it is read after the head was decided on; None if the request
+        #: was received whole before.
+        self.upload: Upload | None = None
         self.answered = False
         self.output: tuple[int, bytes, bytes] | None = None
         #: Called once if the client disconnects before the response.
@@ -94,6 +107,11 @@
         """Path of the target, without the query."""
         return self.target.partition(b"?")[0].decode("latin-1")
 
+    @property
+    def is_body_pending(self) -> bool:
+        """Whether the body has not been received, as of an upload at its head."""
+        return self.upload is not None and not self.upload.is_complete
+
     @property
     def account_name(self) -> str:
         """Name of the client account that sent the request; "" without one."""
@@ -124,5 +142,7 @@
             return
         self.answered = True
         self.on_disconnect = None
+        if self.upload is not None:
+            self.upload.on_answered()
         self.output = (status, block, body)
         self.connection.flush_responses()
--- a/packages/rattanfork-node/rattanfork_node/http1/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/handler.py
@@ -11,3 +11,16 @@
     @abstractmethod
     def on_request(self, exchange: Exchange) -> None:
         """Handle a completely received request."""
+
+    def on_head(self, exchange: Exchange) -> bool:
+        """Take over a request with a large body from its head, if the route wants it.
+
+        Returns
+        =======
+
+        bool
+            Whether the request was taken over; otherwise :meth:`on_request` gets it
+            with its body.  A handler that takes it over sets ``on_refused`` of
+            ``exchange.upload``, and then responds or calls its ``read``.
+        """
+        return False
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -8,6 +8,7 @@
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.server_connection import ServerConnection
+from rattanfork_node.http1.upload import UploadResources
 
 
 class HttpServer:
@@ -24,6 +25,9 @@
         Size limits and time-outs.
     handler : RequestHandler
         Handles the requests.
+    uploads : UploadResources or None
+        Budget for large bodies; None if all bodies are read before their requests
+        are handled.
     """
 
     def __init__(
@@ -32,11 +36,13 @@
         names: HeaderNames,
         limits: RequestLimits,
         handler: RequestHandler,
+        uploads: UploadResources | None = None,
     ) -> None:
         self.clock = clock
         self.names = names
         self.limits = limits
         self.handler = handler
+        self.uploads = uploads
         self.stripped = names.stripped_from_requests()
         self.request_id_name = names.request_id.lower()
         self.deadline_name = names.deadline.lower()
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -8,10 +8,12 @@
 
 import httptools
 from rattanfork_core.parsing import parse_whole_number
+from rattanfork_core.uploads import is_large_body
 
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.render import render_response
+from rattanfork_node.http1.upload_receiver import UploadReceiver
 
 if TYPE_CHECKING:
     from rattanfork_node.http1.server import HttpServer
@@ -54,6 +56,8 @@
         self._receiving = False
         self._paused = False
         self._writable = True
+        #: Receives large bodies; None before the first one.
+        self._uploads: UploadReceiver | None = None
         self._last_active = server.clock.now()
         self._head_since: float | None = None
         self._reset_request()
@@ -68,26 +72,38 @@
         """Notify the handlers of unanswered requests that the client disconnected."""
         self._lost = True
         self._server.connections.discard(self)
+        if self._uploads is not None:
+            self._uploads.on_lost()
         for exchange in self.pending:
             exchange.answered = True
+            if exchange.upload is not None:
+                exchange.upload.on_disconnect()
             if exchange.on_disconnect is not None:
                 exchange.on_disconnect()
         self.pending.clear()
 
+    def eof_received(self) -> bool:
+        """Refuse an upload whose client ended the connection within the body."""
+        if self._uploads is not None:
+            self._uploads.on_eof()
+        return False
+
     def pause_writing(self) -> None:
         """Pause reading: the client does not read its responses."""
         self._writable = False
         self._last_active = self._server.clock.now()
-        self._update_reading()
+        self.update_reading()
 
     def resume_writing(self) -> None:
         """Resume reading unless too many requests are unanswered."""
         self._writable = True
-        self._update_reading()
+        self.update_reading()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject what is malformed or too large."""
         if self._closing or self._drop_requests:
+            if self._uploads is not None:
+                self._parser = self._uploads.discard(data, self._parser)
             return
         self._last_active = self._server.clock.now()
         self._head_bytes += len(data)
@@ -107,7 +123,9 @@
             # of the first read belongs to the previous request.
             if self._reading_head and self._head_bytes > self._limits.max_head_bytes:
                 self._reject(431)
-        self._update_reading()
+        if self._uploads is not None:
+            self._uploads.deliver()
+        self.update_reading()
 
     def on_message_begin(self) -> None:
         """Start a new request."""
@@ -139,9 +157,15 @@
             self._expects_continue = True
         if lower not in server.stripped:
             self._block += name + b": " + value + b"\r\n"
+        elif lower == b"content-length":
+            if is_large_body(value):
+                self._has_large_body = True
+                self._declared_length = int(value)
+        elif lower == b"transfer-encoding":
+            self._has_large_body = True
 
     def on_headers_complete(self) -> None:
-        """Check size, Host header and target; answer ``Expect: 100-continue``."""
+        """Check size, Host header and target; begin an upload or permit the body."""
         self._reading_head = False
         self._head_since = None
         if self._head_size + len(self._target) > self._limits.max_head_bytes:
@@ -149,11 +173,16 @@
         if len(self._hosts) != 1 or not self._target.startswith(b"/"):
             # Without a unique Host header nodes could choose different routes.
             self._fail_parsing(400)
+        if self._has_large_body and self._begin_upload():
+            return
         if self._expects_continue and not self.pending:
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to its maximum size."""
+        if self._uploads is not None and self._uploads.current is not None:
+            self._uploads.current.on_bytes(body)
+            return
         self._body_size += len(body)
         if self._body_size > self._limits.max_body_bytes:
             self._fail_parsing(413)
@@ -162,20 +191,14 @@
     def on_message_complete(self) -> None:
         """Pass the completed request to the handler."""
         self._receiving = False
+        if self._uploads is not None and self._uploads.current is not None:
+            upload = self._uploads.end()
+            self._head_bytes = 0
+            self._drop_requests |= self._leaving or not upload.exchange.keep_alive
+            return
         if self._closing or self._drop_requests:
             return
-        exchange = Exchange(
-            self,
-            self._parser.get_method(),
-            self._target,
-            _strip_port(self._hosts[0]),
-            bytes(self._block),
-            b"".join(self._body),
-            self._request_id,
-            self._client_timeout,
-            self._parser.should_keep_alive() and not self._server.leaving,
-            tuple(self._keys),
-        )
+        exchange = self._make_exchange(b"".join(self._body))
         self._drop_requests = not exchange.keep_alive
         self._head_bytes = 0
         self._body = []
@@ -201,13 +224,37 @@
             self._last_active = self._server.clock.now()
             self._transport.write(b"".join(parts))
             if self._closing:
-                self._transport.close()
-            else:
-                self._update_reading()
+                self._close_after_response()
+                return
+            if pending and pending[0].upload is not None:
+                self._uploads.continue_upload(pending[0].upload)
+            self.update_reading()
+
+    def drop_requests(self) -> None:
+        """Drop further requests, as a response will close the connection."""
+        self._drop_requests = True
+
+    def update_reading(self) -> None:
+        """Pause or resume reading, by what is unanswered, unread or awaited."""
+        full = (
+            not self._writable
+            or len(self.pending) >= _MAX_PIPELINED
+            or (self._uploads is not None and self._uploads.is_paused)
+        )
+        if full == self._paused or self._closing or self._lost:
+            return
+        self._paused = full
+        if full:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
 
     def leave(self) -> None:
         """Close the connection once all requests received so far are answered."""
         self._leaving = True
+        if self._uploads is not None and self._uploads.current is not None:
+            # The body is still read; later requests are dropped from its end on.
+            return
         if self.pending:
             # Later requests would follow the response that closes the connection.
             self._drop_requests = True
@@ -248,9 +295,39 @@
         self._head_size = 0
         self._head_bytes = 0
         self._expects_continue = False
+        self._has_large_body = False
+        #: Content-Length of a large body; None if it is chunked.
+        self._declared_length: int | None = None
         self._reading_head = False
         self._error_status = 0
 
+    def _make_exchange(self, body: bytes) -> Exchange:
+        return Exchange(
+            self,
+            self._parser.get_method(),
+            self._target,
+            _strip_port(self._hosts[0]),
+            bytes(self._block),
+            body,
+            self._request_id,
+            self._client_timeout,
+            self._parser.should_keep_alive() and not self._server.leaving,
+            tuple(self._keys),
+        )
+
+    def _begin_upload(self) -> bool:
+        """Offer the request to the handler from its head; return whether it took it."""
+        server = self._server
+        if server.uploads is None or self._closing or self._drop_requests:
+            return False
+        if self._uploads is None:
+            self._uploads = UploadReceiver(self, server, self._transport)
+        return self._uploads.begin(
+            self._make_exchange(b""),
+            self._declared_length,
+            self._expects_continue and self._parser.get_http_version() != "1.0",
+        )
+
     def _fail_parsing(self, status: int) -> None:
         self._error_status = status
         raise ValueError(f"request rejected with status {status}")
@@ -262,6 +339,10 @@
         self._head_since = None
         self._drop_requests = True
         self._parser = None
+        if self._uploads is not None and self._uploads.refuse_malformed(
+            is_start_of_request=self._error_status != 0
+        ):
+            return
         exchange = Exchange(self, b"", b"", "", b"", b"", self._request_id, None, False)
         self.pending.append(exchange)
         names = self._server.names
@@ -270,14 +351,12 @@
             block = names.request_id + b": " + self._request_id + b"\r\n"
         exchange.respond(status, block)
 
-    def _update_reading(self) -> None:
-        full = not self._writable or len(self.pending) >= _MAX_PIPELINED
-        if full == self._paused or self._closing or self._lost:
-            return
-        self._paused = full
-        if full:
-            self._transport.pause_reading()
-        else:
+    def _close_after_response(self) -> None:
+        """Close the connection, after the rest of a refused body was discarded."""
+        if self._uploads is None or not self._uploads.start_drain():
+            self._transport.close()
+        elif self._paused:
+            self._paused = False
             self._transport.resume_reading()
 
 
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -0,0 +1,402 @@
+"""Tests of uploads at a client connection, with a fake transport."""
+
+import asyncio
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from rattanfork_core.clock import ManualClock
+from rattanfork_core.request import Reason
+from rattanfork_core.uploads import BodyBudget
+
+from rattanfork_node.http1 import (
+    Exchange,
+    HeaderNames,
+    HttpServer,
+    RequestHandler,
+    RequestLimits,
+    ServerConnection,
+    UploadResources,
+)
+from rattanfork_node.http1.tests.fakes import FakeTransport, request
+from rattanfork_node.relay.tests.fakes import on_loop
+
+BODY = b"x" * 20_000
+_STATUSES = {Reason.BODY_TIMEOUT: 408, Reason.BODY_INCOMPLETE: 400}
+
+
+class UploadHandler(RequestHandler):
+    """Takes uploads over from their heads; the test decides on them."""
+
+    def __init__(self) -> None:
+        self.heads: list[Exchange] = []
+        self.complete: list[Exchange] = []
+        self.requests: list[Exchange] = []
+        self.refused: list[Reason] = []
+        #: ``accept``, ``wait`` or ``refuse`` at the head; ``pass`` to leave it.
+        self.decision = "accept"
+        self.timeout = 5.0
+
+    def on_request(self, exchange: Exchange) -> None:
+        self.requests.append(exchange)
+
+    def on_head(self, exchange: Exchange) -> bool:
+        if self.decision == "pass":
+            return False
+        self.heads.append(exchange)
+        exchange.upload.on_refused = lambda reason: self.refuse(exchange, reason)
+        if self.decision == "accept":
+            self.accept(exchange)
+        elif self.decision == "refuse":
+            exchange.respond(503)
+        return True
+
+    def accept(self, exchange: Exchange) -> None:
+        exchange.upload.read(self.timeout, lambda: self.complete.append(exchange))
+
+    def refuse(self, exchange: Exchange, reason: Reason) -> None:
+        self.refused.append(reason)
+        exchange.respond(_STATUSES.get(reason, 503))
+
+
+class UploadClient:
+    """A client connection to a server that takes uploads."""
+
+    def __init__(self, capacity: int = 1 << 20, server: HttpServer | None = None):
+        self.handler = UploadHandler() if server is None else server.handler
+        self.clock = ManualClock(100.0)
+        self.events: Counter[str] = Counter()
+        self.budget = BodyBudget(capacity)
+        self.server = server or HttpServer(
+            self.clock,
+            HeaderNames(),
+            RequestLimits(),
+            self.handler,
+            UploadResources(self.budget, self.events),
+        )
+        self.transport = FakeTransport()
+        self.connection = ServerConnection(self.server)
+        self.connection.connection_made(self.transport)
+
+    def send(self, data: bytes) -> None:
+        self.connection.data_received(data)
+
+    @property
+    def statuses(self) -> list[int]:
+        lines = self.transport.written.split(b"\r\n")
+        return [int(line.split()[1]) for line in lines if line.startswith(b"HTTP/1.1")]
+
+
+def head(length: int | None = len(BODY), more: str = "", version: str = "1.1") -> bytes:
+    """Return the head of an upload; None as the length makes it chunked."""
+    framing = (
+        "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
+    )
+    return (
+        f"POST /u/ HTTP/{version}\r\nHost: h\r\nRattanfork-Request-Id: u1\r\n"
+        f"{framing}\r\n{more}\r\n"
+    ).encode()
+
+
+def chunked(body: bytes, size: int = 7_000) -> bytes:
+    parts = [body[i : i + size] for i in range(0, len(body), size)]
+    return b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in parts) + b"0\r\n\r\n"
+
+
+@on_loop
+async def test_accepted_body_is_read_whole():
+    for length, data in ((len(BODY), BODY), (None, chunked(BODY))):
+        client = UploadClient()
+        client.send(head(length) + data[:300])
+        assert client.handler.complete == []
+        client.send(data[300:])
+        assert [e.body for e in client.handler.complete] == [BODY]
+        client.handler.complete[0].respond(200)
+        assert client.statuses == [200]
+        assert not client.transport.closed
+        assert client.budget.held == 0
+
+
+@on_loop
+async def test_small_body_and_unclaimed_route_are_read_before_they_are_handled():
+    client = UploadClient()
+    client.send(head(16_384) + b"x" * 16_384)
+    client.handler.decision = "pass"
+    client.send(head() + BODY + request())
+    assert client.handler.heads == []
+    assert [len(e.body) for e in client.handler.requests] == [16_384, 20_000, 0]
+
+
+@on_loop
+async def test_reading_pauses_until_the_head_is_decided_on_and_there_is_room():
+    """Guards against bodies that fill the memory of the node while they wait."""
+    client = UploadClient(capacity=60_000)
+    client.handler.decision = "wait"
+    client.send(head())
+    assert not client.transport.reading
+    client.handler.accept(client.handler.heads[0])
+    assert client.transport.reading
+    other = UploadClient(server=client.server)
+    client.handler.decision = "accept"
+    other.send(head())
+    assert not other.transport.reading
+    client.send(BODY)
+    client.handler.complete[0].respond(200)
+    assert other.transport.reading
+
+
+@on_loop
+async def test_refused_upload_is_answered_at_once_and_the_rest_discarded():
+    """A client reads its response only after it has sent its whole body.
+
+    Closing with unread bytes would reset the connection and lose the response.
+    """
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(head() + BODY[:100])
+    assert client.statuses == [503]
+    assert b"Connection: close" in client.transport.written
+    assert not client.transport.closed
+    assert client.transport.reading
+    client.send(BODY[100:])
+    assert client.transport.closed
+    assert client.events["upload.drained"] == 1
+
+
+@on_loop
+async def test_request_after_refused_upload_is_not_handled():
+    """The client assumes that requests after the close were not processed."""
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(head() + BODY + request() + head() + BODY)
+    assert client.statuses == [503]
+    assert client.handler.requests == []
+    assert len(client.handler.heads) == 1
+    assert client.transport.closed
+
+
+@on_loop
+async def test_rest_of_refused_body_is_read_for_at_most_a_megabyte():
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(head(9_000_000))
+    for _ in range(3):
+        client.send(b"x" * 300_000)
+    assert not client.transport.closed
+    client.send(b"x" * 300_000)
+    assert client.transport.closed
+    assert client.events["upload.drain-cut"] == 1
+
+
+@on_loop
+async def test_rest_of_refused_body_is_read_for_at_most_a_second():
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(head())
+    await asyncio.sleep(0.8)
+    assert not client.transport.closed
+    await asyncio.sleep(0.3)
+    assert client.transport.closed
+
+
+@on_loop
+async def test_continue_is_sent_only_when_the_body_may_be_read():
+    client = UploadClient()
+    client.handler.decision = "wait"
+    client.send(head(more="Expect: 100-continue\r\n"))
+    assert client.transport.written == b""
+    client.handler.accept(client.handler.heads[0])
+    assert client.statuses == [100]
+    client.send(BODY)
+    client.handler.complete[0].respond(200)
+    assert client.statuses == [100, 200]
+
+
+@on_loop
+async def test_refused_upload_gets_no_continue():
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(head(more="Expect: 100-continue\r\n"))
+    assert client.statuses == [503]
+
+
+@on_loop
+async def test_continue_waits_for_earlier_responses():
+    """Guards against a 100 that the client takes for an earlier request's."""
+    client = UploadClient()
+    client.send(request() + head(more="Expect: 100-continue\r\n"))
+    assert client.transport.written == b""
+    client.handler.requests[0].respond(200)
+    assert client.statuses == [200, 100]
+
+
+@on_loop
+async def test_client_of_http_1_0_gets_no_continue():
+    client = UploadClient()
+    client.send(head(more="Expect: 100-continue\r\n", version="1.0"))
+    assert client.transport.written == b""
+
+
+@on_loop
+async def test_trickling_body_gets_408_and_waiting_one_503():
+    client = UploadClient(capacity=60_000)
+    client.handler.timeout = 0.2
+    client.send(head() + b"x")
+    client.handler.timeout = 0.05
+    waiting = UploadClient(server=client.server)
+    waiting.send(head())
+    await asyncio.sleep(0.1)
+    assert (client.statuses, waiting.statuses) == ([], [503])
+    await asyncio.sleep(0.2)
+    assert client.statuses == [408]
+    assert client.budget.held == 0
+    assert client.handler.complete == []
+
+
+@on_loop
+async def test_truncated_body_is_never_complete():
+    client = UploadClient()
+    client.send(head() + BODY[:-1])
+    client.connection.eof_received()
+    client.connection.connection_lost(None)
+    assert client.handler.complete == []
+    assert client.statuses == [400]
+    reset = UploadClient()
+    reset.send(head() + BODY[:-1])
+    reset.connection.connection_lost(ConnectionResetError())
+    assert reset.handler.complete == []
+    assert reset.events["upload.disconnected"] == 1
+    assert (client.budget.held, reset.budget.held) == (0, 0)
+
+
+@on_loop
+async def test_body_longer_than_declared_is_refused():
+    """Guards against running a request whose framing is broken."""
+    client = UploadClient()
+    client.send(head() + BODY + b"xx")
+    assert client.handler.complete == []
+    assert client.statuses == [400]
+    assert b"Connection: close" in client.transport.written
+
+
+@on_loop
+async def test_malformed_request_after_an_upload_does_not_refuse_it():
+    client = UploadClient()
+    client.send(head() + BODY + b"GET / HTTP/1.1\r\n\r\n")
+    client.handler.complete[0].respond(200)
+    assert client.statuses == [200, 400]
+
+
+@pytest.mark.parametrize("chunk", [b"zz\r\n", b"3\r\nabcd\r\n", b"-1\r\n"])
+def test_malformed_chunk_is_refused_and_the_connection_closed(chunk):
+    async def run() -> None:
+        client = UploadClient()
+        client.send(head(None) + b"1\r\nx\r\n" + chunk)
+        assert client.handler.complete == []
+        assert client.statuses == [400]
+        client.send(b"x" * 2_000_000)
+        assert client.transport.closed
+
+    asyncio.run(run())
+
+
+@on_loop
+async def test_chunked_body_over_the_limit_gets_refused():
+    client = UploadClient(capacity=100_000)
+    client.send(head(None))
+    client.send(b"ffff\r\n" + b"x" * 0xFFFF)
+    assert client.handler.refused == [Reason.TOO_LARGE]
+    assert client.budget.held == 0
+
+
+@on_loop
+async def test_pipelined_requests_around_an_upload_keep_their_order():
+    client = UploadClient()
+    client.send(request(request_id="a") + head() + BODY + request(request_id="b"))
+    first, last = client.handler.requests
+    last.respond(200, body=b"last")
+    client.handler.complete[0].respond(200, body=b"upload")
+    first.respond(200, body=b"first")
+    written = client.transport.written
+    places = [written.index(text) for text in (b"first", b"upload", b"last")]
+    assert places == sorted(places)
+    assert not client.transport.closed
+
+
+@on_loop
+async def test_refusal_behind_a_pending_response_waits_for_its_turn():
+    """The rest of the body is read only once the refusal has been written."""
+    client = UploadClient()
+    client.handler.decision = "refuse"
+    client.send(request() + head() + BODY[:100])
+    assert client.transport.written == b""
+    assert not client.transport.reading
+    client.handler.requests[0].respond(200)
+    assert client.statuses == [200, 503]
+    assert client.transport.reading
+    client.send(BODY[100:])
+    assert client.transport.closed
+
+
+@on_loop
+async def test_refusal_after_the_whole_body_keeps_the_connection():
+    """Guards against losing a pipelined request that was handled already."""
+    client = UploadClient()
+    client.handler.decision = "wait"
+    client.send(head() + BODY + request())
+    client.handler.heads[0].respond(503)
+    client.handler.requests[0].respond(200)
+    assert client.statuses == [503, 200]
+    assert not client.transport.closed
+
+
+@on_loop
+async def test_draining_server_reads_an_accepted_body_to_its_end():
+    client = UploadClient()
+    client.send(request() + head() + BODY[:100])
+    client.server.leave()
+    client.handler.requests[0].respond(200)
+    assert not client.transport.closed
+    client.send(BODY[100:] + request(request_id="dropped"))
+    client.handler.complete[0].respond(200)
+    assert client.statuses == [200, 200]
+    assert len(client.handler.requests) == 1
+    assert client.transport.closed
+
+
+@on_loop
+async def test_disconnect_during_the_body_is_reported_once():
+    client = UploadClient()
+    client.send(head() + BODY[:100])
+    disconnects = []
+    client.handler.heads[0].on_disconnect = lambda: disconnects.append(True)
+    client.connection.connection_lost(None)
+    assert disconnects == [True]
+    assert client.budget.held == 0
+
+
+@given(
+    st.lists(st.integers(1, 9_000), max_size=40),
+    st.lists(st.sampled_from(("length", "chunked", "small")), min_size=1, max_size=4),
+)
+def test_uploads_are_parsed_the_same_however_the_stream_is_split(cuts, kinds):
+    async def run() -> None:
+        client = UploadClient(capacity=8 << 20)
+        parts = {
+            "length": head() + BODY,
+            "chunked": head(None) + chunked(BODY),
+            "small": request(),
+        }
+        stream = b"".join(parts[kind] for kind in kinds)
+        for cut in cuts:
+            client.send(stream[:cut])
+            stream = stream[cut:]
+        client.send(stream)
+        for exchange in client.handler.complete + client.handler.requests:
+            exchange.respond(200)
+        assert client.statuses == [200] * len(kinds)
+        assert all(e.body == BODY for e in client.handler.complete)
+        assert client.budget.held == 0
+
+    asyncio.run(run())
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/relay/body_bound.py
@@ -0,0 +1,47 @@
+"""Route path: bound on the bodies of uploads that a gate holds."""
+
+
+class BodyBound:
+    """Bounds the bytes of the bodies of uploads that wait or run at a gate.
+
+    Explanation
+    ===========
+
+    Bodies come from all nodes, so that the budget of each sender bounds nothing here.
+
+    Parameters
+    ==========
+
+    capacity : int
+        Maximum number of bytes.
+
+    Examples
+    ========
+
+    >>> bound = BodyBound(100)
+    >>> bound.take(80), bound.take(30), bound.held
+    (True, False, 80)
+    >>> bound.release(80)
+    >>> bound.take(30)
+    True
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Bytes that are held."""
+        return self._held
+
+    def take(self, size: int) -> bool:
+        """Hold a body of a size in bytes; return whether it fits."""
+        if self._held + size > self._capacity:
+            return False
+        self._held += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Release a body of a size in bytes."""
+        self._held -= size
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -72,18 +72,24 @@
         reason: Reason,
         retry_after: float = 0.0,
         is_call: bool = False,
+        is_loss: bool = True,
         **inputs: object,
     ) -> None:
         """Record a request that was refused here before any attempt."""
         route = inputs.get("route")
-        if route is not None and not is_call:
+        is_loss = is_loss and not is_call
+        if route is not None and is_loss:
             self._objectives.add(route, good=False)
-        if not is_call:
+        if is_loss:
             self._counters.losses[str(route or "-"), reason.label] += 1
         request_id = exchange.request_id
         if self._log.should_log(request_id, plain=False):
             fields = {
-                "fingerprint": format_fingerprint(exchange.fingerprint),
+                "fingerprint": (
+                    ""
+                    if exchange.is_body_pending
+                    else format_fingerprint(exchange.fingerprint)
+                ),
                 "outcome": Outcome.NOT_RUN.label,
                 "reason": reason.label,
                 "status": status,
@@ -95,6 +101,8 @@
                 **self._versions(),
                 **inputs,
             }
+            if exchange.upload is not None:
+                fields["upload"] = exchange.upload.log_fields
             self._log.write("request", request_id, fields)
 
     def on_finished(
@@ -142,6 +150,8 @@
                 for a in attempts
             ],
         }
+        if exchange.upload is not None:
+            fields["upload"] = exchange.upload.log_fields
         self._log.write("request", exchange.request_id, fields)
 
     def on_run(
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -57,6 +57,9 @@
         Reason.STALE_INSTANCE,
     )
 )
+#: Reasons by which an upstream refuses a request that it has received.  An upload is
+#: not sent again then: a byte of it may have reached an upstream.
+_UPSTREAM_REFUSAL_REASONS = frozenset((Reason.UPSTREAM_SHED, Reason.STALE_INSTANCE))
 #: Reasons that count as a failure of the instance in load balancing.
 _INSTANCE_FAILURE_REASONS = frozenset(
     (
@@ -165,6 +168,11 @@
 
     def _may_retry(self) -> bool:
         admitted = self._admitted
+        if (
+            self._exchange.upload is not None
+            and self._last_reason in _UPSTREAM_REFUSAL_REASONS
+        ):
+            return False
         if self._last_reason is Reason.CONNECTION and not self._may_retry_lost_run():
             return False
         if self._last_reason is Reason.TOO_LATE:
@@ -248,6 +256,7 @@
             attempt,
             lambda result: self._on_result(attempt, result),
             account=exchange.account_name,
+            is_upload=exchange.upload is not None,
         )
         self._relay.gate.submit(self._job)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -18,6 +18,7 @@
 )
 from rattanfork_core.quarantine import Quarantine, SuspectTracker
 from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_core.uploads.body_budget import MAX_BUDGET_BYTES
 
 from rattanfork_node.http1 import (
     HeaderNames,
@@ -27,6 +28,7 @@
     render_head,
 )
 from rattanfork_node.relay.advertised_state import AdvertisedState
+from rattanfork_node.relay.body_bound import BodyBound
 from rattanfork_node.relay.crash_detector import CrashDetector
 from rattanfork_node.relay.decision_log import DecisionLog
 from rattanfork_node.relay.gate_results import (
@@ -101,6 +103,8 @@
         Retry budget of this gate.
     quarantine : Quarantine
         Fingerprints of requests that no upstream may run.
+    upload_bytes : int
+        Maximum bytes of the bodies of uploads that wait or run here.
     """
 
     def __init__(
@@ -112,8 +116,10 @@
         decision_log: DecisionLog,
         grants: GateRetryBudget,
         quarantine: Quarantine,
+        upload_bytes: int = MAX_BUDGET_BYTES,
     ) -> None:
         self._clock = clock
+        self._upload_bodies = BodyBound(upload_bytes)
         self.grants = grants
         self._quarantine = quarantine
         self._decision_log = decision_log
@@ -197,6 +203,11 @@
         """Rate limit that the upstream advertises, per second; None without one."""
         return self._admission.rate_limit.value
 
+    @property
+    def upload_bytes(self) -> int:
+        """Bytes of the bodies of uploads that wait or run."""
+        return self._upload_bodies.held
+
     @property
     def waiting(self) -> int:
         """Number of requests in the queue."""
@@ -252,6 +263,11 @@
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
+        if job.is_upload and not self._hold_body(job):
+            # The reason is one that nodes of earlier builds know, too.
+            self._counters.events["gate.upload-bytes"] += 1
+            self._refuse(job, Reason.SHED)
+            return
         if not self._admit_arrival(job):
             self._refuse(job, Reason.NO_REPEAT)
             return
@@ -463,8 +479,18 @@
             self.grants.refund()
         self._finish(job, not_run(reason))
 
+    def _hold_body(self, job: Job) -> bool:
+        """Count the body of an upload; return whether it is within the bound."""
+        if not self._upload_bodies.take(len(job.body)):
+            return False
+        job.body_bytes_held = len(job.body)
+        return True
+
     def _finish(self, job: Job, result: CallResult) -> None:
         job.ended = True
+        if job.body_bytes_held:
+            self._upload_bodies.release(job.body_bytes_held)
+            job.body_bytes_held = 0
         upstream = self._upstream.name if self._upstream is not None else ""
         self._decision_log.on_run(job, result, self._admission, upstream)
         job.done(result)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -66,6 +66,10 @@
     origin: str = ""
     #: Name of the client account that sent it; "" without one.
     account: str = ""
+    #: Whether it is an upload, whose body counts against the gate's bound.
+    is_upload: bool = False
+    #: Bytes of the gate's bound on bodies that it holds.
+    body_bytes_held: int = 0
     waiter: Waiter | None = None
     connection: UpstreamConnection | None = None
     #: Incarnation of the upstream that it was sent to, as the gate numbers them.
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -7,6 +7,7 @@
 from rattanfork_core.request import CallResult, Reason
 from rattanfork_core.request.importance import RANK_LIMIT
 from rattanfork_core.revision import RevisionState
+from rattanfork_core.uploads import LARGE_BODY_BYTES
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.peer import (
@@ -85,6 +86,7 @@
             lambda: call_log.hand_over(run.number),
             link.peer,
             run.account,
+            self._is_upload(run),
         )
         link.calls[run.number] = job
         if run.upstream:
@@ -92,6 +94,15 @@
             self._gate.advertised.on_report(report, link.peer)
         self._gate.submit(job)
 
+    def _is_upload(self, run: Run) -> bool:
+        """Return whether a run is one whose body counts against the gate's bound."""
+        configuration = self._configuration.current
+        return (
+            len(run.body) > LARGE_BODY_BYTES
+            and configuration is not None
+            and run.route.rpartition("/")[0] in configuration.upload_routes
+        )
+
     def on_cancel(self, link: PeerLink, number: int) -> None:
         """Cancel a run."""
         job = link.calls.get(number)
--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -17,6 +17,10 @@
 #: Status of a request that did not run and will not run.
 NOT_RUN_STATUS = 503
 _NO_ROUTE_STATUS = 404
+#: Statuses after which a client may send the same request again.
+_RETRYABLE_STATUSES = frozenset((429, NOT_RUN_STATUS))
+#: In the log, the status of a request whose client got no response.
+_NO_STATUS = 0
 
 
 class RefusalResponder:
@@ -48,13 +52,28 @@
         self._accounts = accounts
 
     def refuse(
-        self, exchange: Exchange, reason: Reason, retry_after: float, **inputs: object
+        self,
+        exchange: Exchange,
+        reason: Reason,
+        retry_after: float,
+        status: int = NOT_RUN_STATUS,
+        **inputs: object,
     ) -> None:
         """Refuse a request before any attempt; ``inputs`` go to the log."""
+        self._decision_log.on_refused(exchange, status, reason, retry_after, **inputs)
+        self.respond_not_run(exchange, reason, retry_after, status)
+
+    def record_abandoned(self, exchange: Exchange, route: Route, is_call: bool) -> None:
+        """Record an upload whose client disconnected before its body was complete."""
+        self._accounts.refund_quota(exchange)
         self._decision_log.on_refused(
-            exchange, NOT_RUN_STATUS, reason, retry_after, **inputs
+            exchange,
+            _NO_STATUS,
+            Reason.CANCELLED,
+            is_call=is_call,
+            is_loss=False,
+            route=route.name,
         )
-        self.respond_not_run(exchange, reason, retry_after)
 
     def refuse_without_route(self, exchange: Exchange) -> None:
         """Refuse a request that matches no route."""
@@ -88,10 +107,12 @@
         retry_after: float,
         status: int = NOT_RUN_STATUS,
     ) -> None:
-        """Respond that a request has not run, with a Retry-After header."""
+        """Respond that a request has not run, with Retry-After if it may be retried."""
         self._counters.events[f"relay.refused.{reason.label}"] += 1
         self._accounts.refund_quota(exchange)
-        line = b"Retry-After: %.2f\r\n" % retry_after
+        line = b""
+        if status in _RETRYABLE_STATUSES:
+            line = b"Retry-After: %.2f\r\n" % retry_after
         exchange.respond(status, self.request_id_line(exchange) + line)
 
     def request_id_line(self, exchange: Exchange) -> bytes:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Coroutine
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -36,6 +37,7 @@
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted_request import AdmittedRequest, AttemptRecord
 from rattanfork_node.relay.client_accounts import ClientAccounts
+from rattanfork_node.relay.deadlines import deadline_of
 from rattanfork_node.relay.decision_log import DecisionLog
 from rattanfork_node.relay.drain_policy import DrainPolicy
 from rattanfork_node.relay.forwarding import Forwarding
@@ -44,14 +46,12 @@
 from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
 from rattanfork_node.relay.request_rank import rank_of_request
 from rattanfork_node.relay.settings import RelaySettings
+from rattanfork_node.relay.uploads import UploadReader
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
     from rattanfork_node.relay.rule_decisions import RuleDecision, RuleEvaluator
 
-#: Time before the caller's deadline at which a request is given up, so that the
-#: response still reaches the caller in time.
-_RESPONSE_MARGIN_S = 0.015
 #: Retry-After of a node that has no configuration yet; it reads one within about a
 #: second of its start.
 _NOT_READY_RETRY_S = 0.3
@@ -149,6 +149,16 @@
         self._refusals = RefusalResponder(names, counters, decision_log, accounts)
         accounts.accept = self._route_request
         accounts.refuse = self._refusals.refuse_account
+        self._uploads = UploadReader(
+            clock,
+            configuration,
+            rules,
+            gate,
+            quarantine,
+            accounts,
+            self._refusals,
+            settings.retry_after,
+        )
         self._random = random
         self._settings = settings
         self._configuration = configuration
@@ -179,10 +189,18 @@
         else:
             self._accounts.admit(exchange, route, accounts)
 
+    def on_head(self, exchange: Exchange) -> bool:
+        """Take over a request on a route of uploads from its head."""
+        return self._uploads.on_head(exchange)
+
     def _route_request(self, exchange: Exchange, route: Route) -> None:
         """Route a request after authentication."""
         parent = self.gate.parent_of(exchange.request_id)
-        if self.quarantine.active and self.quarantine.contains(exchange.fingerprint):
+        if (
+            self.quarantine.active
+            and exchange.upload is None
+            and self.quarantine.contains(exchange.fingerprint)
+        ):
             self._refusals.refuse(
                 exchange,
                 Reason.QUARANTINED,
@@ -204,18 +222,33 @@
                 route=route.name,
             )
         elif parent is not None:
-            rank = rank_of_call(parent.rank, parent.succeeded_calls)
-            blocked = self._shedding_instances(picker, route, service, rank)
-            self._forward(
-                exchange, route, service, rank, parent, picker, blocked or _NO_INSTANCES
-            )
+            self._admit_call(exchange, route, service, parent, picker)
         else:
             self._admit_caller_request(exchange, route, service, picker)
 
+    def _admit_call(
+        self,
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        parent: Job,
+        picker: InstancePicker,
+    ) -> None:
+        """Forward a call of a run, once its body is there."""
+        if exchange.is_body_pending:
+            resume = partial(self._admit_call, exchange, route, service, parent, picker)
+            self._uploads.read(exchange, route, parent, resume)
+            return
+        rank = rank_of_call(parent.rank, parent.succeeded_calls)
+        blocked = self._shedding_instances(picker, route, service, rank)
+        self._forward(
+            exchange, route, service, rank, parent, picker, blocked or _NO_INSTANCES
+        )
+
     def _admit_caller_request(
         self, exchange: Exchange, route: Route, service: str, picker: InstancePicker
     ) -> None:
-        """Apply rules and load shedding to a caller's request; forward or refuse it."""
+        """Apply the rules to a caller's request; refuse it or check the load."""
         outside = _NO_INSTANCES
         rule = ""
         rule_sets_importance = False
@@ -231,6 +264,23 @@
                 return
             if decision.data_centre is not None:
                 outside = picker.instances_outside(decision.data_centre)
+        rank = rank_of_request(exchange, route, rule_sets_importance)
+        self._admit_by_load(exchange, route, service, rank, picker, outside, rule)
+
+    def _admit_by_load(
+        self,
+        exchange: Exchange,
+        route: Route,
+        service: str,
+        rank: float,
+        picker: InstancePicker,
+        outside: frozenset[str],
+        rule: str,
+    ) -> None:
+        """Apply draining and load shedding; forward or refuse a caller's request.
+
+        For an upload this is done twice: from its head, and once the body is there.
+        """
         if self._drain_policy is not None and not self._drain_policy.accepts(
             route, picker
         ):
@@ -239,7 +289,6 @@
                 exchange, Reason.LEAVING, retry_after, route=route.name
             )
             return
-        rank = rank_of_request(exchange, route, rule_sets_importance)
         operation = self.operation(route, service)
         blocked = None
         if rank < self._chain_thresholds.threshold(operation, service):
@@ -255,6 +304,11 @@
                 chain=self._chain_thresholds.thresholds_by_service(operation, service),
             )
             return
+        if exchange.is_body_pending:
+            inputs = (exchange, route, service, rank, picker, outside, rule)
+            resume = partial(self._admit_by_load, *inputs)
+            self._uploads.read(exchange, route, None, resume)
+            return
         self._forward(
             exchange, route, service, rank, None, picker, blocked, outside, rule
         )
@@ -355,15 +409,10 @@
         ruled_out: frozenset[str] = _NO_INSTANCES,
         rule: str = "",
     ) -> None:
-        now = self.clock.now()
-        began = now - exchange.account_delay
-        deadline = began + route.timeout - _RESPONSE_MARGIN_S
-        if exchange.client_timeout is not None:
-            deadline = min(
-                deadline, began + exchange.client_timeout - _RESPONSE_MARGIN_S
-            )
-        if parent is not None:
-            deadline = min(deadline, parent.deadline)
+        began = self.clock.now() - exchange.account_delay
+        if exchange.upload is not None:
+            began = exchange.upload.began_at
+        deadline = deadline_of(exchange, route, parent, began)
         admitted = AdmittedRequest(
             route,
             service,
