--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -104,7 +104,7 @@
 class GateHarness:
     """A gate whose upstream is played by the test."""
 
-    def __init__(self, slots: int = 1) -> None:
+    def __init__(self, slots: int = 1, upload_bytes: int = 1 << 20) -> None:
         self.clock = ManualClock(100.0)
         self.log = FakeLog(self.clock)
         holder, rules = ConfigurationHolder(lambda _: None), RevisionState()
@@ -119,6 +119,7 @@
             decision_log,
             self.grants,
             self.quarantine,
+            upload_bytes,
         )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
