--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -89,7 +89,7 @@
         pending = self._connection.pending
         pending.append(exchange)
         if self._server.handler.on_head(exchange):
-            self._server.uploads.events["upload.offered"] += 1
+            self._server.uploads.events["upload.requests"] += 1
             return True
         pending.remove(exchange)
         self.current = None
