--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -58,6 +58,8 @@
         self._writable = True
         #: Receives large bodies; None before the first one.
         self._uploads: UploadReceiver | None = None
+        #: Content-Length of the last large body; None if it was chunked.
+        self._declared_length: int | None = None
         self._last_active = server.clock.now()
         self._head_since: float | None = None
         self._reset_request()
@@ -165,6 +167,7 @@
                 self._declared_length = int(value)
         elif lower == b"transfer-encoding":
             self._has_large_body = True
+            self._declared_length = None
 
     def on_headers_complete(self) -> None:
         """Check size, Host header and target; begin an upload or permit the body."""
@@ -298,8 +301,6 @@
         self._head_bytes = 0
         self._expects_continue = False
         self._has_large_body = False
-        #: Content-Length of a large body; None if it is chunked.
-        self._declared_length: int | None = None
         self._reading_head = False
         self._error_status = 0
 
