--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -288,6 +288,15 @@
     assert client.statuses == [200, 400]
 
 
+@on_loop
+async def test_oversized_head_after_an_upload_does_not_refuse_it():
+    client = UploadClient()
+    client.send(head() + BODY + b"GET / HTTP/1.1\r\nHost: h\r\nX: ")
+    client.send(b"a" * 17_000)
+    client.handler.complete[0].respond(200)
+    assert client.statuses == [200, 431]
+
+
 @pytest.mark.parametrize("chunk", [b"zz\r\n", b"3\r\nabcd\r\n", b"-1\r\n"])
 def test_malformed_chunk_is_refused_and_the_connection_closed(chunk):
     async def run() -> None:
