--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -89,8 +89,14 @@
     QUOTA_UNKNOWN = 30
     #: The rate limit that the upstream advertises is exhausted.
     UPSTREAM_LIMIT = 31
+    #: There was no room for the body of the upload in time.
+    NO_BODY_ROOM = 32
+    #: The body of the upload was not received in time.
+    BODY_TIMEOUT = 33
+    #: The body of the upload ended early, was malformed or longer than declared.
+    BODY_INCOMPLETE = 34
     #: Nearly all recent requests of the operation failed at a downstream service.
-    CIRCUIT_OPEN = 32
+    CIRCUIT_OPEN = 35
 
     @property
     def label(self) -> str:
--- /dev/null
+++ b/packages/rattanfork-core/rattanfork_core/uploads/body_budget.py
@@ -0,0 +1,282 @@
+"""Budget of memory for the bodies of uploads at one node."""
+
+from collections import deque
+from collections.abc import Callable
+
+#: Largest budget, in bytes.
+MAX_BUDGET_BYTES = 32 << 20
+#: Part of a node's memory limit that the budget may take: 1 / ``_MEMORY_DIVISOR``.
+_MEMORY_DIVISOR = 4
+#: Part of the budget for the bodies that are read: 1 / ``_SHARE_DIVISOR``.  The rest
+#: holds the bytes that arrive together with the heads of uploads that still wait; they
+#: have left the socket before reading can be paused.
+_SHARE_DIVISOR = 4
+#: Part of the budget that a body over the share may take: 1 / ``_MAX_BODY_DIVISOR``.
+#: One such body is read at a time, beside the others.
+_MAX_BODY_DIVISOR = 2
+
+
+def body_budget_bytes(memory_bytes: int | None) -> int:
+    """Return the budget of a node, in bytes.
+
+    Parameters
+    ==========
+
+    memory_bytes : int or None
+        Memory limit of the node, in bytes; None if it is unknown.
+
+    Examples
+    ========
+
+    >>> body_budget_bytes(None) == body_budget_bytes(200_000_000) == 32 << 20
+    True
+    >>> body_budget_bytes(40_000_000)
+    10000000
+    """
+    if memory_bytes is None:
+        return MAX_BUDGET_BYTES
+    return min(MAX_BUDGET_BYTES, memory_bytes // _MEMORY_DIVISOR)
+
+
+class Reservation:
+    """Bytes of a budget that belong to one upload.
+
+    Parameters
+    ==========
+
+    budget : BodyBudget
+        The budget that they are taken from.
+    """
+
+    __slots__ = (
+        "_budget",
+        "_on_granted",
+        "early",
+        "granted",
+        "is_large",
+        "released",
+        "share",
+        "size",
+    )
+
+    def __init__(self, budget: "BodyBudget") -> None:
+        self._budget = budget
+        self._on_granted: Callable[[], None] | None = None
+        #: Bytes received before the grant.
+        self.early = 0
+        #: Reserved bytes, or those requested while not granted.
+        self.size = 0
+        #: Bytes that count against the share of the bodies that are read; 0 for a
+        #: body that is larger than the share.
+        self.share = 0
+        #: Whether the body is larger than the share.
+        self.is_large = False
+        self.granted = False
+        self.released = False
+
+    def charge_early(self, count: int) -> bool:
+        """Charge bytes received before the grant; return whether they fit."""
+        return self._budget._charge_early(self, count)
+
+    def request(self, size: int, on_granted: Callable[[], None]) -> None:
+        """Request room for a body; granted at once or later, in order of requests.
+
+        Parameters
+        ==========
+
+        size : int
+            Expected size of the body, in bytes.
+        on_granted : callable
+            Called once there is room, unless the reservation is released before.
+        """
+        self.size = size
+        self._on_granted = on_granted
+        self._budget._enqueue(self)
+
+    def grow(self, size: int) -> bool:
+        """Increase a granted reservation to a size; return whether there is room."""
+        return self._budget._grow(self, size)
+
+    def shrink(self, size: int) -> None:
+        """Reduce a granted reservation to the actual size of the body."""
+        if self.granted and not self.released and size < self.size:
+            self._budget._shrink(self, size)
+
+    def release(self) -> None:
+        """Return all bytes to the budget; later calls have no effect."""
+        if not self.released:
+            self.released = True
+            self._budget._release(self)
+
+    def grant(self) -> None:
+        """Record the grant and report it to the holder."""
+        self.granted = True
+        on_granted, self._on_granted = self._on_granted, None
+        on_granted()
+
+
+class BodyBudget:
+    """Bounds the memory that the bodies of uploads take at one node.
+
+    Explanation
+    ===========
+
+    A body of known length is read only once its whole length is reserved, so every
+    body whose reading has begun can be completed: with partial reservations, many
+    uploads could each hold a part while none of them gets the rest.  Requests for
+    room are granted in their order, as a large body would otherwise wait for as long
+    as smaller ones arrive.  The bodies that are read share a quarter of the budget.
+    A larger one is read beside them, one at a time, so that a slow one doesn't stop
+    the others.
+
+    Parameters
+    ==========
+
+    capacity : int
+        Size of the budget, in bytes.
+
+    Examples
+    ========
+
+    >>> budget = BodyBudget(400)
+    >>> first, second = budget.open(), budget.open()
+    >>> first.request(80, lambda: print("first may be read"))
+    first may be read
+    >>> second.request(30, lambda: print("second may be read"))
+    >>> budget.held, budget.waiting
+    (80, 1)
+    >>> first.release()
+    second may be read
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._reserved = 0
+        self._early = 0
+        self._peak = 0
+        #: Part of ``_reserved`` that counts against the share.
+        self._shared = 0
+        self._reads_large = False
+        self._queue: deque[Reservation] = deque()
+        self._large_queue: deque[Reservation] = deque()
+        self._is_granting = False
+
+    @property
+    def capacity(self) -> int:
+        """Size of the budget, in bytes."""
+        return self._capacity
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Size of the largest body that is ever granted, in bytes."""
+        return self._capacity // _MAX_BODY_DIVISOR
+
+    @property
+    def share(self) -> int:
+        """Bytes for the bodies that are read at the same time."""
+        return self._capacity // _SHARE_DIVISOR
+
+    @property
+    def held(self) -> int:
+        """Bytes that are reserved or were received before their grant."""
+        return self._reserved + self._early
+
+    @property
+    def peak(self) -> int:
+        """Largest value of :attr:`held` so far."""
+        return self._peak
+
+    @property
+    def waiting(self) -> int:
+        """Number of uploads that wait for room."""
+        waiting = (*self._queue, *self._large_queue)
+        return sum(not reservation.released for reservation in waiting)
+
+    def open(self) -> Reservation:
+        """Return an empty reservation."""
+        return Reservation(self)
+
+    def _charge_early(self, reservation: Reservation, count: int) -> bool:
+        # With a bound of their own, early bytes never take the room of the bodies that
+        # are next: their uploads would wait for these, and these for them.
+        early_limit = self._capacity - self.share
+        if self._early + count > early_limit or self.held + count > self._capacity:
+            return False
+        reservation.early += count
+        self._early += count
+        self._record_peak()
+        return True
+
+    def _enqueue(self, reservation: Reservation) -> None:
+        reservation.is_large = reservation.size > self.share
+        queue = self._large_queue if reservation.is_large else self._queue
+        queue.append(reservation)
+        self._grant_next()
+
+    def _grow(self, reservation: Reservation, size: int) -> bool:
+        if self.held + size - reservation.size > self._capacity:
+            return False
+        self._reserved += size - reservation.size
+        reservation.size = size
+        self._record_peak()
+        return True
+
+    def _shrink(self, reservation: Reservation, size: int) -> None:
+        self._reserved -= reservation.size - size
+        reservation.size = size
+        if reservation.share > size:
+            self._shared -= reservation.share - size
+            reservation.share = size
+        self._grant_next()
+
+    def _release(self, reservation: Reservation) -> None:
+        if reservation.granted:
+            if reservation.is_large:
+                self._reads_large = False
+            self._reserved -= reservation.size
+            self._shared -= reservation.share
+        self._early -= reservation.early
+        reservation.early = 0
+        self._grant_next()
+
+    def _grant_next(self) -> None:
+        """Grant waiting requests in order, as far as there is room."""
+        if self._is_granting:
+            # A holder released or requested room in reaction to its grant; the loop
+            # that called it continues with the new state.
+            return
+        self._is_granting = True
+        try:
+            while (reservation := self._take_next()) is not None:
+                if reservation.is_large:
+                    self._reads_large = True
+                else:
+                    reservation.share = reservation.size
+                    self._shared += reservation.size
+                self._reserved += reservation.size
+                self._early -= reservation.early
+                reservation.early = 0
+                self._record_peak()
+                reservation.grant()
+        finally:
+            self._is_granting = False
+
+    def _take_next(self) -> Reservation | None:
+        """Remove the waiting reservation to grant next; None if none fits."""
+        for queue in (self._queue, self._large_queue):
+            while queue and queue[0].released:
+                queue.popleft()
+            if queue and self._has_room(queue[0]):
+                return queue.popleft()
+        return None
+
+    def _has_room(self, reservation: Reservation) -> bool:
+        size = reservation.size
+        if self.held + size - reservation.early > self._capacity:
+            return False
+        if reservation.is_large:
+            return not self._reads_large
+        return self._shared + size <= self.share
+
+    def _record_peak(self) -> None:
+        self._peak = max(self._peak, self.held)
