Count new upstream connections by cause

Cause: 34,694 new connections to four services in 38 s, and nothing shows why they were opened.

Change: the pool counts each new connection as connections.new.<cause> in the events, which the counted lines and the metrics page already carry. A connection that is opened because none is idle is attributed to the most recent close that has not been replaced; without one, the pool has grown. Connection attempts that fail are counted as connections.failed.

An aborted connection leaves the pool at once instead of with the transport's report.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 50
 FIRST ?= 0
 .PHONY: demo test bench speed starts shared matrix slopes confirmations reports accounts \
-    soak lint format fuzz clean
+    connections soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -69,5 +69,8 @@
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
+connections: $(READY)
+	$(BIN)/python bench/connections.py
+
 clean:
 	rm -rf $(VENV)
--- a/packages/rattanfork-core/rattanfork_core/connections/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -1,5 +1,6 @@
 """Reuse of keep-alive connections between a node and its upstream."""
 
+from rattanfork_core.connections.causes import NewConnectionCause, ReplacementCauses
 from rattanfork_core.connections.idle_limit import IdleLimit
 
-__all__ = ["IdleLimit"]
+__all__ = ["IdleLimit", "NewConnectionCause", "ReplacementCauses"]
--- a/packages/rattanfork-core/rattanfork_core/connections/idle_limit.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/idle_limit.py
@@ -80,14 +80,19 @@
         retryable : bool
             Whether the request may be sent again after a reset.
         """
-        limit = (
+        limit = self.unlearned(keep_alive_timeout)
+        if self._learned is not None:
+            limit = min(limit, self._relaxed_limit(limit))
+        return limit if retryable else min(limit, _NON_RETRYABLE_MAX_IDLE_SECONDS)
+
+    @staticmethod
+    def unlearned(keep_alive_timeout: float | None) -> float:
+        """Return the maximum idle time if no connection was reset, in seconds."""
+        return (
             _DEFAULT_MAX_IDLE_SECONDS
             if keep_alive_timeout is None
             else _KEEP_ALIVE_SHARE * keep_alive_timeout
         )
-        if self._learned is not None:
-            limit = min(limit, self._relaxed_limit(limit))
-        return limit if retryable else min(limit, _NON_RETRYABLE_MAX_IDLE_SECONDS)
 
     def _relaxed_limit(self, upper_bound: float) -> float:
         """Return the learned limit now; forget it once it exceeds an upper bound."""
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -1,10 +1,15 @@
 """Connection pool for one upstream."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.connections import IdleLimit
+from rattanfork_core.connections import (
+    IdleLimit,
+    NewConnectionCause,
+    ReplacementCauses,
+)
 
 from rattanfork_node.http1.upstream import UpstreamConnection
 
@@ -33,6 +38,8 @@
     captured : frozenset of bytes
         Lower-case names of the headers to include in
         :attr:`UpstreamResponse.headers`.
+    events : collections.Counter, optional
+        Event counters; new connections are counted as ``connections.new.<cause>``.
     """
 
     def __init__(
@@ -43,6 +50,7 @@
         max_connections: int,
         id_name: bytes,
         captured: frozenset[bytes],
+        events: Counter[str] | None = None,
     ) -> None:
         self._clock = clock
         self._address = (host, port)
@@ -54,6 +62,8 @@
         self._connecting: set[asyncio.Task] = set()
         self._closed = False
         self._idle_limit = IdleLimit(clock)
+        self._causes = ReplacementCauses(max_connections)
+        self._events = Counter() if events is None else events
 
     @property
     def address(self) -> tuple[str, int]:
@@ -89,12 +99,14 @@
         if len(self._open) + len(self._connecting) >= self._max_connections:
             on_acquired(None)
             return
+        self._count_new(retryable)
         task = asyncio.ensure_future(self._connect(on_acquired))
         self._connecting.add(task)
         task.add_done_callback(self._connecting.discard)
 
     async def can_connect(self) -> bool:
         """Open a connection, keep it in the pool and return whether it stays open."""
+        self._events[f"connections.new.{NewConnectionCause.PROBE}"] += 1
         connection = await self._open_connection()
         if connection is None:
             return False
@@ -111,7 +123,7 @@
     def drop_idle(self) -> None:
         """Close all idle connections: after one failed, others may be stale too."""
         for connection in self._idle:
-            connection.abort()
+            connection.abort(NewConnectionCause.STALE)
         self._idle = []
 
     def sweep(self) -> None:
@@ -120,7 +132,7 @@
         keep = []
         for connection in self._idle:
             if now - connection.idle_since > self._max_idle(connection):
-                connection.abort()
+                connection.abort(self._idle_cause(connection, now))
             elif not connection.closed:
                 keep.append(connection)
         self._idle = keep
@@ -143,7 +155,7 @@
             connection = self._idle[-1]
             idle_time = now - connection.idle_since
             if connection.closed or idle_time > self._max_idle(connection):
-                connection.abort()
+                connection.abort(self._idle_cause(connection, now))
                 self._idle.pop()
             elif retryable or idle_time <= self._max_idle(connection, False):
                 return self._idle.pop()
@@ -155,9 +167,26 @@
     def _evict_if_full(self) -> None:
         """Close the longest idle connection if the pool is full."""
         if len(self._open) + len(self._connecting) >= self._max_connections:
-            connection = self._idle.pop(0)
-            self._open.discard(connection)
-            connection.abort()
+            self._idle.pop(0).abort(NewConnectionCause.POOL_FULL)
+
+    def _count_new(self, retryable: bool) -> None:
+        # Idle connections are left only if the request may use none of them.
+        cause = (
+            NewConnectionCause.NOT_RETRYABLE
+            if self._idle and not retryable
+            else self._causes.on_opened(len(self._open) + len(self._connecting))
+        )
+        self._events[f"connections.new.{cause}"] += 1
+
+    def _idle_cause(
+        self, connection: UpstreamConnection, now: float
+    ) -> NewConnectionCause:
+        idle_time = now - connection.idle_since
+        return (
+            NewConnectionCause.IDLE_TOO_LONG
+            if idle_time > self._idle_limit.unlearned(connection.keep_alive_timeout)
+            else NewConnectionCause.MAY_BE_STALE
+        )
 
     def _max_idle(
         self, connection: UpstreamConnection, retryable: bool = True
@@ -184,6 +213,7 @@
                     *self._address,
                 )
         except (OSError, TimeoutError):
+            self._events["connections.failed"] += 1
             return None
         self._open.add(connection)
         return connection
@@ -196,5 +226,6 @@
 
     def _on_closed(self, connection: UpstreamConnection) -> None:
         self._open.discard(connection)
+        self._causes.on_closed(connection.close_cause)
         if connection.stale_idle_time is not None:
             self._idle_limit.on_stale(connection.stale_idle_time)
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
@@ -1,5 +1,7 @@
 """Tests of connection reuse in the upstream pool."""
 
+from collections import Counter
+
 from rattanfork_core.clock import ManualClock
 
 from rattanfork_node.http1 import UpstreamConnection, UpstreamPool
@@ -13,7 +15,10 @@
     def __init__(self, most: int = 9) -> None:
         self.clock = ManualClock(100.0)
         self.opened = 0
-        super().__init__(self.clock, "127.0.0.1", 1, most, b"id", frozenset())
+        self.events: Counter[str] = Counter()
+        super().__init__(
+            self.clock, "127.0.0.1", 1, most, b"id", frozenset(), self.events
+        )
 
     async def _connect(self, on_acquired) -> None:
         connection = self.open_connection()
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -6,6 +6,7 @@
 
 import httptools
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import NewConnectionCause
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
 
@@ -68,7 +69,7 @@
     on_idle : callable
         Called when the connection can be reused.
     on_closed : callable
-        Called when the connection is closed.
+        Called once, when the connection is aborted or closed.
     """
 
     def __init__(
@@ -100,6 +101,8 @@
         #: Seconds for which the connection had been idle when it proved stale; None
         #: unless it did.
         self.stale_idle_time: float | None = None
+        #: Why it was closed; None while it is open.
+        self.close_cause: NewConnectionCause | None = None
         self._idle_time = 0.0
         self._sent_at = 0.0
         self._received_data = False
@@ -133,11 +136,12 @@
         self._idle_time = self._sent_at - self.idle_since
         self._transport.write(data)
 
-    def abort(self) -> None:
+    def abort(self, cause: NewConnectionCause = NewConnectionCause.CANCELLED) -> None:
         """Abort the connection, so that the upstream can stop processing."""
         self._on_response = None
         if self._transport is not None:
             self._transport.abort()
+        self._close(cause)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
@@ -146,10 +150,13 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the pool and the sender of the pending request."""
-        self.closed = True
-        if self._on_response is not None and not self._received_data:
-            self._detect_stale()
-        self._on_closed(self)
+        if self._on_response is None:
+            self._close(NewConnectionCause.CLOSED_BY_UPSTREAM)
+        else:
+            if not self._received_data:
+                self._detect_stale()
+            stale = self.stale_idle_time is not None
+            self._close(NewConnectionCause.STALE if stale else NewConnectionCause.LOST)
         on_response, self._on_response = self._on_response, None
         if on_response is not None:
             on_response(None)
@@ -215,6 +222,13 @@
         if self._status >= 200:
             self._complete(self._parser.should_keep_alive())
 
+    def _close(self, cause: NewConnectionCause) -> None:
+        """Mark the connection as closed and notify the pool, the first time."""
+        if not self.closed:
+            self.closed = True
+            self.close_cause = cause
+            self._on_closed(self)
+
     def _detect_stale(self) -> None:
         elapsed = self._clock.now() - self._sent_at
         if elapsed < _STALE_RESET_WINDOW_S and self._idle_time > _MIN_STALE_IDLE_S:
@@ -260,6 +274,11 @@
             # While part of the request is unsent, the upstream would read the next
             # one as the rest of its body.
             self._transport.abort() if self._unexpected else self._transport.close()
+            self._close(
+                NewConnectionCause.LOST
+                if self._unexpected
+                else NewConnectionCause.CONNECTION_CLOSE
+            )
             return
         self.idle_since = self._clock.now()
         self._on_idle(self)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -342,6 +342,7 @@
             connections,
             self._names.request_id,
             self.advertised.header_names | {self._not_run_name},
+            self._counters.events,
         )
 
     def _abort_predecessor_runs(self) -> None:
