Leave recently used connections to requests that must not run twice

Change: a retryable request takes the most recently used of the connections idle for more than 0.2 s, if there are any. A request that must not run twice takes, of the four most recently used, the one that will soon be too old for its kind. The bound of 0.1 s stays. The choice is in the core (choose_idle).

--- a/packages/rattanfork-core/rattanfork_core/connections/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -1,6 +1,7 @@
 """Reuse of keep-alive connections between a node and its upstream."""
 
 from rattanfork_core.connections.causes import NewConnectionCause, ReplacementCauses
+from rattanfork_core.connections.idle_choice import choose_idle
 from rattanfork_core.connections.idle_limit import IdleLimit
 
-__all__ = ["IdleLimit", "NewConnectionCause", "ReplacementCauses"]
+__all__ = ["IdleLimit", "NewConnectionCause", "ReplacementCauses", "choose_idle"]
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -1,6 +1,7 @@
 """Connection pool for one upstream."""
 
 import asyncio
+from bisect import insort
 from collections import Counter
 from collections.abc import Callable
 
@@ -9,6 +10,7 @@
     IdleLimit,
     NewConnectionCause,
     ReplacementCauses,
+    choose_idle,
 )
 
 from rattanfork_node.http1.upstream import UpstreamConnection
@@ -57,6 +59,7 @@
         self._max_connections = max_connections
         self._id_name = id_name.lower()
         self._captured = captured
+        #: Open idle connections, ordered by ``idle_since``.
         self._idle: list[UpstreamConnection] = []
         self._open: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
@@ -122,20 +125,15 @@
 
     def drop_idle(self) -> None:
         """Close all idle connections: after one failed, others may be stale too."""
-        for connection in self._idle:
+        for connection in list(self._idle):
             connection.abort(NewConnectionCause.STALE)
-        self._idle = []
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         now = self._clock.now()
-        keep = []
-        for connection in self._idle:
+        for connection in list(self._idle):
             if now - connection.idle_since > self._max_idle(connection):
                 connection.abort(self._idle_cause(connection, now))
-            elif not connection.closed:
-                keep.append(connection)
-        self._idle = keep
 
     def retire(self) -> None:
         """Close idle connections now and the others as they become idle."""
@@ -151,23 +149,21 @@
     def _take_idle(self, retryable: bool) -> UpstreamConnection | None:
         now = self._clock.now()
         while self._idle:
-            # The most recently used connection has been idle for the least time.
-            connection = self._idle[-1]
-            idle_time = now - connection.idle_since
-            if connection.closed or idle_time > self._max_idle(connection):
-                connection.abort(self._idle_cause(connection, now))
-                self._idle.pop()
-            elif retryable or idle_time <= self._max_idle(connection, False):
-                return self._idle.pop()
-            else:
-                self._evict_if_full()
-                return None
+            oldest = self._idle[0]
+            if now - oldest.idle_since <= self._max_idle(oldest):
+                break
+            oldest.abort(self._idle_cause(oldest, now))
+        index = choose_idle(self._idle, now, retryable, self._idle_limit)
+        if index is not None:
+            return self._idle.pop(index)
+        if self._idle:
+            self._evict_if_full()
         return None
 
     def _evict_if_full(self) -> None:
         """Close the longest idle connection if the pool is full."""
         if len(self._open) + len(self._connecting) >= self._max_connections:
-            self._idle.pop(0).abort(NewConnectionCause.POOL_FULL)
+            self._idle[0].abort(NewConnectionCause.POOL_FULL)
 
     def _count_new(self, retryable: bool) -> None:
         # Idle connections are left only if the request may use none of them.
@@ -188,10 +184,8 @@
             else NewConnectionCause.MAY_BE_STALE
         )
 
-    def _max_idle(
-        self, connection: UpstreamConnection, retryable: bool = True
-    ) -> float:
-        return self._idle_limit.max_idle(connection.keep_alive_timeout, retryable)
+    def _max_idle(self, connection: UpstreamConnection) -> float:
+        return self._idle_limit.max_idle(connection.keep_alive_timeout, True)
 
     async def _connect(
         self, on_acquired: Callable[[UpstreamConnection | None], None]
@@ -222,10 +216,17 @@
         if self._closed:
             connection.abort()
         else:
-            self._idle.append(connection)
+            # A connection that is returned unused keeps the time of its last use.
+            insort(self._idle, connection, key=_idle_since)
 
     def _on_closed(self, connection: UpstreamConnection) -> None:
         self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
         self._causes.on_closed(connection.close_cause)
         if connection.stale_idle_time is not None:
             self._idle_limit.on_stale(connection.stale_idle_time)
+
+
+def _idle_since(connection: UpstreamConnection) -> float:
+    return connection.idle_since
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -96,6 +96,8 @@
         #: When the connection was opened, in seconds of the clock.
         self.opened_at = clock.now()
         self.idle_since = clock.now()
+        #: When the last request was sent; when it was opened if there was none.
+        self.sent_at = clock.now()
         #: Time-out in seconds from the Keep-Alive header; None if not stated.
         self.keep_alive_timeout: float | None = None
         #: Seconds for which the connection had been idle when it proved stale; None
@@ -104,7 +106,6 @@
         #: Why it was closed; None while it is open.
         self.close_cause: NewConnectionCause | None = None
         self._idle_time = 0.0
-        self._sent_at = 0.0
         self._received_data = False
         self._reset()
 
@@ -132,8 +133,8 @@
         self._request_id = request_id
         self._is_head = is_head
         self._received_data = False
-        self._sent_at = self._clock.now()
-        self._idle_time = self._sent_at - self.idle_since
+        self.sent_at = self._clock.now()
+        self._idle_time = self.sent_at - self.idle_since
         self._transport.write(data)
 
     def abort(self, cause: NewConnectionCause = NewConnectionCause.CANCELLED) -> None:
@@ -146,7 +147,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport."""
         self._transport = transport
-        self.opened_at = self.idle_since = self._clock.now()
+        self.opened_at = self.idle_since = self.sent_at = self._clock.now()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the pool and the sender of the pending request."""
@@ -230,7 +231,7 @@
             self._on_closed(self)
 
     def _detect_stale(self) -> None:
-        elapsed = self._clock.now() - self._sent_at
+        elapsed = self._clock.now() - self.sent_at
         if elapsed < _STALE_RESET_WINDOW_S and self._idle_time > _MIN_STALE_IDLE_S:
             self.stale_idle_time = self._idle_time
 
