Bound the idle time of a connection by the time since its last request

Cause: a request that must not run twice may use a connection only within 0.1 s of its last response, a third of the time after which devices drop connections. The margin is needed because a busy node reads responses late, so that the connection has been idle for longer than the node believes.

Change: a connection may also carry such a request within 0.25 s of its last request. It cannot have been idle for longer than that, whenever the response was read, so the guarantee does not depend on the node being punctual.

--- a/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
@@ -2,6 +2,7 @@
 
 from bisect import bisect_left
 from collections.abc import Sequence
+from itertools import chain
 from typing import Protocol
 
 from rattanfork_core.connections.idle_limit import IdleLimit
@@ -73,7 +74,7 @@
         index = 0
     else:
         index = bisect_left(idle, reserved_since, key=_idle_since) - 1
-    for candidate in range(index, len(idle)):
+    for candidate in chain(range(index, len(idle)), range(index)):
         connection = idle[candidate]
         idle_time = now - connection.idle_since
         if idle_time <= limit.max_idle(connection.keep_alive_timeout, True):
@@ -88,5 +89,7 @@
 def _may_carry_unretryable(
     connection: IdleConnection, now: float, limit: IdleLimit
 ) -> bool:
-    max_idle = limit.max_idle(connection.keep_alive_timeout, False)
-    return now - connection.idle_since <= max_idle
+    timeout = connection.keep_alive_timeout
+    if now - connection.idle_since <= limit.max_idle(timeout, False):
+        return True
+    return now - connection.sent_at <= limit.max_since_sent(timeout)
--- a/packages/rattanfork-core/rattanfork_core/connections/idle_limit.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/idle_limit.py
@@ -9,9 +9,12 @@
 _DEFAULT_MAX_IDLE_SECONDS = 4.0
 #: Maximum idle time in seconds for a request that must not run twice.  Devices between
 #: node and upstream drop idle connections after as little as 0.3 s; the limit is a
-#: third of that as a margin.  An upstream that gets ten requests a second nearly always
-#: has a connection idle for less, so few new ones are opened.
+#: third of that as a margin, as a busy node reads responses late.
 _NON_RETRYABLE_MAX_IDLE_SECONDS = 0.1
+#: Maximum time since the last request was sent, in seconds, that also allows a request
+#: that must not run twice.  The connection cannot have been idle for longer than that,
+#: however late its response was read, so a smaller margin to 0.3 s is enough.
+_NON_RETRYABLE_MAX_SINCE_SENT_SECONDS = 0.25
 #: Share of the idle time of a stale connection that becomes the limit, and its lower
 #: bound in seconds.
 _STALE_SHARE = 0.5
@@ -85,6 +88,15 @@
             limit = min(limit, self._relaxed_limit(limit))
         return limit if retryable else min(limit, _NON_RETRYABLE_MAX_IDLE_SECONDS)
 
+    def max_since_sent(self, keep_alive_timeout: float | None) -> float:
+        """Return the time since the last request in which a connection is not stale.
+
+        Within this time, in seconds, a connection may carry a request that must not
+        run twice even if it has been idle for longer than :meth:`max_idle`.
+        """
+        limit = self.max_idle(keep_alive_timeout, retryable=True)
+        return min(limit, _NON_RETRYABLE_MAX_SINCE_SENT_SECONDS)
+
     @staticmethod
     def unlearned(keep_alive_timeout: float | None) -> float:
         """Return the maximum idle time if no connection was reset, in seconds."""
