Probe a limit learned from a reset instead of waiting until it expires

Cause: an upstream that resets a connection of its own accord makes the pool take it for stale: half of its idle time becomes the limit and doubles only each 10 s.

Change: a second after a reset, one retryable request uses a connection above the learned limit. If it works after being idle for as long as the one that was reset, there is no limit any more; after a shorter time, the limit is raised to that; if it is reset too, the next probe waits twice as long. Connections that reach the learned limit later are kept, unused, until the upstream's keep-alive time-out. Those that are above it at a reset are closed as before.

--- a/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
@@ -48,7 +48,8 @@
     Only connections that were used very recently may carry a request that must not run
     twice.  A retryable request therefore takes the most recently used of the others, if
     there are any; they are more likely to work than those that have been idle for the
-    longest time.
+    longest time.  While a limit learned from a reset is in force, some retryable
+    requests probe whether it still holds.
 
     Parameters
     ==========
@@ -69,6 +70,9 @@
         return None
     if not idle:
         return None
+    if limit.restricted and (index := _choose_probe(idle, now, limit)) is not None:
+        limit.on_probe()
+        return index
     reserved_since = now - _RESERVED_IDLE_SECONDS
     if idle[0].idle_since >= reserved_since:
         index = 0
@@ -82,6 +86,20 @@
     return None
 
 
+def _choose_probe(
+    idle: Sequence[IdleConnection], now: float, limit: IdleLimit
+) -> int | None:
+    """Return the index of a connection above the learned limit, if a probe is due."""
+    for idle_time in limit.probe_above or ():
+        index = bisect_left(idle, now - idle_time, key=_idle_since) - 1
+        if index >= 0:
+            connection = idle[index]
+            max_idle = limit.unlearned(connection.keep_alive_timeout)
+            if now - connection.idle_since <= max_idle:
+                return index
+    return None
+
+
 def _idle_since(connection: IdleConnection) -> float:
     return connection.idle_since
 
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -132,8 +132,8 @@
         """Close connections that have been idle for too long."""
         now = self._clock.now()
         for connection in list(self._idle):
-            if now - connection.idle_since > self._max_idle(connection):
-                connection.abort(self._idle_cause(connection, now))
+            if self._is_expired(connection, now):
+                connection.abort(NewConnectionCause.IDLE_TOO_LONG)
 
     def retire(self) -> None:
         """Close idle connections now and the others as they become idle."""
@@ -148,11 +148,8 @@
 
     def _take_idle(self, retryable: bool) -> UpstreamConnection | None:
         now = self._clock.now()
-        while self._idle:
-            oldest = self._idle[0]
-            if now - oldest.idle_since <= self._max_idle(oldest):
-                break
-            oldest.abort(self._idle_cause(oldest, now))
+        while self._idle and self._is_expired(self._idle[0], now):
+            self._idle[0].abort(NewConnectionCause.IDLE_TOO_LONG)
         index = choose_idle(self._idle, now, retryable, self._idle_limit)
         if index is not None:
             return self._idle.pop(index)
@@ -167,25 +164,18 @@
 
     def _count_new(self, retryable: bool) -> None:
         # Idle connections are left only if the request may use none of them.
-        cause = (
-            NewConnectionCause.NOT_RETRYABLE
-            if self._idle and not retryable
-            else self._causes.on_opened(len(self._open) + len(self._connecting))
-        )
+        if not self._idle:
+            cause = self._causes.on_opened(len(self._open) + len(self._connecting))
+        elif retryable:
+            cause = NewConnectionCause.MAY_BE_STALE
+        else:
+            cause = NewConnectionCause.NOT_RETRYABLE
         self._events[f"connections.new.{cause}"] += 1
 
-    def _idle_cause(
-        self, connection: UpstreamConnection, now: float
-    ) -> NewConnectionCause:
-        idle_time = now - connection.idle_since
-        return (
-            NewConnectionCause.IDLE_TOO_LONG
-            if idle_time > self._idle_limit.unlearned(connection.keep_alive_timeout)
-            else NewConnectionCause.MAY_BE_STALE
-        )
-
-    def _max_idle(self, connection: UpstreamConnection) -> float:
-        return self._idle_limit.max_idle(connection.keep_alive_timeout, True)
+    def _is_expired(self, connection: UpstreamConnection, now: float) -> bool:
+        """Return whether the upstream may be about to close an idle connection."""
+        max_idle = self._idle_limit.unlearned(connection.keep_alive_timeout)
+        return now - connection.idle_since > max_idle
 
     async def _connect(
         self, on_acquired: Callable[[UpstreamConnection | None], None]
@@ -216,6 +206,8 @@
         if self._closed:
             connection.abort()
         else:
+            if self._idle_limit.restricted:
+                self._idle_limit.on_worked(connection.idle_before, connection.sent_at)
             # A connection that is returned unused keeps the time of its last use.
             insort(self._idle, connection, key=_idle_since)
 
@@ -225,7 +217,16 @@
             self._idle.remove(connection)
         self._causes.on_closed(connection.close_cause)
         if connection.stale_idle_time is not None:
-            self._idle_limit.on_stale(connection.stale_idle_time)
+            self._on_stale(connection.stale_idle_time)
+
+    def _on_stale(self, idle_time: float) -> None:
+        """Close the connections that have been idle for too long after a reset."""
+        self._idle_limit.on_stale(idle_time)
+        now = self._clock.now()
+        for connection in list(self._idle):
+            max_idle = self._idle_limit.max_idle(connection.keep_alive_timeout, True)
+            if now - connection.idle_since > max_idle:
+                connection.abort(NewConnectionCause.MAY_BE_STALE)
 
 
 def _idle_since(connection: UpstreamConnection) -> float:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
@@ -6,7 +6,7 @@
 
 from rattanfork_node.http1 import UpstreamConnection, UpstreamPool
 from rattanfork_node.http1.tests.fakes import FakeTransport
-from rattanfork_node.http1.tests.test_upstream import on_loop
+from rattanfork_node.http1.tests.test_upstream import on_loop, response
 
 
 class FakePool(UpstreamPool):
@@ -113,3 +113,28 @@
     connection.data_received(b"HTTP/1.1 200 OK\r\n")
     connection.connection_lost(ConnectionResetError())
     assert pool.take(retryable=True) is not None
+
+
+@on_loop
+def test_connections_that_age_after_a_reset_are_kept_and_probed():
+    """Guards against new connections for many seconds after a reset by a failure.
+
+    The connections are neither used nor closed while they may be stale.  One request
+    that may be sent again shows that they are not.
+    """
+    pool = FakePool()
+    pool.add_idle()
+    pool.clock.advance(0.4)
+    reset_when_used(pool.take(retryable=True))
+    kept = [pool.add_idle() for _ in range(3)]
+    pool.clock.advance(0.5)
+    assert pool.take(retryable=True) is None
+    pool.sweep()
+    pool.clock.advance(0.5)
+    probe = pool.take(retryable=True)
+    assert probe is kept[-1]
+    assert pool.take(retryable=True) is None
+    probe.send(b"...", b"r1", lambda _: None)
+    probe.data_received(response())
+    probe._release_or_close(True)
+    assert pool.take(retryable=True) is kept[1]
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -105,7 +105,8 @@
         self.stale_idle_time: float | None = None
         #: Why it was closed; None while it is open.
         self.close_cause: NewConnectionCause | None = None
-        self._idle_time = 0.0
+        #: Seconds for which it had been idle when the last request was sent.
+        self.idle_before = 0.0
         self._received_data = False
         self._reset()
 
@@ -134,7 +135,7 @@
         self._is_head = is_head
         self._received_data = False
         self.sent_at = self._clock.now()
-        self._idle_time = self.sent_at - self.idle_since
+        self.idle_before = self.sent_at - self.idle_since
         self._transport.write(data)
 
     def abort(self, cause: NewConnectionCause = NewConnectionCause.CANCELLED) -> None:
@@ -232,8 +233,8 @@
 
     def _detect_stale(self) -> None:
         elapsed = self._clock.now() - self.sent_at
-        if elapsed < _STALE_RESET_WINDOW_S and self._idle_time > _MIN_STALE_IDLE_S:
-            self.stale_idle_time = self._idle_time
+        if elapsed < _STALE_RESET_WINDOW_S and self.idle_before > _MIN_STALE_IDLE_S:
+            self.stale_idle_time = self.idle_before
 
     def _reset(self) -> None:
         self._response_id = b""
