Wait for a connection in use while the upstream refuses new ones

Cause: an overloaded upstream resets the connections that it does not accept. Each such reset fails a request, with unknown outcome if it must not run twice, and the next request opens another connection: the cause lost.

Change: for 0.5 s after a connection was reset before its first response, a request that finds no idle connection waits up to 5 ms for one of those in use (OpenDelay in the core), and then opens one. With fewer than 8 in use, none will become idle so soon, and it opens one at once.

--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from bisect import insort
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.connections import (
     IdleLimit,
     NewConnectionCause,
+    OpenDelay,
     ReplacementCauses,
     choose_idle,
 )
@@ -21,6 +23,26 @@
 _SETTLE_S = 0.02
 
 
+@dataclass(slots=True)
+class _Waiter:
+    """A request that waits for a connection in use before one is opened for it.
+
+    Parameters
+    ==========
+
+    on_acquired : callable
+        Called with its connection.
+    retryable : bool
+        Whether the request may be sent again after a reset.
+    timer : asyncio.TimerHandle, optional
+        Opens a connection for it.
+    """
+
+    on_acquired: Callable[["UpstreamConnection | None"], None]
+    retryable: bool
+    timer: asyncio.TimerHandle | None = None
+
+
 class UpstreamPool:
     """Pool of connections to one upstream, with a bounded size.
 
@@ -63,7 +85,9 @@
         self._idle: list[UpstreamConnection] = []
         self._open: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
+        self._waiting: deque[_Waiter] = deque()
         self._closed = False
+        self._open_delay = OpenDelay(clock)
         self._idle_limit = IdleLimit(clock)
         self._causes = ReplacementCauses(max_connections)
         self._events = Counter() if events is None else events
@@ -83,6 +107,11 @@
         opened_before = self._clock.now() - _SETTLE_S
         return sum(c.opened_at <= opened_before for c in self._open)
 
+    @property
+    def _size(self) -> int:
+        """Connections that are open, being opened, or will be unless one is idle."""
+        return len(self._open) + len(self._connecting) + len(self._waiting)
+
     def acquire(
         self,
         on_acquired: Callable[[UpstreamConnection | None], None],
@@ -99,13 +128,17 @@
         if connection is not None:
             on_acquired(connection)
             return
-        if len(self._open) + len(self._connecting) >= self._max_connections:
+        if self._size >= self._max_connections:
             on_acquired(None)
             return
-        self._count_new(retryable)
-        task = asyncio.ensure_future(self._connect(on_acquired))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        delay = self._open_delay.delay(len(self._open) - len(self._idle))
+        if not delay:
+            self._start_connecting(on_acquired, retryable)
+            return
+        waiter = _Waiter(on_acquired, retryable)
+        loop = asyncio.get_running_loop()
+        waiter.timer = loop.call_later(delay, self._stop_waiting, waiter)
+        self._waiting.append(waiter)
 
     async def can_connect(self) -> bool:
         """Open a connection, keep it in the pool and return whether it stays open."""
@@ -159,9 +192,33 @@
 
     def _evict_if_full(self) -> None:
         """Close the longest idle connection if the pool is full."""
-        if len(self._open) + len(self._connecting) >= self._max_connections:
+        if self._size >= self._max_connections:
             self._idle[0].abort(NewConnectionCause.POOL_FULL)
 
+    def _start_connecting(
+        self,
+        on_acquired: Callable[[UpstreamConnection | None], None],
+        retryable: bool,
+    ) -> None:
+        self._count_new(retryable)
+        task = asyncio.ensure_future(self._connect(on_acquired))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    def _stop_waiting(self, waiter: _Waiter) -> None:
+        self._waiting.remove(waiter)
+        self._start_connecting(waiter.on_acquired, waiter.retryable)
+
+    def _serve_waiting(self) -> None:
+        """Pass idle connections to the requests that wait for one."""
+        while self._waiting:
+            connection = self._take_idle(self._waiting[0].retryable)
+            if connection is None:
+                return
+            waiter = self._waiting.popleft()
+            waiter.timer.cancel()
+            waiter.on_acquired(connection)
+
     def _count_new(self, retryable: bool) -> None:
         # Idle connections are left only if the request may use none of them.
         if not self._idle:
@@ -210,12 +267,16 @@
                 self._idle_limit.on_worked(connection.idle_before, connection.sent_at)
             # A connection that is returned unused keeps the time of its last use.
             insort(self._idle, connection, key=_idle_since)
+            if self._waiting:
+                self._serve_waiting()
 
     def _on_closed(self, connection: UpstreamConnection) -> None:
         self._open.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
         self._causes.on_closed(connection.close_cause)
+        if connection.refused:
+            self._open_delay.on_refused()
         if connection.stale_idle_time is not None:
             self._on_stale(connection.stale_idle_time)
 
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -108,6 +108,9 @@
         #: Seconds for which it had been idle when the last request was sent.
         self.idle_before = 0.0
         self._received_data = False
+        #: Whether it was reset before the first data from the upstream.
+        self.refused = False
+        self._unused = True
         self._reset()
 
     def send(
@@ -152,6 +155,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the pool and the sender of the pending request."""
+        self.refused = self._unused and error is not None and not self.closed
         if self._on_response is None:
             self._close(NewConnectionCause.CLOSED_BY_UPSTREAM)
         else:
@@ -178,6 +182,7 @@
             self._transport.abort()
             return
         self._received_data = True
+        self._unused = False
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
