--- a/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/idle_choice.py
@@ -3,6 +3,7 @@
 from bisect import bisect_left
 from collections.abc import Sequence
 from itertools import chain
+from operator import attrgetter
 from typing import Protocol
 
 from rattanfork_core.connections.idle_limit import IdleLimit
@@ -16,6 +17,7 @@
 #: chooses from.  It takes the one that will be unusable for others like it first; the
 #: bound keeps the idle time low where many connections are idle.
 _MAX_CANDIDATES = 4
+_idle_since = attrgetter("idle_since")
 
 
 class IdleConnection(Protocol):
@@ -100,10 +102,6 @@
     return None
 
 
-def _idle_since(connection: IdleConnection) -> float:
-    return connection.idle_since
-
-
 def _may_carry_unretryable(
     connection: IdleConnection, now: float, limit: IdleLimit
 ) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from operator import attrgetter
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.connections import (
@@ -266,7 +267,11 @@
             if self._idle_limit.restricted:
                 self._idle_limit.on_worked(connection.idle_before, connection.sent_at)
             # A connection that is returned unused keeps the time of its last use.
-            insort(self._idle, connection, key=_idle_since)
+            idle = self._idle
+            if not idle or idle[-1].idle_since <= connection.idle_since:
+                idle.append(connection)
+            else:
+                insort(idle, connection, key=attrgetter("idle_since"))
             if self._waiting:
                 self._serve_waiting()
 
@@ -288,7 +293,3 @@
             max_idle = self._idle_limit.max_idle(connection.keep_alive_timeout, True)
             if now - connection.idle_since > max_idle:
                 connection.abort(NewConnectionCause.MAY_BE_STALE)
-
-
-def _idle_since(connection: UpstreamConnection) -> float:
-    return connection.idle_since
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -183,6 +183,10 @@
             "upstream": upstream,
             "failed_calls": job.failed_calls,
         }
+        if job.connection is not None:
+            # How long it had been idle before the run; 0 for a new connection.
+            idle_ms = _milliseconds(job.connection.idle_before)
+            fields["connection_idle_ms"] = idle_ms
         if admission.rate_limit.value is not None:
             fields["rate_limit"] = admission.rate_limit.value
         self._log.write("run", job.request_id, fields)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -47,6 +47,7 @@
 
     def __init__(self) -> None:
         self.sent = b""
+        self.idle_before = 0.0
         self.done = None
         self.aborted = False
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
@@ -142,3 +142,19 @@
     [at_first_node] = harness.log.lines
     [at_gate] = gate.log.lines
     assert at_first_node["fingerprint"] == at_gate["fingerprint"]
+
+
+@on_loop
+async def test_run_line_has_the_idle_time_of_the_connection():
+    """A run that failed at once on a connection idle for long points at the connection.
+
+    A request that reached no connection has no such field.
+    """
+    harness = GateHarness(slots=1)
+    harness.submit("ran")
+    harness.pool.connections[0].idle_before = 0.25
+    harness.submit("refused", boot="other")
+    harness.answer(0)
+    refused, ran = harness.log.lines
+    assert (ran["id"], ran["connection_idle_ms"]) == ("ran", 250.0)
+    assert "connection_idle_ms" not in refused
