Drop a connection that is reset before the pool receives it

Cause: the pool added a connection to the open ones although its close had been reported before, as when an overloaded upstream resets it at once. It stayed there for ever: the pool filled up with such connections and refused requests, the crash detector took them for connections to the upstream, and a request sent on one got no response before its deadline.

Change: such a connection counts as failed, and the request as not run; nothing was sent. The test fails without the change, with a dead connection acquired.

--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -257,11 +257,15 @@
         except (OSError, TimeoutError):
             self._events["connections.failed"] += 1
             return None
+        if connection.closed:
+            # Reset before it was returned: the pool has been notified already.
+            self._events["connections.failed"] += 1
+            return None
         self._open.add(connection)
         return connection
 
     def _on_idle(self, connection: UpstreamConnection) -> None:
-        if self._closed:
+        if self._closed or connection.closed:
             connection.abort()
         else:
             if self._idle_limit.restricted:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_refusals.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from rattanfork_node.http1 import UpstreamPool
+from rattanfork_node.http1.tests.fakes import FakeTransport
 from rattanfork_node.http1.tests.test_pool import FakePool
 from rattanfork_node.http1.tests.test_upstream import response
+from rattanfork_node.http1.tests.virtual_loop import LoopClock, VirtualTimeLoop
 from rattanfork_node.relay.tests.fakes import on_loop
 
 
@@ -72,3 +75,30 @@
     upstream.acquire()
     upstream.acquire()
     assert upstream.acquired == [None]
+
+
+def test_connection_that_is_reset_before_its_use_is_none():
+    """Guards against a request without a response, and a pool that fills up.
+
+    The reset arrives before the pool has received the connection.  Nothing was sent, so
+    the request has not run.
+    """
+
+    def accept(protocol: asyncio.Protocol) -> FakeTransport:
+        loop.call_soon(protocol.connection_lost, ConnectionResetError())
+        return FakeTransport()
+
+    loop = VirtualTimeLoop(accept)
+    pool = UpstreamPool(LoopClock(loop), "127.0.0.1", 1, 2, b"id", frozenset())
+    acquired: list = []
+
+    async def acquire_often() -> None:
+        for _ in range(5):
+            pool.acquire(acquired.append)
+            await asyncio.sleep(1.0)
+
+    loop.run_until_complete(acquire_often())
+    loop.close()
+    assert acquired == [None] * 5
+    assert not pool._open
+    assert pool.settled_connections == 0
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/virtual_loop.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/virtual_loop.py
@@ -54,6 +54,8 @@
         protocol = protocol_factory()
         transport = self._accept(protocol)
         protocol.connection_made(transport)
+        # The caller learns of the connection in the next iteration of a real loop too.
+        await asyncio.sleep(0)
         return transport, protocol
 
 
