--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -1,10 +1,20 @@
 """Connection pool for one upstream."""
 
 import asyncio
+from bisect import insort
+from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import dataclass
+from operator import attrgetter
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.connections import IdleLimit
+from rattanfork_core.connections import (
+    IdleLimit,
+    NewConnectionCause,
+    OpenDelay,
+    ReplacementCauses,
+    choose_idle,
+)
 
 from rattanfork_node.http1.upstream import UpstreamConnection
 
@@ -14,6 +24,26 @@
 _SETTLE_S = 0.02
 
 
+@dataclass(slots=True)
+class _Waiter:
+    """A request that waits for a connection in use before one is opened for it.
+
+    Parameters
+    ==========
+
+    on_acquired : callable
+        Called with its connection.
+    retryable : bool
+        Whether the request may be sent again after a reset.
+    timer : asyncio.TimerHandle, optional
+        Opens a connection for it.
+    """
+
+    on_acquired: Callable[["UpstreamConnection | None"], None]
+    retryable: bool
+    timer: asyncio.TimerHandle | None = None
+
+
 class UpstreamPool:
     """Pool of connections to one upstream, with a bounded size.
 
@@ -33,6 +63,8 @@
     captured : frozenset of bytes
         Lower-case names of the headers to include in
         :attr:`UpstreamResponse.headers`.
+    events : collections.Counter, optional
+        Event counters; new connections are counted as ``connections.new.<cause>``.
     """
 
     def __init__(
@@ -43,17 +75,23 @@
         max_connections: int,
         id_name: bytes,
         captured: frozenset[bytes],
+        events: Counter[str] | None = None,
     ) -> None:
         self._clock = clock
         self._address = (host, port)
         self._max_connections = max_connections
         self._id_name = id_name.lower()
         self._captured = captured
+        #: Open idle connections, ordered by ``idle_since``.
         self._idle: list[UpstreamConnection] = []
         self._open: set[UpstreamConnection] = set()
         self._connecting: set[asyncio.Task] = set()
+        self._waiting: deque[_Waiter] = deque()
         self._closed = False
+        self._open_delay = OpenDelay(clock)
         self._idle_limit = IdleLimit(clock)
+        self._causes = ReplacementCauses(max_connections)
+        self._events = Counter() if events is None else events
 
     @property
     def address(self) -> tuple[str, int]:
@@ -70,6 +108,11 @@
         opened_before = self._clock.now() - _SETTLE_S
         return sum(c.opened_at <= opened_before for c in self._open)
 
+    @property
+    def _size(self) -> int:
+        """Connections that are open, being opened, or will be unless one is idle."""
+        return len(self._open) + len(self._connecting) + len(self._waiting)
+
     def acquire(
         self,
         on_acquired: Callable[[UpstreamConnection | None], None],
@@ -86,15 +129,21 @@
         if connection is not None:
             on_acquired(connection)
             return
-        if len(self._open) + len(self._connecting) >= self._max_connections:
+        if self._size >= self._max_connections:
             on_acquired(None)
             return
-        task = asyncio.ensure_future(self._connect(on_acquired))
-        self._connecting.add(task)
-        task.add_done_callback(self._connecting.discard)
+        delay = self._open_delay.delay(len(self._open) - len(self._idle))
+        if not delay:
+            self._start_connecting(on_acquired, retryable)
+            return
+        waiter = _Waiter(on_acquired, retryable)
+        loop = asyncio.get_running_loop()
+        waiter.timer = loop.call_later(delay, self._stop_waiting, waiter)
+        self._waiting.append(waiter)
 
     async def can_connect(self) -> bool:
         """Open a connection, keep it in the pool and return whether it stays open."""
+        self._events[f"connections.new.{NewConnectionCause.PROBE}"] += 1
         connection = await self._open_connection()
         if connection is None:
             return False
@@ -110,20 +159,15 @@
 
     def drop_idle(self) -> None:
         """Close all idle connections: after one failed, others may be stale too."""
-        for connection in self._idle:
-            connection.abort()
-        self._idle = []
+        for connection in list(self._idle):
+            connection.abort(NewConnectionCause.STALE)
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         now = self._clock.now()
-        keep = []
-        for connection in self._idle:
-            if now - connection.idle_since > self._max_idle(connection):
-                connection.abort()
-            elif not connection.closed:
-                keep.append(connection)
-        self._idle = keep
+        for connection in list(self._idle):
+            if self._is_expired(connection, now):
+                connection.abort(NewConnectionCause.IDLE_TOO_LONG)
 
     def retire(self) -> None:
         """Close idle connections now and the others as they become idle."""
@@ -138,31 +182,58 @@
 
     def _take_idle(self, retryable: bool) -> UpstreamConnection | None:
         now = self._clock.now()
-        while self._idle:
-            # The most recently used connection has been idle for the least time.
-            connection = self._idle[-1]
-            idle_time = now - connection.idle_since
-            if connection.closed or idle_time > self._max_idle(connection):
-                connection.abort()
-                self._idle.pop()
-            elif retryable or idle_time <= self._max_idle(connection, False):
-                return self._idle.pop()
-            else:
-                self._evict_if_full()
-                return None
+        while self._idle and self._is_expired(self._idle[0], now):
+            self._idle[0].abort(NewConnectionCause.IDLE_TOO_LONG)
+        index = choose_idle(self._idle, now, retryable, self._idle_limit)
+        if index is not None:
+            return self._idle.pop(index)
+        if self._idle:
+            self._evict_if_full()
         return None
 
     def _evict_if_full(self) -> None:
         """Close the longest idle connection if the pool is full."""
-        if len(self._open) + len(self._connecting) >= self._max_connections:
-            connection = self._idle.pop(0)
-            self._open.discard(connection)
-            connection.abort()
+        if self._size >= self._max_connections:
+            self._idle[0].abort(NewConnectionCause.POOL_FULL)
+
+    def _start_connecting(
+        self,
+        on_acquired: Callable[[UpstreamConnection | None], None],
+        retryable: bool,
+    ) -> None:
+        self._count_new(retryable)
+        task = asyncio.ensure_future(self._connect(on_acquired))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    def _stop_waiting(self, waiter: _Waiter) -> None:
+        self._waiting.remove(waiter)
+        self._start_connecting(waiter.on_acquired, waiter.retryable)
 
-    def _max_idle(
-        self, connection: UpstreamConnection, retryable: bool = True
-    ) -> float:
-        return self._idle_limit.max_idle(connection.keep_alive_timeout, retryable)
+    def _serve_waiting(self) -> None:
+        """Pass idle connections to the requests that wait for one."""
+        while self._waiting:
+            connection = self._take_idle(self._waiting[0].retryable)
+            if connection is None:
+                return
+            waiter = self._waiting.popleft()
+            waiter.timer.cancel()
+            waiter.on_acquired(connection)
+
+    def _count_new(self, retryable: bool) -> None:
+        # Idle connections are left only if the request may use none of them.
+        if not self._idle:
+            cause = self._causes.on_opened(len(self._open) + len(self._connecting))
+        elif retryable:
+            cause = NewConnectionCause.MAY_BE_STALE
+        else:
+            cause = NewConnectionCause.NOT_RETRYABLE
+        self._events[f"connections.new.{cause}"] += 1
+
+    def _is_expired(self, connection: UpstreamConnection, now: float) -> bool:
+        """Return whether the upstream may be about to close an idle connection."""
+        max_idle = self._idle_limit.unlearned(connection.keep_alive_timeout)
+        return now - connection.idle_since > max_idle
 
     async def _connect(
         self, on_acquired: Callable[[UpstreamConnection | None], None]
@@ -184,17 +255,45 @@
                     *self._address,
                 )
         except (OSError, TimeoutError):
+            self._events["connections.failed"] += 1
+            return None
+        if connection.closed:
+            # Reset before it was returned: the pool has been notified already.
+            self._events["connections.failed"] += 1
             return None
         self._open.add(connection)
         return connection
 
     def _on_idle(self, connection: UpstreamConnection) -> None:
-        if self._closed:
+        if self._closed or connection.closed:
             connection.abort()
         else:
-            self._idle.append(connection)
+            if self._idle_limit.restricted:
+                self._idle_limit.on_worked(connection.idle_before, connection.sent_at)
+            # A connection that is returned unused keeps the time of its last use.
+            idle = self._idle
+            if not idle or idle[-1].idle_since <= connection.idle_since:
+                idle.append(connection)
+            else:
+                insort(idle, connection, key=attrgetter("idle_since"))
+            if self._waiting:
+                self._serve_waiting()
 
     def _on_closed(self, connection: UpstreamConnection) -> None:
         self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._causes.on_closed(connection.close_cause)
+        if connection.refused:
+            self._open_delay.on_refused()
         if connection.stale_idle_time is not None:
-            self._idle_limit.on_stale(connection.stale_idle_time)
+            self._on_stale(connection.stale_idle_time)
+
+    def _on_stale(self, idle_time: float) -> None:
+        """Close the connections that have been idle for too long after a reset."""
+        self._idle_limit.on_stale(idle_time)
+        now = self._clock.now()
+        for connection in list(self._idle):
+            max_idle = self._idle_limit.max_idle(connection.keep_alive_timeout, True)
+            if now - connection.idle_since > max_idle:
+                connection.abort(NewConnectionCause.MAY_BE_STALE)
