Rank requests by fair shares of client accounts under overload

Cause: within an importance, gates shed by the hash of the request, so an account that sends six times its usual rate takes the capacity of the others.

Change: while a gate of the route's call chain sheds the importance of a request, the fraction of its rank depends on the demand of its account. Entry nodes count requests by account over 2 s, one collector sums the counts and sends the totals to all nodes. The fraction is the share of all requests below the request's position, so ranks stay uniform and thresholds keep their meaning.

Effect: max-min fairness among accounts at any threshold. Without client accounts, or while no gate sheds, ranks and datagrams are as before. Nodes of the previous build count the new datagrams as gossip.refused.

--- a/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
@@ -66,3 +66,13 @@
             name: round(self._reports.service_threshold(name, self._instances(name)), 3)
             for name in services
         }
+
+    def lowest_gate_threshold(self, operation: str, service: str) -> float:
+        """Return the lowest threshold of any single gate along the call chain."""
+        reports = self._reports
+        if not len(reports):
+            return float(RANK_LIMIT)
+        lowest = reports.lowest_threshold(service)
+        for name in self._dependencies.services(operation):
+            lowest = min(lowest, reports.lowest_threshold(name))
+        return lowest
--- a/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/gate_reports.py
@@ -255,6 +255,14 @@
         index = ceil(_MIN_SHEDDING_SHARE * reporters) - 1
         return thresholds[index] if index < len(thresholds) else _OPEN
 
+    def lowest_threshold(self, service: str) -> float:
+        """Return the lowest rank from which any gate of a service sheds."""
+        by_gate = self._by_service.get(service)
+        if not by_gate:
+            return _OPEN
+        now = self._clock.now()
+        return min(_threshold_at(stored, now) for stored in by_gate.values())
+
     def gate_state(self, service: str, name: str) -> tuple[float, float]:
         """Return the threshold of a gate, and until when its upstream is impaired.
 
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -6,6 +6,11 @@
 
 import msgpack
 
+from rattanfork_core.fair_shares import (
+    DEMAND_MESSAGE_TYPES,
+    DemandReport,
+    DemandTotals,
+)
 from rattanfork_core.gate_status import GateReport, ReportsByService
 from rattanfork_core.membership.cached_versions import CachedVersions
 from rattanfork_core.membership.direct_messages import (
@@ -94,10 +99,11 @@
 
 
 #: Datagrams without a reply, whose content each receiver disseminates in turn.
-GossipUpdate = GateUpdate | CrashUpdate
+GossipUpdate = GateUpdate | CrashUpdate | DemandTotals
 #: Datagrams of failure detection.
 GossipMessage = Ping | Ack | PingRequest
-#: The index of a type is sent on the wire, so new types are appended.
+#: The index of a type is sent on the wire, so new types are appended.  Nodes of a build
+#: that does not know an index count the datagram as ``gossip.refused``.
 _MESSAGE_TYPES: tuple[type, ...] = (
     Ping,
     Ack,
@@ -105,9 +111,10 @@
     GateUpdate,
     CrashUpdate,
     *DIRECT_MESSAGE_TYPES,
+    *DEMAND_MESSAGE_TYPES,
 )
 #: All messages that a datagram may hold.
-Datagram = GossipMessage | GossipUpdate | DirectMessage
+Datagram = GossipMessage | GossipUpdate | DirectMessage | DemandReport
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +161,8 @@
         message_type = _MESSAGE_TYPES[type_index]
         if message_type in DIRECT_MESSAGE_TYPES:
             return direct_message_from_fields(message_type, tuple(fields))
+        if message_type in DEMAND_MESSAGE_TYPES:
+            return message_type.from_fields(tuple(fields))
         if message_type is GateUpdate:
             return _gate_update_from_fields(*fields)
         if message_type is CrashUpdate:
@@ -165,7 +174,7 @@
         number, sender, target, versions, updates = fields
     except Exception as error:
         raise ValueError(
-            "malformed datagram: fields of a known message type expected"
+            f"malformed datagram: fields of a known message type expected: {error}"
         ) from error
     if type(number) is not int:
         raise ValueError("malformed datagram: integer message number expected")
--- a/packages/rattanfork-node/rattanfork_node/app/account_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/account_tasks.py
@@ -1,22 +1,24 @@
-"""Wires client account authentication and quotas of a routing node."""
+"""Wires client accounts of a routing node: authentication, quotas, fair shares."""
 
 from random import Random
 
 from rattanfork_core.client_accounts import AccountIndex
-from rattanfork_core.clock import BootTimeClock
+from rattanfork_core.clock import BootTimeClock, MonotonicClock
+from rattanfork_core.fair_shares import FairShares, TotalsTable
 from rattanfork_core.membership import Member, Membership, MemberStatus
 from rattanfork_core.revision import ConfigurationLease
 
 from rattanfork_node.app.store_tasks import StoreTasks
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.member import GossipTask
+from rattanfork_node.member.demand_task import DemandTask
 from rattanfork_node.member.quota_task import QuotaTask
 from rattanfork_node.relay import ClientAccounts, RelaySettings
 from rattanfork_node.telemetry import Counters
 
 
 class ClientAccountTasks:
-    """Client account authentication, the configuration lease behind it, and quotas.
+    """Client account authentication with its lease, quotas, and fair shares.
 
     Parameters
     ==========
@@ -74,6 +76,22 @@
             settings.revoke_within,
             self._lease_task.renew_soon,
         )
+        # Reports are sent by the clock of the gates' reports, which stops while the
+        # machine is suspended; demand and thresholds then age alike.
+        demand_clock = MonotonicClock()
+        totals = TotalsTable(demand_clock)
+        #: Ranks of requests by the demand of their accounts.
+        self.fair_shares = FairShares(demand_clock, totals)
+        #: Exchanges the demand with other nodes.
+        self.demand = DemandTask(
+            demand_clock,
+            random,
+            membership,
+            gossip_task,
+            self.fair_shares,
+            totals,
+            lambda: self._account_index() is not None,
+        )
         self._lease_task.on_renewed = self.accounts.recheck_waiting
 
     def on_member(self, member: Member, before: MemberStatus | None) -> None:
@@ -89,6 +107,7 @@
         self._lease_task.tick()
         self._quota.tick()
         self.accounts.tick()
+        self.demand.tick()
 
     def _account_index(self) -> AccountIndex | None:
         configuration = self._configuration.current
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -296,6 +296,7 @@
             self._gate_reports,
             self._quarantine,
             self._account_tasks.accounts,
+            self._account_tasks.fair_shares,
         )
         self._state_reporter = StateReporter(
             self._clock,
@@ -309,6 +310,7 @@
             self._platform,
             lambda: self._store.confirmed_age,
             lambda: self.ready,
+            self._account_tasks.demand.gauges,
         )
         self._upstream_monitor = UpstreamMonitor(
             self._clock,
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -44,6 +44,8 @@
         than this node.
     is_ready : callable
         Returns whether new requests of callers are accepted.
+    fair_share_gauges : callable
+        Returns the gauges of fair shares; none without client accounts.
     """
 
     def __init__(
@@ -59,6 +61,7 @@
         platform: WatchedPlatform,
         confirmed_age: Callable[[], float],
         is_ready: Callable[[], bool],
+        fair_share_gauges: Callable[[], dict[str, float]],
     ) -> None:
         self._clock = clock
         self._log = log
@@ -71,6 +74,7 @@
         self._platform = platform
         self._confirmed_age = confirmed_age
         self._is_ready = is_ready
+        self._fair_share_gauges = fair_share_gauges
         self._configuration_since = clock.now()
 
     def on_configuration(self) -> None:
@@ -110,6 +114,7 @@
             upstream_limit=self._gate.rate_limit,
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
+            **self._fair_share_gauges(),
         )
 
     def _store_pending(self) -> list[dict[str, object]]:
@@ -153,6 +158,7 @@
             "rules_revision": self._rules.revision,
             "store_silence_seconds": self._platform.seconds_since_answer,
             "store_calls_pending": len(self._platform.pending),
+            **self._fair_share_gauges(),
         }
 
 
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from rattanfork_core.client_accounts import ClientAccount
+from rattanfork_core.fair_shares import FairRank
 
 from rattanfork_node.http1.fingerprints import fingerprint_of
 
@@ -42,6 +43,7 @@
         "body",
         "client_timeout",
         "connection",
+        "fair_share",
         "granted_at",
         "header_block",
         "host",
@@ -84,6 +86,8 @@
         self.granted_at: float | None = None
         #: Seconds spent waiting for authentication and quota.
         self.account_delay = 0.0
+        #: How its rank was computed while the capacity is shared by account.
+        self.fair_share: FairRank | None = None
         self.answered = False
         self.output: tuple[int, bytes, bytes] | None = None
         #: Called once if the client disconnects before the response.
--- a/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
@@ -5,6 +5,7 @@
 from random import Random
 
 from rattanfork_core.clock import Clock
+from rattanfork_core.fair_shares import DemandReport
 from rattanfork_core.gate_status import ReportsByService
 from rattanfork_core.membership import (
     CachedVersions,
@@ -162,7 +163,17 @@
         for member in self._membership.random_members(count):
             self._send(data, member.address)
 
-    def send(self, message: DirectMessage, address: tuple[str, int]) -> None:
+    def send_to_all(self, update: GossipUpdate) -> None:
+        """Send an update to all present members."""
+        data = encode_gossip(update, self._key)
+        me = self._membership.me.name
+        for member in self._membership.present():
+            if member.name != me:
+                self._send(data, member.address)
+
+    def send(
+        self, message: DirectMessage | DemandReport, address: tuple[str, int]
+    ) -> None:
         """Send a request or reply to one node."""
         self._send(encode_gossip(message, self._key), address)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -93,6 +93,7 @@
                 "host": exchange.host,
                 "allowed_ms": _milliseconds(exchange.client_timeout),
                 **self._versions(),
+                **_fair_share(exchange),
                 **inputs,
             }
             self._log.write("request", request_id, fields)
@@ -136,6 +137,7 @@
             "rank": round(admitted.rank, 3),
             "rule": admitted.rule,
             **self._versions(),
+            **_fair_share(exchange),
             "tries": [
                 {"to": a.member, "reason": a.reason.label, "status": a.status}
                 | {"ms": _milliseconds(a.seconds)}
@@ -194,5 +196,11 @@
         }
 
 
+def _fair_share(exchange: Exchange) -> dict[str, object]:
+    """Return the field about a fair rank; none if the rank is that of the hash."""
+    fair = exchange.fair_share
+    return {} if fair is None else {"fair_share": fair.as_log_field()}
+
+
 def _milliseconds(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds * 1000, 1)
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -9,6 +9,7 @@
 
 from rattanfork_core.advertised import UpstreamReportTable
 from rattanfork_core.clock import Clock
+from rattanfork_core.fair_shares import FairShares
 from rattanfork_core.gate_status import (
     CallChainThresholds,
     EarlyShedder,
@@ -42,7 +43,7 @@
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
-from rattanfork_node.relay.request_rank import rank_of_request
+from rattanfork_node.relay.request_rank import RequestRanker
 from rattanfork_node.relay.settings import RelaySettings
 from rattanfork_node.telemetry import Counters
 
@@ -107,6 +108,8 @@
         Fingerprints of requests that no upstream may run.
     accounts : ClientAccounts
         Authenticates callers by API key, if the configuration has accounts.
+    fair_shares : FairShares or None
+        Shares capacity fairly by account under overload; None to share it by request.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
         reports: GateReportTable,
         quarantine: Quarantine,
         accounts: ClientAccounts,
+        fair_shares: FairShares | None = None,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
@@ -143,6 +147,7 @@
         self._chain_thresholds = CallChainThresholds(
             reports, self.dependencies, directory.instance_count
         )
+        self._ranker = RequestRanker(self._chain_thresholds, fair_shares, counters)
         self.own_name = membership.me.name
         self._decision_log = decision_log
         self._accounts = accounts
@@ -239,8 +244,10 @@
                 exchange, Reason.LEAVING, retry_after, route=route.name
             )
             return
-        rank = rank_of_request(exchange, route, rule_sets_importance)
         operation = self.operation(route, service)
+        rank = self._ranker.rank(
+            exchange, route, rule_sets_importance, operation, service
+        )
         blocked = None
         if rank < self._chain_thresholds.threshold(operation, service):
             blocked = self._shedding_instances(picker, route, service, rank)
