--- a/packages/rattanfork-core/rattanfork_core/fair_shares/collector.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/collector.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from rattanfork_core.clock import Clock
+from rattanfork_core.clock import Clock, ManualClock
 from rattanfork_core.fair_shares.curve import DemandCurve
 from rattanfork_core.fair_shares.messages import (
     MAX_LISTED_ACCOUNTS,
@@ -21,9 +21,13 @@
 _CLEARLY_MORE = 1.25
 #: Ticks over which the lowest reported threshold is kept: 2 s.
 _ADMITTED_TICKS = 4
-#: Part of the fair share from which an account is listed.  The threshold moves by less
-#: within the half second between two totals.
-_LISTED_PART = 0.5
+#: Part of the fair share from which an account is listed: the threshold may fall before
+#: the next totals.
+_LISTED_PART = 0.8
+
+
+#: Seconds between two totals, and between two reports of a node.
+_TICK_SECONDS = 0.5
 
 
 class _Importance:
@@ -50,8 +54,6 @@
     Parameters
     ==========
 
-    clock : Clock
-        Source of the current time.
     own_name : str
         Member name of this node.
     totals : TotalsTable
@@ -61,18 +63,21 @@
     ========
 
     >>> from rattanfork_core.clock import ManualClock
-    >>> clock = ManualClock()
-    >>> collector = DemandCollector(clock, "n1@b", TotalsTable(clock))
+    >>> collector = DemandCollector("n1@b", TotalsTable(ManualClock()))
     >>> collector.add(DemandReport(2, 400, ((7, 60), (8, 10), (9, 10))))
     >>> [totals] = collector.take_totals()
     >>> totals.demands, totals.rest_count, totals.rest_total
     (((7, 60), (9, 10), (8, 10)), 0, 0)
     """
 
-    def __init__(self, clock: Clock, own_name: str, totals: TotalsTable) -> None:
-        self._clock = clock
+    def __init__(self, own_name: str, totals: TotalsTable) -> None:
         self._own_name = own_name
         self._totals = totals
+        # Windows advance with the totals, so that each contains four reports of each
+        # node.  By time they contained three or four, depending on when in the half
+        # second a node reports, and an account at one node appeared to send a third
+        # more than at another.
+        self._tick_clock = ManualClock()
         self._importances: dict[int, _Importance] = {}
         self._sequence = 0
         self._sends = False
@@ -91,7 +96,7 @@
         """Add the requests in a report."""
         state = self._importances.get(report.importance)
         if state is None:
-            state = self._importances[report.importance] = _Importance(self._clock)
+            state = self._importances[report.importance] = _Importance(self._tick_clock)
         state.lowest_admitted = min(state.lowest_admitted, report.admitted)
         for account, count in report.demands:
             state.window.add(account, count)
@@ -106,6 +111,7 @@
                 del self._importances[importance]
             elif not self._yields(importance, state.window.total):
                 messages.append(self._totals_of(importance, state))
+        self._tick_clock.advance(_TICK_SECONDS)
         self._sends = bool(messages)
         return messages
 
--- a/packages/rattanfork-core/rattanfork_core/fair_shares/fair_rank.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/fair_rank.py
@@ -17,9 +17,15 @@
 
 #: Highest fraction of a rank; at 1 a request would have the next importance.
 _MAX_FRACTION = 1.0 - 2.0**-20
-#: Seconds for which a node without totals uses the curve of its own requests unchanged;
-#: building it takes up to a millisecond.
-_OWN_CURVE_SECONDS = 0.1
+#: Seconds for which a node without totals uses those of its own requests unchanged;
+#: computing them takes up to a millisecond.
+_OWN_TOTALS_SECONDS = 0.1
+#: Ratio of this node's count to the known demand, and excess over it, from which the
+#: count is used: the account's demand has just risen.  The higher of the two at all
+#: times would make an account at one node appear more demanding, by random variation,
+#: than one at all nodes.
+_CLEARLY_MORE = 1.25
+_CLEAR_EXCESS = 2
 #: Seconds after the last fair rank of an importance from which it counts as inactive.
 _ACTIVE_SECONDS = 2.0
 
@@ -73,8 +79,9 @@
     #: Requests by account since the last report.
     unreported: dict[int, int] = field(default_factory=dict)
     lowest_admitted: float = 1.0
-    own_curve: DemandCurve | None = None
-    own_curve_at: float = 0.0
+    #: Curve and highest demands of this node's own requests, and when computed.
+    own: tuple[DemandCurve, dict[int, int]] | None = None
+    own_at: float = 0.0
     last: FairRank | None = None
     last_at: float = 0.0
 
@@ -129,7 +136,7 @@
     >>> for name in ("a", "b", "a", "b"):
     ...     rank = shares.rank(2, name, 0.5, threshold=2.4)
     >>> round(shares.rank(2, "eager", 0.5, 2.4).fraction, 2)
-    0.52
+    0.51
     >>> round(rank.fraction, 2)
     0.03
     """
@@ -188,12 +195,14 @@
         if route_importance is not None:
             tiebreak = self._positions.position(key, route_importance, tiebreak)
         totals = self._totals.current(importance)
-        if totals is None:
-            curve = self._own_curve(state, now)
+        if totals is not None:
+            curve, demands = totals.curve, totals.demands
         else:
-            curve = totals.curve
-            # An account that is not listed is below its fair share.
-            demand = max(demand, totals.demands.get(key, curve.rest))
+            curve, demands = self._own_totals(state, now)
+        # An account that is not listed is below its fair share.
+        known = max(demands.get(key, curve.rest), 1.0)
+        if demand <= _CLEARLY_MORE * known + _CLEAR_EXCESS:
+            demand = known
         fraction = min(curve.share(tiebreak * demand), _MAX_FRACTION)
         state.last_at = now
         state.last = FairRank(fraction, demand, admitted, curve, totals is not None)
@@ -227,15 +236,17 @@
         state = self._importances.get(importance)
         return None if state is None else state.last
 
-    def _own_curve(self, state: _Importance, now: float) -> DemandCurve:
-        if state.own_curve is None or now - state.own_curve_at >= _OWN_CURVE_SECONDS:
+    def _own_totals(
+        self, state: _Importance, now: float
+    ) -> tuple[DemandCurve, dict[int, int]]:
+        if state.own is None or now - state.own_at >= _OWN_TOTALS_SECONDS:
             window = state.window
-            top = window.top(MAX_LISTED_ACCOUNTS)
-            top_total = sum(demand for _, demand in top)
-            state.own_curve = DemandCurve(
-                (demand for _, demand in top),
-                len(window) - len(top),
-                window.total - top_total,
+            demands = dict(window.top(MAX_LISTED_ACCOUNTS))
+            curve = DemandCurve(
+                demands.values(),
+                len(window) - len(demands),
+                window.total - sum(demands.values()),
             )
-            state.own_curve_at = now
-        return state.own_curve
+            state.own = curve, demands
+            state.own_at = now
+        return state.own
--- a/packages/rattanfork-node/rattanfork_node/member/demand_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/demand_task.py
@@ -75,7 +75,7 @@
         self._fair_shares = fair_shares
         self._totals = totals
         self._has_accounts = has_accounts
-        self._collector = DemandCollector(clock, membership.me.name, totals)
+        self._collector = DemandCollector(membership.me.name, totals)
         self._choice = CollectorChoice(clock)
         self._candidates: list[str] = []
         self._candidates_version = -1
@@ -84,6 +84,11 @@
         gossip_task.direct_handlers[DemandReport] = self.on_report
         gossip_task.direct_handlers[DemandTotals] = self.on_totals
 
+    @property
+    def sends(self) -> bool:
+        """Whether this node is the collector that sends totals."""
+        return self._collector.sends
+
     def on_report(self, report: DemandReport, address: tuple[str, int]) -> None:
         """Sum a report of another node, which considers this one a collector."""
         if self._has_accounts():
@@ -122,7 +127,7 @@
         active = self._fair_shares.active_importances
         gauges: dict[str, float] = {
             "fair_share_active": len(active),
-            "fair_share_collector": int(self._collector.sends),
+            "fair_share_collector": int(self.sends),
         }
         for importance in active:
             last = self._fair_shares.last_rank(importance)
