--- a/packages/rattanfork-cli/rattanfork_cli/commands/explain.py
+++ b/packages/rattanfork-cli/rattanfork_cli/commands/explain.py
@@ -22,6 +22,12 @@
 from rattanfork_cli.output import fail, print_json
 from rattanfork_cli.rules_store import RulesStore
 
+#: Effect of client accounts on the order in which requests are shed.
+_FAIR_SHARE = (
+    "while its services shed this importance, client accounts get fair shares "
+    "(gauges rattanfork_fair_share_*, field fair_share of request lines)"
+)
+
 
 def explain_request(
     host: Annotated[str, typer.Argument(help="Host of the request.")],
@@ -63,6 +69,7 @@
                 "configuration": configuration.version,
                 "revision": record.revision,
                 "route": route.name,
+                "fair_share": configuration.accounts is not None,
                 "services": {s: _to_json(e, d) for s, e, d in results},
             }
         )
@@ -97,6 +104,8 @@
 ) -> None:
     print(f"configuration {configuration.version}: route {route.name}")
     print(f"  {route.host}{route.prefix}, {_describe_idempotence(route)}")
+    if configuration.accounts is not None:
+        print(f"  {_FAIR_SHARE}")
     total = sum(share.weight for share in route.services)
     for share, (service, explanation, decision) in zip(
         route.services, results, strict=True
--- a/packages/rattanfork-core/rattanfork_core/fair_shares/fair_rank.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/fair_rank.py
@@ -138,7 +138,7 @@
     >>> round(shares.rank(2, "eager", 0.5, 2.4).fraction, 2)
     0.51
     >>> round(rank.fraction, 2)
-    0.03
+    0.02
     """
 
     def __init__(self, clock: Clock, totals: TotalsTable) -> None:
--- a/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_gate_reports.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/tests/test_gate_reports.py
@@ -6,8 +6,10 @@
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.gate_status import (
     MAX_REPORTERS,
+    CallChainThresholds,
     GateReport,
     GateReportTable,
+    OperationDependencies,
     gate_reports,
 )
 from rattanfork_core.gate_status.gate_reports import gate_hash
@@ -142,6 +144,20 @@
     assert simulation.success_rate(SEARCH) > 0.4
 
 
+def test_lowest_gate_threshold_is_that_of_any_gate_along_the_call_chain():
+    """Guards against fair ranks that begin only once most gates shed."""
+    node = GateReportTable(ManualClock(9.0), "first@b")
+    dependencies = OperationDependencies()
+    dependencies.record_run("r/top", ["leaf"])
+    chain = CallChainThresholds(node, dependencies, lambda service: 4)
+    assert chain.lowest_gate_threshold("r/top", "top") == 5.0
+    node.merge({"leaf": [GateReport(7, 1, 100, False, 0)]})
+    node.merge({"leaf": [GateReport(8, 1, 150, False, 0)]})
+    assert chain.threshold("r/top", "top") == 5.0
+    assert chain.lowest_gate_threshold("r/top", "top") == 2.0
+    assert chain.lowest_gate_threshold("other/top", "top") == 5.0
+
+
 def test_full_table_drops_the_report_received_longest_ago(monkeypatch):
     """Guards against a gate that reports now and is forgotten for one that did once."""
     monkeypatch.setattr(gate_reports, "_MAX_STORED", 2)
--- a/packages/rattanfork-core/rattanfork_core/trace/request_trace.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/request_trace.py
@@ -116,6 +116,7 @@
         line,
         "ms",
         "rank",
+        "fair_share",
         "rule",
         "retry_after",
         "configuration",
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -7,6 +7,7 @@
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.client_accounts import AccountIndex, ClientAccount
 from rattanfork_core.clock import ManualClock
+from rattanfork_core.fair_shares import FairShares, TotalsTable
 from rattanfork_core.gate_status import GateReportTable
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.objectives import RouteObjectives
@@ -300,6 +301,7 @@
         self.rules = RevisionState()
         self.rules.receive_from_store(None)
         self.reports = GateReportTable(self.clock, me.name)
+        self.fair_shares = FairShares(self.clock, TotalsTable(self.clock))
         self.relay = Relay(
             self.clock,
             Random(1),
@@ -323,6 +325,7 @@
             self.reports,
             self.quarantine,
             self.accounts,
+            self.fair_shares,
         )
 
     def change_accounts(self, accounts: dict[ClientAccount, list[str]] | None) -> None:
