Let totals expire while they are forwarded

Cause: take_forwards iterated over the totals that the look-up of expired ones removes; a simulation of 1,000 nodes ended with RuntimeError.

Change: it iterates over a copy, and a test forwards expired totals.

--- a/packages/rattanfork-core/rattanfork_core/fair_shares/tests/test_exchange.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/tests/test_exchange.py
@@ -222,6 +222,17 @@
     assert [len(table.take_forwards()) for _ in range(6)] == [1, 1, 1, 0, 0, 0]
 
 
+def test_expired_totals_are_not_forwarded():
+    """Guards against an error when the last totals expire before a forwarding tick."""
+    clock = ManualClock()
+    table = TotalsTable(clock)
+    for importance in (1, 2):
+        table.merge(DemandTotals("n1", 1, importance, ((7, 50),), 0, 0))
+    clock.advance(2.5)
+    assert table.take_forwards() == []
+    assert table.sender() is None
+
+
 def test_all_nodes_choose_the_same_collectors_after_a_calm_period():
     """Guards against nodes that begin where their last search ended."""
     clock = ManualClock()
--- a/packages/rattanfork-core/rattanfork_core/fair_shares/totals_table.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/totals_table.py
@@ -124,7 +124,7 @@
     def take_forwards(self) -> list[DemandTotals]:
         """Return the recent totals to forward now, each a bounded number of times."""
         messages = []
-        for importance in self._current:
+        for importance in list(self._current):
             current = self.current(importance)
             if current is not None and current.forwards < _MAX_FORWARDS:
                 current.forwards += 1
