--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 SEEDS ?= 50
 FIRST ?= 0
-.PHONY: demo test bench speed starts shared matrix slopes confirmations reports accounts \
+.PHONY: demo test bench speed starts shared matrix slopes confirmations reports accounts fair \
     soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -66,6 +66,9 @@
 accounts: $(READY)
 	$(BIN)/python bench/client_accounts.py
 
+fair: $(READY)
+	$(BIN)/python bench/fair_shares.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
