--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 50
 FIRST ?= 0
 .PHONY: demo test bench speed hops starts shared matrix slopes confirmations reports \
-    accounts connections soak lint format fuzz clean
+    accounts connections fair soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -69,6 +69,9 @@
 accounts: $(READY)
 	$(BIN)/python bench/client_accounts.py
 
+fair: $(READY)
+	$(BIN)/python bench/fair_shares.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -299,6 +299,7 @@
             self._gate_reports,
             self._quarantine,
             self._account_tasks.accounts,
+            self._account_tasks.fair_shares,
         )
         self._state_reporter = StateReporter(
             self._clock,
@@ -313,6 +314,7 @@
             lambda: self._store.confirmed_age,
             lambda: self.ready,
             self._body_budget,
+            self._account_tasks.demand.gauges,
         )
         self._upstream_monitor = UpstreamMonitor(
             self._clock,
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -47,6 +47,8 @@
         Returns whether new requests of callers are accepted.
     body_budget : BodyBudget
         Budget for the bodies of uploads.
+    fair_share_gauges : callable
+        Returns the gauges of fair shares; none without client accounts.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         confirmed_age: Callable[[], float],
         is_ready: Callable[[], bool],
         body_budget: BodyBudget,
+        fair_share_gauges: Callable[[], dict[str, float]],
     ) -> None:
         self._clock = clock
         self._log = log
@@ -76,6 +79,7 @@
         self._confirmed_age = confirmed_age
         self._is_ready = is_ready
         self._body_budget = body_budget
+        self._fair_share_gauges = fair_share_gauges
         self._configuration_since = clock.now()
 
     def on_configuration(self) -> None:
@@ -116,6 +120,7 @@
             upload=self._upload_fields(),
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
+            **self._fair_share_gauges(),
         )
 
     def _upload_fields(self) -> dict[str, int]:
@@ -174,6 +179,7 @@
             "rules_revision": self._rules.revision,
             "store_silence_seconds": self._platform.seconds_since_answer,
             "store_calls_pending": len(self._platform.pending),
+            **self._fair_share_gauges(),
         }
 
 
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from rattanfork_core.client_accounts import ClientAccount
+from rattanfork_core.fair_shares import FairRank
 
 from rattanfork_node.http1.fingerprints import fingerprint_of
 
@@ -51,6 +52,7 @@
         "body",
         "client_timeout",
         "connection",
+        "fair_share",
         "granted_at",
         "header_block",
         "host",
@@ -97,6 +99,8 @@
         #: The body while it is read after the head was decided on; None if the request
         #: was received whole before, and after the response.
         self.upload: Upload | None = None
+        #: How its rank was computed while the capacity is shared by account.
+        self.fair_share: FairRank | None = None
         self.answered = False
         self.output: tuple[int, bytes, bytes] | None = None
         #: Called once if the client disconnects before the response.
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -11,6 +11,7 @@
 from rattanfork_core.advertised import UpstreamReportTable
 from rattanfork_core.circuit_breaker import OperationBreakers
 from rattanfork_core.clock import Clock
+from rattanfork_core.fair_shares import FairShares
 from rattanfork_core.gate_status import (
     CallChainThresholds,
     EarlyShedder,
@@ -45,7 +46,7 @@
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
-from rattanfork_node.relay.request_rank import rank_of_request
+from rattanfork_node.relay.request_rank import RequestRanker
 from rattanfork_node.relay.settings import RelaySettings
 from rattanfork_node.relay.uploads import UploadReader
 from rattanfork_node.telemetry import Counters, log_change
@@ -108,6 +109,8 @@
         Fingerprints of requests that no upstream may run.
     accounts : ClientAccounts
         Authenticates callers by API key, if the configuration has accounts.
+    fair_shares : FairShares or None
+        Shares capacity fairly by account under overload; None to share it by request.
     """
 
     def __init__(
@@ -127,6 +130,7 @@
         reports: GateReportTable,
         quarantine: Quarantine,
         accounts: ClientAccounts,
+        fair_shares: FairShares | None = None,
     ) -> None:
         self.clock = clock
         self.loop = asyncio.get_running_loop()
@@ -147,6 +151,7 @@
         self._chain_thresholds = CallChainThresholds(
             reports, self.dependencies, directory.instance_count
         )
+        self._ranker = RequestRanker(self._chain_thresholds, fair_shares, counters)
         self.own_name = membership.me.name
         self._decision_log = decision_log
         self._accounts = accounts
@@ -268,7 +273,13 @@
                 return
             if decision.data_centre is not None:
                 outside = picker.instances_outside(decision.data_centre)
-        rank = rank_of_request(exchange, route, rule_sets_importance)
+        rank = self._ranker.rank(
+            exchange,
+            route,
+            rule_sets_importance,
+            self.operation(route, service),
+            service,
+        )
         self._admit_by_load(exchange, route, service, rank, picker, outside, rule)
 
     def _admit_by_load(
