Let the result of a cancelled attempt decide the outcome of its request

Cause: at its deadline a request was finished as unknown before the gate could reply to the cancel, although the gate reports whether it had handed the attempt over.

Change: RequestStateMachine.begin_cancel cancels the attempt in progress and waits for its result; the attempt is not retried any more. A link lost meanwhile is fenced. Without a result by the deadline the outcome is unknown, as before. Each result of a request that has not run names its proof.

--- a/packages/rattanfork-core/rattanfork_core/request/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/request/__init__.py
@@ -1,6 +1,7 @@
 """State of a request at the node that received it: rank, attempts and outcome."""
 
 from rattanfork_core.request.attempt import Attempt, AttemptState
+from rattanfork_core.request.cancel_wait import cancel_lead, reply_wait
 from rattanfork_core.request.commands import (
     Command,
     Finish,
@@ -15,6 +16,7 @@
 from rattanfork_core.request.importance import Importance
 from rattanfork_core.request.outcome import Outcome, Reason
 from rattanfork_core.request.progress import rank_of_call
+from rattanfork_core.request.proof import Proof
 from rattanfork_core.request.result import CallResult, FenceVerdict
 from rattanfork_core.request.retry_after import jittered_retry_after
 from rattanfork_core.request.state_machine import RequestStateMachine
@@ -29,14 +31,17 @@
     "Finish",
     "Importance",
     "Outcome",
+    "Proof",
     "Reason",
     "RequestStateMachine",
     "SendCall",
     "SendCancel",
     "SendFence",
+    "cancel_lead",
     "format_fingerprint",
     "jittered_retry_after",
     "rank_of_call",
+    "reply_wait",
     "request_fingerprint",
     "request_rank",
     "request_tiebreak",
--- a/packages/rattanfork-core/rattanfork_core/request/attempt.py
+++ b/packages/rattanfork-core/rattanfork_core/request/attempt.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from rattanfork_core.request.proof import Proof
+
 
 class AttemptState(IntEnum):
     """State of an attempt, as its sender knows it."""
@@ -16,6 +18,8 @@
     #: Nothing is proved: it may have run, or still run.
     MAYBE_RUN = 3
     ANSWERED = 4
+    #: Cancelled; the guard's result may still arrive and decides the outcome.
+    CANCELLING = 5
 
 
 @dataclass(slots=True)
@@ -33,9 +37,12 @@
         Extra attempts that the run may spend on its downstream calls.
     state : AttemptState
         What the sender knows of the attempt.
+    proof : Proof
+        How it was proved that the attempt has not run.
     """
 
     number: int
     instance: str
     delegated_attempts: int
     state: AttemptState = AttemptState.SENT
+    proof: Proof = Proof.NONE
--- a/packages/rattanfork-core/rattanfork_core/request/result.py
+++ b/packages/rattanfork-core/rattanfork_core/request/result.py
@@ -4,6 +4,7 @@
 from enum import IntEnum
 
 from rattanfork_core.request.outcome import Outcome, Reason
+from rattanfork_core.request.proof import Proof
 
 
 class FenceVerdict(IntEnum):
@@ -46,6 +47,8 @@
     services_reached : tuple of str
         Services that the operation calls, directly or indirectly, as observed by the
         guard.
+    proof : Proof
+        How it was proved that the request has not run.
     """
 
     outcome: Outcome
@@ -58,3 +61,4 @@
     retry_after: float = 0.0
     block: bytes = b""
     services_reached: tuple[str, ...] = ()
+    proof: Proof = Proof.NONE
--- a/packages/rattanfork-core/rattanfork_core/request/state_machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/state_machine.py
@@ -12,6 +12,7 @@
     SendFence,
 )
 from rattanfork_core.request.outcome import Outcome, Reason
+from rattanfork_core.request.proof import Proof
 from rattanfork_core.request.result import CallResult, FenceVerdict
 
 #: Picks an instance, given those to avoid; returns None if there is no other.
@@ -40,6 +41,10 @@
     itself proves nothing: the attempt may be in the receive buffer of a paused
     process, and run when the process resumes.
 
+    Shortly before its deadline, a request may be cancelled: its attempt is not
+    retried any more, and the guard's reply to the cancel says whether the attempt
+    was handed over.  Without a reply by the deadline, the outcome is unknown.
+
     Parameters
     ==========
 
@@ -118,6 +123,8 @@
     def on_result(self, number: int, result: CallResult) -> list[Command]:
         """Handle the guard's result of an attempt."""
         attempt = self._attempts[number - 1]
+        if attempt.state is AttemptState.CANCELLING and not self._finished:
+            return self._finish_cancelled(attempt, result)
         if self._finished or attempt.state is not AttemptState.SENT:
             # Too late: the attempt was fenced, or the request is finished.  Its
             # unused extra attempts were written off and are not credited again.
@@ -127,7 +134,7 @@
             attempt.state = AttemptState.ANSWERED
             return self._finish(result)
         if result.outcome is Outcome.NOT_RUN:
-            attempt.state = AttemptState.NOT_RUN
+            _mark_not_run(attempt, result)
         else:
             attempt.state = AttemptState.MAYBE_RUN
             if result.status:
@@ -137,9 +144,10 @@
     def on_connection_lost(self, number: int) -> list[Command]:
         """Retry or fence an attempt whose connection was lost or does not respond."""
         attempt = self._attempts[number - 1]
-        if self._finished or attempt.state is not AttemptState.SENT:
+        cancelling = attempt.state is AttemptState.CANCELLING
+        if self._finished or not (cancelling or attempt.state is AttemptState.SENT):
             return []
-        if self._idempotent and self._can_retry(attempt):
+        if self._idempotent and not cancelling and self._can_retry(attempt):
             # An idempotent request may run twice, so there is no need to wait
             # for the guard's reply to a fence.
             attempt.state = AttemptState.MAYBE_RUN
@@ -154,6 +162,7 @@
             return []
         if verdict is FenceVerdict.NOT_RUN:
             attempt.state = AttemptState.NOT_RUN
+            attempt.proof = Proof.FENCE
             reason = self._give_up_reason or Reason.CONNECTION
             result = CallResult(Outcome.NOT_RUN, reason, retry_elsewhere=True)
         else:
@@ -164,9 +173,31 @@
             return self._finish(self._with_proved_outcome(result))
         return self._retry_or_finish(attempt, result)
 
+    def begin_cancel(self, reason: Reason) -> list[Command]:
+        """Cancel the attempt in progress, whose result then decides the outcome.
+
+        Has to be followed by :meth:`on_deadline`, which finishes the request if no
+        result arrives.  It must not be retried meanwhile.
+
+        Parameters
+        ==========
+
+        reason : Reason
+            Why the request ends.
+        """
+        if self._finished:
+            return []
+        self._give_up_reason = reason
+        commands: list[Command] = []
+        for attempt in self._attempts:
+            if attempt.state is AttemptState.SENT:
+                attempt.state = AttemptState.CANCELLING
+                commands.append(SendCancel(attempt.number, attempt.instance))
+        return commands
+
     def on_deadline(self) -> list[Command]:
         """Finish the request: its deadline has passed."""
-        return self._give_up(Reason.DEADLINE)
+        return self._give_up(self._give_up_reason or Reason.DEADLINE)
 
     def on_caller_disconnected(self) -> list[Command]:
         """Cancel the request: its caller has disconnected."""
@@ -181,13 +212,38 @@
             if attempt.state in (AttemptState.SENT, AttemptState.FENCING):
                 commands.append(SendCancel(attempt.number, attempt.instance))
                 attempt.state = AttemptState.MAYBE_RUN
+            elif attempt.state is AttemptState.CANCELLING:
+                attempt.state = AttemptState.MAYBE_RUN
         result = CallResult(Outcome.UNKNOWN, reason)
         return commands + self._finish(self._with_proved_outcome(result))
 
+    def _finish_cancelled(self, attempt: Attempt, result: CallResult) -> list[Command]:
+        """Finish a cancelled request with the result of its attempt."""
+        if result.outcome is Outcome.ANSWERED:
+            attempt.state = AttemptState.ANSWERED
+            return self._finish(result)
+        if result.outcome is Outcome.NOT_RUN:
+            _mark_not_run(attempt, result)
+        else:
+            attempt.state = AttemptState.MAYBE_RUN
+            if result.status:
+                self._upstream_failure = result
+        reason = result.reason
+        if reason is Reason.CANCELLED:
+            reason = self._give_up_reason
+        return self._finish(
+            self._with_proved_outcome(CallResult(result.outcome, reason))
+        )
+
     def _with_proved_outcome(self, result: CallResult) -> CallResult:
         # A request is "not run" only if that is proved for every attempt.
         all_not_run = all(a.state is AttemptState.NOT_RUN for a in self._attempts)
-        result.outcome = Outcome.NOT_RUN if all_not_run else Outcome.UNKNOWN
+        if all_not_run:
+            result.outcome = Outcome.NOT_RUN
+            last = self._attempts[-1].proof if self._attempts else Proof.NO_ATTEMPT
+            result.proof = last
+        else:
+            result.outcome, result.proof = Outcome.UNKNOWN, Proof.NONE
         return result
 
     def _can_retry(self, attempt: Attempt) -> bool:
@@ -254,6 +310,18 @@
         return [Finish(result)]
 
 
+def _mark_not_run(attempt: Attempt, result: CallResult) -> None:
+    attempt.state = AttemptState.NOT_RUN
+    if result.proof:
+        attempt.proof = result.proof
+    elif result.reason is Reason.CANCELLED:
+        attempt.proof = Proof.CANCEL
+    elif result.reason is Reason.UPSTREAM_SHED:
+        attempt.proof = Proof.UPSTREAM
+    else:
+        attempt.proof = Proof.GATE
+
+
 def _no_instance(avoid: frozenset[str]) -> str | None:
     return None
 
