Answer 503 to requests of which it is proved that they were not handed over

Cause: requests that no upstream had received ended with 502 or 504: at the deadline, while they waited in a gate's queue or for a link; when a link was lost before the run was written to it; and when a link was lost between its opening and the first run, which it dropped silently, so that the request waited until its deadline.

This node's own gate is asked at the deadline itself, for every request. PeerLink.was_written tells runs that were dropped from runs that may have been received. A request that has not run is answered 503 with Retry-After, its log line names the proof, and relay.not-run.PROOF counts it.

Requests that are idempotent are not cancelled early: that would abort runs that end in time, and their callers may retry in any case.

Constants, fence and replies moved out of forwarding.py.

--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -105,6 +105,8 @@
         self._authenticated = False
         self._closed = False
         self._last_number = 0
+        #: Highest number of a request that was written to the transport.
+        self._last_written = 0
         self._reply_futures: dict[int, asyncio.Future] = {}
         self._run_callbacks: dict[int, Callable[[RunReply | None], None]] = {}
         self._unsent: list[bytes] = []
@@ -213,6 +215,14 @@
         self._run_callbacks[message.number] = done
         self.send_batched(message)
 
+    def was_written(self, number: int) -> bool:
+        """Return whether the message of a number was written to the transport.
+
+        One that was not is dropped when the connection is lost, so the peer never
+        receives it.  One that was written may have been received.
+        """
+        return number <= self._last_written
+
     def forget(self, number: int) -> None:
         """Remove a pending request; its reply is dropped as late."""
         self._reply_futures.pop(number, None)
@@ -284,6 +294,7 @@
     def _flush(self) -> None:
         unsent, self._unsent = self._unsent, []
         if unsent and not self._closed:
+            self._last_written = self._last_number
             self._transport.write(b"".join(unsent))
 
     def _dispatch(self, message: Message) -> None:
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -282,3 +282,26 @@
 def test_message_is_unchanged_by_encoding_and_decoding(message):
 
     assert decode_message(msgpack.unpackb(encode_message(message))) == message
+
+
+@on_event_loop
+def test_run_that_was_not_written_is_known_when_its_link_is_lost():
+    """Runs are written in batches; one may still wait when the link is lost.
+
+    The peer can't have received it, so its sender need not ask the peer's gate.
+    """
+    pair = LinkPair()
+    pair.deliver()
+    near, _ = pair.links
+    written: list[bool] = []
+
+    def send_run() -> None:
+        number = near.next_number()
+        run = RUN._replace(number=number)
+        near.send_run(run, lambda reply: written.append(near.was_written(number)))
+
+    send_run()
+    near.send(Ping(1))
+    send_run()
+    near.close("lost")
+    assert written == [True, False]
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -6,7 +6,13 @@
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.objectives import RouteObjectives
-from rattanfork_core.request import CallResult, Outcome, Reason, format_fingerprint
+from rattanfork_core.request import (
+    CallResult,
+    Outcome,
+    Proof,
+    Reason,
+    format_fingerprint,
+)
 from rattanfork_core.revision import RevisionState
 from rattanfork_core.trace import loss_cause
 
@@ -86,6 +92,7 @@
                 "fingerprint": format_fingerprint(exchange.fingerprint),
                 "outcome": Outcome.NOT_RUN.label,
                 "reason": reason.label,
+                "proof": Proof.NO_ATTEMPT,
                 "status": status,
                 "call": is_call,
                 "account": exchange.account_name,
@@ -127,6 +134,7 @@
             "fingerprint": format_fingerprint(exchange.fingerprint),
             "outcome": outcome,
             "reason": result.reason.label,
+            "proof": result.proof,
             "status": status,
             "call": admitted.parent is not None,
             "account": exchange.account_name,
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -2,27 +2,33 @@
 
 from __future__ import annotations
 
-import asyncio
 from math import inf
 from typing import TYPE_CHECKING
 
-from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.budgets import LocalRequestBudget
 from rattanfork_core.request import (
     CallResult,
-    FenceVerdict,
     Finish,
     Outcome,
+    Proof,
     Reason,
     RequestStateMachine,
     SendCall,
     SendCancel,
+    cancel_lead,
+    reply_wait,
 )
 from rattanfork_core.request.commands import Command
 
 from rattanfork_node.peer import Cancel, LinkLostError, PeerLink, Run, RunReply
 from rattanfork_node.relay.admitted_request import AdmittedRequest, AttemptRecord
+from rattanfork_node.relay.attempt_reasons import (
+    INSTANCE_FAILURE_REASONS,
+    REACHED_UPSTREAM_REASONS,
+)
+from rattanfork_node.relay.fencing import fence_attempt
 from rattanfork_node.relay.job import Job
+from rattanfork_node.relay.run_replies import result_from_reply, store_report
 
 if TYPE_CHECKING:
     from rattanfork_core.membership import Member
@@ -30,8 +36,6 @@
     from rattanfork_node.http1 import Exchange
     from rattanfork_node.relay.relay import Relay
 
-#: Time within which a gate must reply to a fence for an attempt whose link was lost.
-_FENCE_TIMEOUT_S = 0.5
 #: Multiple of an instance's mean latency.  If an attempt has waited longer when its
 #: deadline passes, it counts as a failure of the instance: time in a queue, which
 #: refuses late requests, can't explain such a wait.
@@ -47,27 +51,6 @@
 _MAX_RETRY_DENIALS = 2
 #: Runs of one request that may end in a lost upstream connection.
 _MAX_LOST_RUNS = 2
-#: Reasons that show that the request reached an upstream, so that another attempt is
-#: charged to the retry budget.
-_REACHED_UPSTREAM_REASONS = frozenset(
-    (
-        Reason.UPSTREAM_SHED,
-        Reason.UPSTREAM_FAILED,
-        Reason.CONNECTION,
-        Reason.STALE_INSTANCE,
-    )
-)
-#: Reasons that count as a failure of the instance in load balancing.
-_INSTANCE_FAILURE_REASONS = frozenset(
-    (
-        Reason.UPSTREAM_DOWN,
-        Reason.UPSTREAM_SHED,
-        Reason.UPSTREAM_FAILED,
-        Reason.CONNECTION,
-        Reason.NO_INSTANCE,
-        Reason.STALE_INSTANCE,
-    )
-)
 
 
 class Forwarding:
@@ -89,6 +72,7 @@
         "_attempt",
         "_attempt_records",
         "_blocked",
+        "_cancelled",
         "_exchange",
         "_instance_state",
         "_job",
@@ -119,6 +103,7 @@
         self._may_have_arrived = False
         self._retry_denials = 0
         self._lost_runs = 0
+        self._cancelled = False
         self._attempt = 0
         self._attempt_records: list[AttemptRecord] = []
         self._last_reason = Reason.NONE
@@ -138,7 +123,13 @@
             free_retries=_MAX_REFUSED_ATTEMPTS,
         )
         wait = max(0.0, deadline - relay.clock.now())
-        self._timer = relay.loop.call_later(wait, self._on_deadline)
+        if route.idempotent:
+            # Cancelling its run early would lose a response in the last moment, and
+            # its caller may retry whatever the outcome is.
+            self._timer = relay.loop.call_later(wait, self._on_deadline)
+        else:
+            wait -= cancel_lead(wait)
+            self._timer = relay.loop.call_later(wait, self._on_cancel_due)
 
     def start(self) -> None:
         """Send the first attempt."""
@@ -147,6 +138,8 @@
 
     def on_caller_disconnected(self) -> None:
         """Cancel all work, as the caller no longer waits for the response."""
+        self._update_instance_state(failed=False, counted=False)
+        self._execute(self._machine.begin_cancel(Reason.CANCELLED))
         self._execute(self._machine.on_caller_disconnected())
 
     def _pick_instance(self, avoid: frozenset[str]) -> str | None:
@@ -182,7 +175,26 @@
         quarantine = self._relay.quarantine
         return not len(quarantine) or quarantine.may_retry(self._exchange.fingerprint)
 
+    def _on_cancel_due(self) -> None:
+        self._begin_cancel(Reason.DEADLINE)
+
+    def _begin_cancel(self, reason: Reason) -> None:
+        """Cancel the attempt in progress, and wait briefly for its result."""
+        self._timer.cancel()
+        left = self._admitted.deadline - self._relay.clock.now()
+        self._timer = self._relay.loop.call_later(reply_wait(left), self._on_deadline)
+        self._execute(self._machine.begin_cancel(reason))
+
     def _on_deadline(self) -> None:
+        self._count_wait()
+        if self._cancelled and self._link is not None:
+            self._relay.counters.events["relay.cancel-unanswered"] += 1
+        # The gate of this node replies to a cancel at once.
+        self._execute(self._machine.begin_cancel(Reason.DEADLINE))
+        self._execute(self._machine.on_deadline())
+
+    def _count_wait(self) -> None:
+        """Count an attempt without a result as a failure if the wait was long."""
         state = self._instance_state
         if state is not None and state.latency:
             # An unresponsive upstream produces no results, so without this no
@@ -191,7 +203,6 @@
             self._update_instance_state(
                 failed=True, counted=waited > _SILENT_LATENCY_FACTOR * state.latency
             )
-        self._execute(self._machine.on_deadline())
 
     def _execute(self, commands: list[Command]) -> None:
         for command in commands:
@@ -297,6 +308,10 @@
                 self._relay.mark_dead(member.name)
                 self._on_unsent(attempt, member)
                 return
+            if not link.usable:
+                # It was lost before this task continued; it would drop the run.
+                self._on_unsent(attempt, member)
+                return
             self._send_run(link, member)
 
         self._link = None
@@ -306,61 +321,47 @@
     def _on_unsent(self, attempt: int, member: Member | None) -> None:
         if member is not None:
             self._relay.count_unreachable(member.name)
-        result = CallResult(Outcome.NOT_RUN, Reason.NO_INSTANCE, retry_elsewhere=True)
+        result = CallResult(
+            Outcome.NOT_RUN,
+            Reason.NO_INSTANCE,
+            retry_elsewhere=True,
+            proof=Proof.UNWRITTEN,
+        )
         self._on_result(attempt, result)
 
     def _on_reply(self, attempt: int, member: Member, reply: RunReply | None) -> None:
         if reply is None:
+            if not self._link.was_written(self._number):
+                self._on_unsent(attempt, member)
+                return
             self._update_instance_state(failed=True)
             self._record_attempt(Reason.CONNECTION)
             self._last_reason = Reason.CONNECTION
             self._may_have_arrived = True
             self._execute(self._machine.on_connection_lost(attempt))
             return
-        self._update_report(member, reply)
+        store_report(self._relay.upstream_reports, member.instance, reply)
         self._relay.early_shedder.update(
             self._admitted.operation, member.name, reply.cut
         )
         if self._instance_state is not None:
             self._instance_state.busy = reply.busy
-        result = CallResult(
-            Outcome(reply.outcome),
-            Reason(reply.reason),
-            reply.status,
-            body=reply.body,
-            retry_elsewhere=reply.retry_elsewhere,
-            block=reply.block,
-            services_reached=tuple(reply.services_reached),
-        )
-        self._on_result(attempt, result)
-
-    def _update_report(self, member: Member, reply: RunReply) -> None:
-        """Store what the upstream of an instance advertises.
-
-        Only a response of the upstream shows that it advertises nothing: the gate may
-        refuse requests before it knows what it advertises.
-        """
-        report = None
-        if reply.upstream:
-            report = UpstreamReport(
-                reply.upstream, reply.born, reply.rate_limit, reply.leaving
-            )
-        elif reply.outcome != Outcome.ANSWERED:
-            return
-        self._relay.upstream_reports.update(member.instance, report)
+        self._on_result(attempt, result_from_reply(reply))
 
     def _on_result(self, attempt: int, result: CallResult) -> None:
         if self._machine.finished:
             self._update_instance_state(failed=False, counted=False)
             return
+        if result.reason is Reason.CANCELLED:
+            self._count_wait()
         # A refusal within a millisecond would make a limited instance look fast.
         self._update_instance_state(
-            failed=result.reason in _INSTANCE_FAILURE_REASONS,
+            failed=result.reason in INSTANCE_FAILURE_REASONS,
             counted=result.reason is not Reason.UPSTREAM_LIMIT,
         )
         self._record_attempt(result.reason, result.status)
         self._last_reason = result.reason
-        self._may_have_arrived |= result.reason in _REACHED_UPSTREAM_REASONS
+        self._may_have_arrived |= result.reason in REACHED_UPSTREAM_REASONS
         self._retry_denials += result.reason is Reason.NO_REPEAT
         self._lost_runs += result.reason is Reason.CONNECTION
         if 200 <= result.status < 300:
@@ -403,36 +404,38 @@
         self._sent_to = ""
 
     def _send_cancel(self) -> None:
-        self._record_attempt(Reason.CANCELLED)
-        if self._instance_state is not None:
-            self._instance_state.on_inconclusive(self._sent_at)
-            self._instance_state = None
+        self._cancelled = True
         if self._job is not None:
             self._relay.gate.cancel(self._job)
         elif self._link is not None:
-            self._link.forget(self._number)
             self._link.send(Cancel(self._number))
+        else:
+            # The link is not ready.  The attempt was not written, and won't be once
+            # the request is finished.
+            unwritten = CallResult(
+                Outcome.NOT_RUN, Reason.CANCELLED, proof=Proof.UNWRITTEN
+            )
+            self._on_result(self._attempt, unwritten)
 
     def _send_fence(self, attempt: int, instance: str) -> None:
-        link, number = self._link, self._number
-        member = self._relay.directory.member(instance)
+        relay, link, number = self._relay, self._link, self._number
+        member = relay.directory.member(instance)
 
         async def fence() -> None:
-            verdict = FenceVerdict.UNKNOWN
-            try:
-                if member is not None and link is not None:
-                    async with asyncio.timeout(_FENCE_TIMEOUT_S):
-                        [verdict] = await self._relay.pool.fence_calls(
-                            member, link.connection_id, [number]
-                        )
-            except (LinkLostError, TimeoutError, ValueError):
-                self._relay.counters.events["relay.fence-unanswered"] += 1
+            verdict = await fence_attempt(
+                relay.pool, relay.counters, member, link, number
+            )
             self._execute(self._machine.on_fence_verdict(attempt, verdict))
 
-        self._relay.spawn(fence())
+        relay.spawn(fence())
 
     def _finish(self, result: CallResult) -> None:
         self._timer.cancel()
+        if self._cancelled:
+            self._record_attempt(Reason.CANCELLED)
+            self._update_instance_state(failed=False, counted=False)
+            if self._link is not None:
+                self._link.forget(self._number)
         # Breaks the reference cycle between this object and the job's callback.
         self._job = None
         self._relay.finish(
--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -9,13 +9,12 @@
 from rattanfork_node.http1 import Exchange, HeaderNames
 from rattanfork_node.relay.client_accounts import ClientAccounts, Refusal
 from rattanfork_node.relay.decision_log import DecisionLog
+from rattanfork_node.relay.statuses import NOT_RUN_STATUS
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
     from rattanfork_core.routes import Route
 
-#: Status of a request that did not run and will not run.
-NOT_RUN_STATUS = 503
 _NO_ROUTE_STATUS = 404
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -41,9 +41,10 @@
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
-from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
+from rattanfork_node.relay.refusals import RefusalResponder
 from rattanfork_node.relay.request_rank import rank_of_request
 from rattanfork_node.relay.settings import RelaySettings
+from rattanfork_node.relay.statuses import status_without_response
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
@@ -56,10 +57,6 @@
 #: second of its start.
 _NOT_READY_RETRY_S = 0.3
 _NO_INSTANCES: frozenset[str] = frozenset()
-#: Status without a response of an upstream, if the request may have run: after the
-#: deadline, and otherwise.
-_TIMEOUT_STATUS = 504
-_UNKNOWN_STATUS = 502
 
 
 class Relay(RequestHandler):
@@ -326,11 +323,12 @@
         outcome, reason = result.outcome, result.reason
         name = admitted.route.name
         self.counters.requests[outcome.label, name, reason.label] += 1
-        status = result.status or _status_without_response(outcome, reason)
+        status = result.status or status_without_response(outcome, reason)
         self._decision_log.on_finished(exchange, admitted, attempts, result, status)
         if result.status:
             exchange.respond(status, result.block, result.body)
         elif outcome is Outcome.NOT_RUN:
+            self.counters.events[f"relay.not-run.{result.proof}"] += 1
             retry_after = self._jittered_retry_after(admitted.rank)
             if reason is Reason.QUARANTINED:
                 retry_after = self.quarantine.seconds_left(exchange.fingerprint)
@@ -418,9 +416,3 @@
 
     def _jittered_retry_after(self, rank: float) -> float:
         return jittered_retry_after(self._settings.retry_after, rank, self._random)
-
-
-def _status_without_response(outcome: Outcome, reason: Reason) -> int:
-    if outcome is Outcome.NOT_RUN:
-        return NOT_RUN_STATUS
-    return _TIMEOUT_STATUS if reason is Reason.DEADLINE else _UNKNOWN_STATUS
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -159,11 +159,15 @@
 
     connection_id = "c1"
     peer_level = 1
+    usable = True
+    #: Whether runs were written to the transport before the link was lost.
+    written = True
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
         self.runs: list[tuple[Run, object]] = []
         self.sent: list = []
+        self.forgotten: list[int] = []
         self.number = 0
 
     def next_number(self) -> int:
@@ -176,8 +180,11 @@
     def send(self, message) -> None:
         self.sent.append(message)
 
+    def was_written(self, number) -> bool:
+        return self.written
+
     def forget(self, number) -> None:
-        pass
+        self.forgotten.append(number)
 
     def reply(self, index: int, outcome, reason=0, status=0, **more) -> None:
         run, done = self.runs[index]
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate_faults.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate_faults.py
@@ -1,10 +1,12 @@
 """Exhaustive test of all sequences of three events at a gate."""
 
 from collections.abc import Callable
+from functools import partial
 from itertools import product
 
 import pytest
-from rattanfork_core.request import CallResult, Outcome
+from rattanfork_core.idempotency import ConnectionCallLog
+from rattanfork_core.request import CallResult, FenceVerdict, Outcome
 
 from rattanfork_node.http1 import UpstreamResponse
 from rattanfork_node.relay.job import Job
@@ -30,11 +32,17 @@
         self.gate._make_pool = self.make_pool
         self.pool.hold_connects = hold_connects
         self.answers: dict[FakeConnection, UpstreamResponse | None] = {}
+        self.call_log = ConnectionCallLog()
+        #: IDs of the requests that the gate reported as not run in reply to a fence.
+        self.fenced: set[bytes] = set()
         self.jobs: list[tuple[Job, list[CallResult]]] = [
             self.submit(
-                name, idempotent=idempotent, block=b"Id: %b\r\n" % name.encode()
+                name,
+                idempotent=idempotent,
+                block=b"Id: %b\r\n" % name.encode(),
+                may_hand_over=partial(self.call_log.hand_over, number),
             )
-            for name in ("first", "second")
+            for number, name in enumerate(("first", "second"), 1)
         ]
 
     @property
@@ -66,6 +74,13 @@
         """Cancel a request, as its sender does."""
         self.gate.cancel(self.jobs[index][0])
 
+    def fence(self) -> None:
+        """Fence the connection of both requests, as after its loss."""
+        verdicts = self.call_log.fence([1, 2])
+        for (job, _), verdict in zip(self.jobs, verdicts, strict=True):
+            if verdict is FenceVerdict.NOT_RUN:
+                self.fenced.add(job.request_id)
+
     def replace(self) -> None:
         """Announce another incarnation of the upstream."""
         self.gate.attach(Upstream("u2", "127.0.0.1", 1, 1), 9)
@@ -110,6 +125,7 @@
     "connection lost": lambda h: h.answer_all(),
     "first request cancelled": lambda h: h.cancel(0),
     "second request cancelled": lambda h: h.cancel(1),
+    "connection of both fenced": lambda h: h.fence(),
     "upstream detached": lambda h: h.gate.detach(),
     "upstream replaced": lambda h: h.replace(),
     "upstream restarted with its ID": lambda h: h.restart(),
@@ -122,6 +138,7 @@
         assert len(results) == 1, f"{job.request_id}: {len(results)} results"
         sent = [c for c in harness.written if job.request_id in c.sent.split()]
         assert len(sent) <= 1, f"{job.request_id}: sent twice"
+        assert not (sent and job.request_id in harness.fenced), "sent after the fence"
         if results[0].outcome is Outcome.NOT_RUN:
             assert all(map(harness.proves_not_run, sent)), (
                 "'not run' for a request that may have run"
