Do not pass on an upstream's own refusal status for a request that ran

Cause: 408, 421, 429 and 503 guarantee to a caller that its request has not run and never will. An upstream that did not run a request says so by a header or by 421; any other such status comes from a run, for example one whose call was refused, and was passed on unchanged, also for requests that must not run twice.

Change: for these requests the status becomes 502; headers and body are passed on, the try in the request line keeps the upstream's status, and relay.refusal-status-replaced counts it. Idempotent requests are answered as before.

Effect: test_own_refusal_status_of_an_upstream_that_ran_is_not_passed_on fails without the change for 408, 429 and 503.

--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -44,7 +44,7 @@
 from rattanfork_node.relay.refusals import RefusalResponder
 from rattanfork_node.relay.request_rank import rank_of_request
 from rattanfork_node.relay.settings import RelaySettings
-from rattanfork_node.relay.statuses import status_without_response
+from rattanfork_node.relay.statuses import status_of_response, status_without_response
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
@@ -323,7 +323,12 @@
         outcome, reason = result.outcome, result.reason
         name = admitted.route.name
         self.counters.requests[outcome.label, name, reason.label] += 1
-        status = result.status or status_without_response(outcome, reason)
+        if result.status:
+            status = status_of_response(result.status, admitted.route.idempotent)
+            if status != result.status:
+                self.counters.events["relay.refusal-status-replaced"] += 1
+        else:
+            status = status_without_response(outcome, reason)
         self._decision_log.on_finished(exchange, admitted, attempts, result, status)
         if result.status:
             exchange.respond(status, result.block, result.body)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_refusal_proofs.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_refusal_proofs.py
@@ -260,6 +260,32 @@
     assert exchange.output[0] == 502
 
 
+@pytest.mark.parametrize("status", [408, 429, 503])
+@on_loop
+async def test_own_refusal_status_of_an_upstream_that_ran_is_not_passed_on(status):
+    """Guards against a caller that repeats a request because of its status.
+
+    An upstream answers 503 after a call of its run was refused.  The run has done
+    part of its work, and the status would promise that nothing has run.
+    """
+    harness = GatePeerHarness()
+    exchange = harness.send_request()
+    harness.peer.answer(0, status)
+    assert exchange.output == (502, b"X: y\r\n", b"body")
+    [attempt] = harness.log.lines[-1]["tries"]
+    assert attempt["status"] == status
+    assert harness.counters.events["relay.refusal-status-replaced"] == 1
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+@on_loop
+async def test_own_refusal_status_for_an_idempotent_request_is_passed_on(status):
+    harness = RelayHarness(peers=1)
+    exchange = harness.send_request()
+    harness.links[0].reply(0, Outcome.ANSWERED, Reason.NONE, status)
+    assert exchange.output == (status, b"", b"body")
+
+
 @on_loop
 async def test_upstream_that_states_that_it_did_not_run_a_request_proves_it():
     harness = GatePeerHarness(most_upstreams=1)
