--- a/packages/rattanfork-core/rattanfork_core/request/state_machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/state_machine.py
@@ -183,11 +183,11 @@
         ==========
 
         reason : Reason
-            Why the request ends.
+            Why the request ends; that of an earlier call is kept.
         """
         if self._finished:
             return []
-        self._give_up_reason = reason
+        self._give_up_reason = self._give_up_reason or reason
         commands: list[Command] = []
         for attempt in self._attempts:
             if attempt.state is AttemptState.SENT:
--- a/packages/rattanfork-core/rattanfork_core/request/tests/test_cancelled_attempts.py
+++ b/packages/rattanfork-core/rattanfork_core/request/tests/test_cancelled_attempts.py
@@ -101,6 +101,7 @@
 
 def test_cancel_by_reason_other_than_the_deadline_keeps_its_reason():
     request = cancelled_machine(Reason.LEAVING)
+    assert request.begin_cancel(Reason.DEADLINE) == []
     [finish] = request.on_deadline()
     assert finish.result.reason is Reason.LEAVING
 
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -421,6 +421,8 @@
             self._gossip_task,
             self._gate,
             self._callers,
+            lambda: self._relay.give_up(self._callers.pending),
+            lambda: sum(link.unsent_bytes for link in self._handler.links),
         )
         self._upstream_monitor.close()
         ends_at = shutdown.begin()
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -1,9 +1,12 @@
 """Graceful shutdown of a routing node."""
 
 import asyncio
+from collections.abc import Callable
 
 from rattanfork_core.clock import Clock
 
+from rattanfork_node.app.exit_guard import EXIT_MARGIN_S
+from rattanfork_node.app.unsent_watch import UnsentWatch
 from rattanfork_node.http1 import HttpServer
 from rattanfork_node.member import GossipTask
 from rattanfork_node.relay import Gate
@@ -20,10 +23,16 @@
 #: Minimum time in seconds after SIGTERM for which callers are served.  Readiness is
 #: checked every second, and two failed checks take a node out of service.
 _MIN_SERVING_S = 2.6
-#: Share of the grace period after which the process exits even with requests in flight.
-_EXIT_SHARE = 0.85
+#: Seconds before the exit guard ends the process by which nothing is waited for any
+#: more; the rest is for closing.
+_CLOSE_S = 0.1
+#: Seconds before that at which requests in flight are given up, so that their clients
+#: still receive a final response.
+_GIVE_UP_S = 0.3
 #: Seconds between two checks of the requests in flight.
 _POLL_INTERVAL_S = 0.05
+#: The same for requests that were given up, whose gates reply within that time.
+_RESPONSE_POLL_INTERVAL_S = 0.01
 
 
 class Shutdown:
@@ -36,6 +45,10 @@
     then announces its leaving over gossip and closes the gate once all nodes have
     received that.  Callers are served until readiness checks have failed twice.
 
+    Requests that are in flight near the end of the grace period are given up: their
+    callers receive 503 if it is proved that they have not run, and 502 otherwise.
+    Responses that are ready are sent, unless their clients have stopped reading.
+
     Parameters
     ==========
 
@@ -49,6 +62,10 @@
         Gate of the upstream, which holds the runs in flight.
     callers : HttpServer
         Server for callers, which holds their requests in flight.
+    give_up : callable
+        Called once, to end the requests that are still in flight.
+    peer_bytes : callable
+        Returns the bytes of replies to other nodes that were not sent yet.
     """
 
     def __init__(
@@ -58,12 +75,17 @@
         member: GossipTask,
         gate: Gate,
         callers: HttpServer,
+        give_up: Callable[[], None],
+        peer_bytes: Callable[[], int],
     ) -> None:
         self._clock = clock
         self._grace = grace
         self._member = member
         self._gate = gate
         self._callers = callers
+        self._give_up = give_up
+        self._peer_bytes = peer_bytes
+        self._unsent = UnsentWatch()
 
     @property
     def serves_until(self) -> float:
@@ -71,37 +93,71 @@
         return self._began_at + _MIN_SERVING_S
 
     def begin(self) -> float:
-        """Begin the shutdown; return the latest time at which the process exits."""
+        """Begin the shutdown; return the time at which requests are given up."""
         log_change(
             "draining", runs=self._gate.outstanding, requests=self._callers.in_flight
         )
         self._began_at = self._clock.now()
         self._gate.leave()
         self._callers.leave()
-        return self._exit_at
+        return self._give_up_at
 
     async def finish(self) -> int:
-        """Wait until nothing is in flight; return 0, or 1 if requests were cut off."""
+        """Wait until nothing is in flight; return 0, or 1 if requests were given up."""
         announce_at = self._began_at + _ACCEPT_RUNS_SHARE * self._grace
         announced = False
-        while (now := self._clock.now()) < self._exit_at:
+        while (now := self._clock.now()) < self._give_up_at:
             if now >= announce_at and not announced:
                 announced = True
                 self._member.leave()
             if now >= announce_at + _PROPAGATION_S and self._gate.accepting:
                 self._gate.detach()
-            if now - self._began_at > _MIN_SERVING_S and not self._in_flight:
+            if now - self._began_at > _MIN_SERVING_S and not self._is_busy(now):
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
-        if not self._in_flight:
-            return 0
-        log_change("cut_off", runs=self._gate.outstanding, requests=self._in_flight)
-        return 1
+        status = 0
+        if self._in_flight:
+            status = 1
+            runs, requests = self._gate.outstanding, self._callers.in_flight
+            self._give_up()
+            await self._wait_for_responses()
+            log_change(
+                "cut_off",
+                runs=runs,
+                requests=requests,
+                unanswered=self._callers.in_flight,
+                unsent_bytes=self._unsent_bytes,
+            )
+        elif self._unsent_bytes:
+            log_change("cut_off", unsent_bytes=self._unsent_bytes)
+        return status
+
+    async def _wait_for_responses(self) -> None:
+        """Wait until requests that were given up have their final responses."""
+        ends_at = self._began_at + self._time_until(_CLOSE_S)
+        while (now := self._clock.now()) < ends_at:
+            if not self._callers.in_flight and not self._is_unsent(now):
+                return
+            await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
 
     @property
-    def _exit_at(self) -> float:
-        return self._began_at + _EXIT_SHARE * self._grace
+    def _give_up_at(self) -> float:
+        return self._began_at + self._time_until(_CLOSE_S + _GIVE_UP_S)
+
+    def _time_until(self, before_exit: float) -> float:
+        """Return the seconds from the start to some time before the guard acts."""
+        return max(self._grace / 2, self._grace - EXIT_MARGIN_S - before_exit)
 
     @property
     def _in_flight(self) -> int:
         return self._callers.in_flight + self._gate.outstanding
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return self._callers.unsent_bytes + self._peer_bytes()
+
+    def _is_busy(self, now: float) -> bool:
+        return self._is_unsent(now) or self._in_flight > 0
+
+    def _is_unsent(self, now: float) -> bool:
+        return self._unsent.update(now, self._unsent_bytes)
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 
 import pytest
 from rattanfork_core.clock import Clock
+from rattanfork_node.app.exit_guard import EXIT_MARGIN_S
 from rattanfork_node.app.shutdown import Shutdown
 
 GRACE = 6.0
@@ -31,6 +32,12 @@
         self.clock = SteppingClock()
         self.busy_seconds = busy_seconds
         self.accepting = True
+        #: Whether requests that are given up get their final responses.
+        self.answers_given_up = True
+        #: Bytes that clients have not read, and how many they read each second.
+        self.unread_bytes = 0
+        self.read_rate = 0
+        self.peer_bytes = 0
         self.events: dict[str, float] = {}
 
     @property
@@ -39,8 +46,18 @@
 
     @property
     def in_flight(self) -> int:
+        if "given up" in self.events and self.answers_given_up:
+            return 0
         return self.outstanding
 
+    @property
+    def unsent_bytes(self) -> int:
+        return max(0, self.unread_bytes - int(self.read_rate * self.clock.elapsed))
+
+    def give_up(self) -> None:
+        assert "given up" not in self.events
+        self.events["given up"] = self.clock.elapsed
+
     def leave(self) -> None:
         """Serves as ``leave`` of the gate, the server and the gossip task."""
         self.events["left"] = self.clock.elapsed
@@ -50,7 +67,9 @@
         self.events["detached"] = self.clock.elapsed
 
     def shut_down(self) -> int:
-        shutdown = Shutdown(self.clock, GRACE, self, self, self)
+        shutdown = Shutdown(
+            self.clock, GRACE, self, self, self, self.give_up, lambda: self.peer_bytes
+        )
         shutdown.begin()
         return asyncio.run(shutdown.finish())
 
@@ -58,6 +77,7 @@
 @pytest.fixture(autouse=True)
 def no_poll_delay(monkeypatch):
     monkeypatch.setattr("rattanfork_node.app.shutdown._POLL_INTERVAL_S", 0.0)
+    monkeypatch.setattr("rattanfork_node.app.shutdown._RESPONSE_POLL_INTERVAL_S", 0.0)
 
 
 def test_draining_node_accepts_runs_until_its_leaving_has_spread():
@@ -86,3 +106,49 @@
     node = DrainingNode(busy_seconds=1e9)
     assert node.shut_down() == 1
     assert 0.8 * GRACE < node.clock.elapsed < GRACE
+
+
+def test_requests_in_flight_are_given_up_and_answered_before_the_exit():
+    """Guards against clients whose connections close without a response."""
+    node = DrainingNode(busy_seconds=1e9)
+    assert node.shut_down() == 1
+    assert 5.0 < node.events["given up"] < 5.3
+    assert node.clock.elapsed < GRACE - EXIT_MARGIN_S
+
+
+def test_request_that_gets_no_response_does_not_delay_the_exit():
+    """Guards against a process that is killed at the end of its grace period."""
+    node = DrainingNode(busy_seconds=1e9)
+    node.answers_given_up = False
+    assert node.shut_down() == 1
+    assert node.clock.elapsed < GRACE - EXIT_MARGIN_S + 0.1
+
+
+def test_response_is_sent_to_a_client_that_reads_slowly():
+    """Guards against a truncated response: the answer was ready, but not yet read."""
+    node = DrainingNode()
+    node.unread_bytes, node.read_rate = 4000, 1000
+    assert node.shut_down() == 0
+    assert node.unsent_bytes == 0
+    assert node.clock.elapsed < 4.5
+
+
+def test_reply_is_sent_to_a_peer_that_reads_slowly():
+    node = DrainingNode()
+    node.peer_bytes = 100
+    assert node.shut_down() == 0
+    assert node.clock.elapsed > 3.5
+
+
+def test_client_that_never_reads_delays_the_exit_by_a_second():
+    node = DrainingNode()
+    node.unread_bytes = 4000
+    assert node.shut_down() == 0
+    assert 3.5 < node.clock.elapsed < 4.5
+
+
+def test_slow_client_does_not_delay_the_exit_beyond_the_grace_period():
+    node = DrainingNode()
+    node.unread_bytes, node.read_rate = 100_000, 1000
+    node.shut_down()
+    assert node.clock.elapsed < GRACE - EXIT_MARGIN_S
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/app/unsent_watch.py
@@ -0,0 +1,40 @@
+"""Decides how long a stopping node waits for clients that read their responses."""
+
+from math import inf
+
+#: Seconds without progress after which clients are taken not to read any more.  A
+#: client that lost packets resumes after a retransmission, some 0.2 s later.
+_NO_PROGRESS_S = 1.0
+
+
+class UnsentWatch:
+    """Tells whether unsent bytes of responses are still being read.
+
+    Examples
+    ========
+
+    >>> watch = UnsentWatch()
+    >>> watch.update(0.0, 500), watch.update(0.9, 400), watch.update(1.8, 400)
+    (True, True, True)
+    >>> watch.update(2.0, 400), watch.update(2.1, 0)
+    (False, False)
+    """
+
+    def __init__(self) -> None:
+        self._unsent = -1
+        self._changed_at = -inf
+
+    def update(self, now: float, unsent: int) -> bool:
+        """Return whether to wait for unsent bytes.
+
+        Parameters
+        ==========
+
+        now : float
+            Present time in seconds.
+        unsent : int
+            Bytes of all responses that were not sent yet.
+        """
+        if unsent != self._unsent:
+            self._unsent, self._changed_at = unsent, now
+        return unsent > 0 and now - self._changed_at <= _NO_PROGRESS_S
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -49,6 +49,7 @@
         "keys",
         "method",
         "on_disconnect",
+        "on_give_up",
         "output",
         "request_id",
         "target",
@@ -88,6 +89,9 @@
         self.output: tuple[int, bytes, bytes] | None = None
         #: Called once if the client disconnects before the response.
         self.on_disconnect: Callable[[], None] | None = None
+        #: Called if the node stops before the response, to end the request; None if
+        #: no attempt was made.
+        self.on_give_up: Callable[[], None] | None = None
 
     @property
     def path(self) -> str:
@@ -123,6 +127,6 @@
         if self.answered:
             return
         self.answered = True
-        self.on_disconnect = None
+        self.on_disconnect = self.on_give_up = None
         self.output = (status, block, body)
         self.connection.flush_responses()
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -4,6 +4,7 @@
 
 from rattanfork_core.clock import Clock
 
+from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
@@ -57,6 +58,16 @@
         """Number of requests that were received and not yet answered."""
         return sum(len(c.pending) for c in self.connections)
 
+    @property
+    def pending(self) -> list[Exchange]:
+        """Requests that were received and not yet answered."""
+        return [e for c in self.connections for e in c.pending if not e.answered]
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that clients have not read yet."""
+        return sum(c.unsent_bytes for c in self.connections)
+
     def sweep(self) -> None:
         """Close idle and slow connections; call twice a second."""
         now = self.clock.now()
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -232,6 +232,11 @@
         elif not self.pending and now - self._last_active > limits.idle_timeout:
             self.close()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of responses that wait for the client to read."""
+        return self._transport.get_write_buffer_size()
+
     @property
     def _limits(self) -> RequestLimits:
         return self._server.limits
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_rejections.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_rejections.py
@@ -62,3 +62,15 @@
     client.connection.connection_lost(None)
     assert client.handled == []
     assert client.transport.written == b""
+
+
+def test_server_reports_requests_without_response_and_unsent_bytes():
+    """A stopping node waits for both."""
+    client = Client()
+    client.send(COMPLETE + COMPLETE)
+    first, second = client.handled
+    second.respond(200)
+    assert client.server.pending == [first]
+    assert client.server.in_flight == 2
+    client.transport.unsent_bytes = 700
+    assert client.server.unsent_bytes == 700
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -161,6 +161,11 @@
         """Seconds since data was last received."""
         return self._clock.now() - self._last_received
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peer has not read yet."""
+        return 0 if self._closed else self._transport.get_write_buffer_size()
+
     async def wait_ready(self) -> None:
         """Wait until the handshake is complete.
 
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -134,6 +134,7 @@
     def start(self) -> None:
         """Send the first attempt."""
         self._exchange.on_disconnect = self.on_caller_disconnected
+        self._exchange.on_give_up = self.on_give_up
         self._execute(self._machine.start())
 
     def on_caller_disconnected(self) -> None:
@@ -142,6 +143,10 @@
         self._execute(self._machine.begin_cancel(Reason.CANCELLED))
         self._execute(self._machine.on_caller_disconnected())
 
+    def on_give_up(self) -> None:
+        """End the request with what is known, as the node stops."""
+        self._begin_cancel(Reason.LEAVING)
+
     def _pick_instance(self, avoid: frozenset[str]) -> str | None:
         admitted = self._admitted
         picker, operation = admitted.picker, admitted.operation
--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from rattanfork_core.request import Reason
@@ -55,6 +56,14 @@
         )
         self.respond_not_run(exchange, reason, retry_after)
 
+    def give_up(self, exchanges: Iterable[Exchange], retry_after: float) -> None:
+        """End requests as the node stops; refuse those without any attempt."""
+        for exchange in exchanges:
+            if exchange.on_give_up is not None:
+                exchange.on_give_up()
+            elif not exchange.answered:
+                self.refuse(exchange, Reason.LEAVING, retry_after)
+
     def refuse_without_route(self, exchange: Exchange) -> None:
         """Refuse a request that matches no route."""
         self._counters.events["relay.no-route"] += 1
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -284,6 +284,10 @@
         """
         self._drain_policy = policy
 
+    def give_up(self, exchanges: Iterable[Exchange]) -> None:
+        """End requests in flight with what is known of them, as the node stops."""
+        self._refusals.give_up(exchanges, self._settings.retry_after)
+
     def operation(self, route: Route, service: str) -> str:
         """Return the key under which thresholds of a route and service are kept."""
         key = (route.name, service)
