--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -28,6 +28,11 @@
 )
 from rattanfork_node.relay.fencing import fence_attempt
 from rattanfork_node.relay.job import Job
+from rattanfork_node.relay.retry_limits import (
+    MAX_REFUSED_ATTEMPTS,
+    MAX_RETRY_DENIALS,
+    may_retry_lost_run,
+)
 from rattanfork_node.relay.run_replies import result_from_reply, store_report
 
 if TYPE_CHECKING:
@@ -40,17 +45,6 @@
 #: deadline passes, it counts as a failure of the instance: time in a queue, which
 #: refuses late requests, can't explain such a wait.
 _SILENT_LATENCY_FACTOR = 4.0
-#: Refused attempts ("not run") that don't count against the attempts of a route.  The
-#: retry budget is the effective limit: of the runs with four calls that it allowed,
-#: one in nine failed for lack of a sixth retry, at upstreams that refused 55 of 100
-#: requests.
-_MAX_REFUSED_ATTEMPTS = 15
-#: Gates that may deny a retry of one request before it is given up.  The retry
-#: budgets of a service's gates are used up at similar rates, and each attempt costs
-#: a message.
-_MAX_RETRY_DENIALS = 2
-#: Runs of one request that may end in a lost upstream connection.
-_MAX_LOST_RUNS = 2
 
 
 class Forwarding:
@@ -120,7 +114,7 @@
             route.idempotent,
             self._pick_instance,
             may_retry=self._may_retry,
-            free_retries=_MAX_REFUSED_ATTEMPTS,
+            free_retries=MAX_REFUSED_ATTEMPTS,
         )
         wait = max(0.0, deadline - relay.clock.now())
         if route.idempotent:
@@ -163,7 +157,9 @@
 
     def _may_retry(self) -> bool:
         admitted = self._admitted
-        if self._last_reason is Reason.CONNECTION and not self._may_retry_lost_run():
+        if self._last_reason is Reason.CONNECTION and not may_retry_lost_run(
+            self._lost_runs, self._relay.quarantine, self._exchange
+        ):
             return False
         if self._last_reason is Reason.TOO_LATE:
             # Retry only if an instance can still answer in time: an attempt that the
@@ -171,14 +167,7 @@
             left = admitted.deadline - self._relay.clock.now()
             return left > admitted.picker.fastest_latency
         # The gate that receives the retry checks its retry budget.
-        return self._retry_denials < _MAX_RETRY_DENIALS
-
-    def _may_retry_lost_run(self) -> bool:
-        """Return whether to retry a run whose upstream connection was lost."""
-        if self._lost_runs >= _MAX_LOST_RUNS:
-            return False
-        quarantine = self._relay.quarantine
-        return not len(quarantine) or quarantine.may_retry(self._exchange.fingerprint)
+        return self._retry_denials < MAX_RETRY_DENIALS
 
     def _on_cancel_due(self) -> None:
         self._begin_cancel(Reason.DEADLINE)
