--- a/packages/rattanfork-core/rattanfork_core/trace/request_trace.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/request_trace.py
@@ -114,6 +114,7 @@
     parts += [_attempt(n, t) for n, t in enumerate(line.get("tries", []), 1)]
     parts += _inputs(
         line,
+        "proof",
         "ms",
         "rank",
         "rule",
