--- a/packages/rattanfork-core/rattanfork_core/request/tests/test_cancelled_attempts.py
+++ b/packages/rattanfork-core/rattanfork_core/request/tests/test_cancelled_attempts.py
@@ -61,6 +61,19 @@
     assert finish.result.status == 200
 
 
+def test_unknown_result_after_the_cancel_leaves_the_outcome_unknown():
+    """The gate has aborted the run, or its connection to the upstream was lost."""
+    for reason, expected in (
+        (Reason.CANCELLED, Reason.DEADLINE),
+        (Reason.CONNECTION, Reason.CONNECTION),
+    ):
+        request = cancelled_machine()
+        [finish] = request.on_result(1, CallResult(Outcome.UNKNOWN, reason))
+        assert finish.result.outcome is Outcome.UNKNOWN
+        assert finish.result.reason is expected
+        assert finish.result.proof is Proof.NONE
+
+
 def test_refused_attempt_is_not_retried_after_the_cancel():
     """A retry could be handed over in the time left, with no reply until its end."""
     request = cancelled_machine()
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_give_up.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_give_up.py
@@ -69,6 +69,7 @@
     harness.relay.give_up([exchange, answered])
     assert exchange.output[0] == 503
     assert answered.output[0] == 404
+    assert [line["status"] for line in harness.log.lines] == [404, 503]
     [decide] = harness.quota.pending
     decide(QuotaDecision.GRANTED, 0.0)
     assert harness.runs == []
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_refusal_proofs.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_refusal_proofs.py
@@ -90,6 +90,17 @@
     assert exchange.output[0] == 200
 
 
+@on_loop
+async def test_run_lost_between_cancel_and_deadline_is_unknown():
+    """The upstream closes the connection of the run without a response."""
+    harness = GatePeerHarness()
+    exchange = harness.send_request()
+    while not any(isinstance(m, Cancel) for m in harness.link.sent):
+        await asyncio.sleep(0.005)
+    harness.peer.pool.connections[0].done(None)
+    assert exchange.output[0] == 502
+
+
 @on_loop
 async def test_peer_that_ignores_cancels_leaves_the_outcome_unknown():
     """A peer of an earlier version may not reply, whether or not it runs the request.
