--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from rattanfork_core.request import Reason
@@ -9,13 +10,12 @@
 from rattanfork_node.http1 import Exchange, HeaderNames
 from rattanfork_node.relay.client_accounts import ClientAccounts, Refusal
 from rattanfork_node.relay.decision_log import DecisionLog
+from rattanfork_node.relay.statuses import NOT_RUN_STATUS
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
     from rattanfork_core.routes import Route
 
-#: Status of a request that did not run and will not run.
-NOT_RUN_STATUS = 503
 _NO_ROUTE_STATUS = 404
 #: Statuses after which a client may send the same request again.
 _RETRYABLE_STATUSES = frozenset((429, NOT_RUN_STATUS))
@@ -75,6 +75,14 @@
             route=route.name,
         )
 
+    def give_up(self, exchanges: Iterable[Exchange], retry_after: float) -> None:
+        """End requests as the node stops; refuse those without any attempt."""
+        for exchange in exchanges:
+            if exchange.on_give_up is not None:
+                exchange.on_give_up()
+            elif not exchange.answered:
+                self.refuse(exchange, Reason.LEAVING, retry_after)
+
     def refuse_without_route(self, exchange: Exchange) -> None:
         """Refuse a request that matches no route."""
         self._counters.events["relay.no-route"] += 1
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
@@ -45,9 +45,10 @@
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
-from rattanfork_node.relay.refusals import NOT_RUN_STATUS, RefusalResponder
+from rattanfork_node.relay.refusals import RefusalResponder
 from rattanfork_node.relay.request_rank import RequestRanker
 from rattanfork_node.relay.settings import RelaySettings
+from rattanfork_node.relay.statuses import status_of_response, status_without_response
 from rattanfork_node.relay.uploads import UploadReader
 from rattanfork_node.telemetry import Counters, log_change
 
@@ -58,10 +59,6 @@
 #: second of its start.
 _NOT_READY_RETRY_S = 0.3
 _NO_INSTANCES: frozenset[str] = frozenset()
-#: Status without a response of an upstream, if the request may have run: after the
-#: deadline, and otherwise.
-_TIMEOUT_STATUS = 504
-_UNKNOWN_STATUS = 502
 
 
 class Relay(RequestHandler):
@@ -364,6 +361,10 @@
         """
         self._drain_policy = policy
 
+    def give_up(self, exchanges: Iterable[Exchange]) -> None:
+        """End requests in flight with what is known of them, as the node stops."""
+        self._refusals.give_up(exchanges, self._settings.retry_after)
+
     def operation(self, route: Route, service: str) -> str:
         """Return the key under which thresholds of a route and service are kept."""
         key = (route.name, service)
@@ -405,11 +406,19 @@
         outcome, reason = result.outcome, result.reason
         name = admitted.route.name
         self.counters.requests[outcome.label, name, reason.label] += 1
-        status = result.status or _status_without_response(outcome, reason)
-        self._decision_log.on_finished(exchange, admitted, attempts, result, status)
         if result.status:
+            status = status_of_response(result.status, admitted.route.idempotent)
+        else:
+            status = status_without_response(outcome, reason)
+        self._decision_log.on_finished(exchange, admitted, attempts, result, status)
+        if result.status and status != result.status:
+            # The upstream's headers belong to the status that it gave.
+            self.counters.events["relay.refusal-status-replaced"] += 1
+            exchange.respond(status, self._refusals.request_id_line(exchange))
+        elif result.status:
             exchange.respond(status, result.block, result.body)
         elif outcome is Outcome.NOT_RUN:
+            self.counters.events[f"relay.not-run.{result.proof}"] += 1
             retry_after = self._jittered_retry_after(admitted.rank)
             if reason is Reason.QUARANTINED:
                 retry_after = self.quarantine.seconds_left(exchange.fingerprint)
@@ -506,9 +515,3 @@
 
 def _log_circuit(operation: str, is_open: bool) -> None:
     log_change("circuit_opened" if is_open else "circuit_closed", operation=operation)
-
-
-def _status_without_response(outcome: Outcome, reason: Reason) -> int:
-    if outcome is Outcome.NOT_RUN:
-        return NOT_RUN_STATUS
-    return _TIMEOUT_STATUS if reason is Reason.DEADLINE else _UNKNOWN_STATUS
