Release an upstream connection without an event loop callback

Cause: each response scheduled a callback that only returned its connection to the pool, parsed its Keep-Alive header again, and compared each header name with five sets and names.

Change: the connection is returned at the end of data_received, when the parser has seen any bytes after the response; after malformed bytes it is no longer returned at all. A Keep-Alive header is parsed when its value changes, and headers that are forwarded are not compared with those that are not.

--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
@@ -40,9 +40,6 @@
     def receive(self, data: bytes) -> None:
         self.connection.data_received(data)
 
-    def release_or_close(self) -> None:
-        self.connection._release_or_close(True)
-
 
 def response(request_id: str = "r1", body: str = "ok") -> bytes:
     head = f"HTTP/1.1 200 OK\r\nId: {request_id}\r\nContent-Length: {len(body)}"
@@ -57,7 +54,6 @@
     assert upstream.responses == []
     upstream.receive(response()[30:])
     assert upstream.responses[0].body == b"ok"
-    upstream.release_or_close()
     assert upstream.idle == [upstream.connection]
 
 
@@ -86,7 +82,6 @@
     upstream = Upstream()
     upstream.send_request()
     upstream.receive(response() + b"HTTP/1.1 200 OK\r\n")
-    upstream.release_or_close()
     assert upstream.transport.aborted
     assert upstream.idle == []
     assert len(upstream.responses) == 1
@@ -141,7 +136,6 @@
     upstream.send_request()
     upstream.transport.unsent_bytes = 10
     upstream.receive(response())
-    upstream.release_or_close()
     assert upstream.idle == []
     assert upstream.transport.closed
 
@@ -162,6 +156,41 @@
     assert upstream.connection.keep_alive_timeout == 7.0
 
 
+@on_loop
+def test_changed_keep_alive_timeout_replaces_the_previous_one():
+    """Guards against reuse of a connection that the upstream now closes earlier."""
+    upstream = Upstream()
+    for value in (b"timeout=7", b"timeout=7", b"timeout=2"):
+        upstream.send_request()
+        upstream.receive(b"HTTP/1.1 204 No Content\r\nKeep-Alive: %b\r\n\r\n" % value)
+    assert upstream.connection.keep_alive_timeout == 2.0
+
+
+@on_loop
+def test_connection_is_not_reused_after_bytes_that_are_no_response():
+    """Guards against a request that is sent on an aborted connection and lost."""
+    upstream = Upstream()
+    upstream.send_request()
+    upstream.receive(response() + b"nonsense")
+    assert len(upstream.responses) == 1
+    assert upstream.idle == []
+    assert upstream.transport.aborted
+
+
+@on_loop
+def test_mismatched_response_until_close_does_not_release_the_connection():
+    """Guards against reuse of a connection whose response was for another request."""
+    upstream = Upstream()
+    upstream.send_request(b"r1")
+    upstream.receive(response("r1"))
+    upstream.idle.clear()
+    upstream.send_request(b"r2")
+    upstream.receive(b"HTTP/1.1 200 OK\r\nId: r1\r\n\r\nold")
+    upstream.connection.eof_received()
+    assert upstream.responses[1] is None
+    assert upstream.idle == []
+
+
 @given(st.binary(max_size=200))
 def test_arbitrary_bytes_give_exactly_one_result(data):
     @on_loop
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -85,12 +85,18 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
+        #: The Keep-Alive header that :attr:`keep_alive_timeout` was read from.
+        self._keep_alive_value = b""
         self._parser = httptools.HttpResponseParser(self)
         self._on_response: Callable[[UpstreamResponse | None], None] | None = None
         self._request_id = b""
         self._is_head = False
         #: Whether a response began while none was awaited.
         self._unexpected = False
+        #: Whether a response was completed by the data being parsed, and whether the
+        #: connection may be used again after it.
+        self._completed = False
+        self._reusable = False
         self.closed = False
         #: When the connection was opened, in seconds of the clock.
         self.opened_at = clock.now()
@@ -161,6 +167,8 @@
         """
         if self._on_response is not None and self._in_body and self._until_close:
             self._complete(reusable=False)
+            if self._completed:
+                self._release_or_close()
         return False
 
     def data_received(self, data: bytes) -> None:
@@ -173,6 +181,10 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._transport.abort()
+            return
+        # Released only now, as the parser has seen any bytes after the response.
+        if self._completed:
+            self._release_or_close()
 
     def on_message_begin(self) -> None:
         """Start a new response."""
@@ -183,17 +195,18 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header."""
         lower = name.lower()
-        if lower == self._id_name:
-            self._response_id = value
-        elif lower == b"keep-alive":
-            self.keep_alive_timeout = _keep_alive_timeout(value)
-        elif lower in (b"content-length", b"transfer-encoding"):
-            self._until_close = False
-        if lower in self._captured:
-            known = self._headers.get(lower)
-            self._headers[lower] = value if known is None else known + b", " + value
         if lower not in NOT_FORWARDED:
-            self._block += name + b": " + value + b"\r\n"
+            self._block += b"%b: %b\r\n" % (name, value)
+            if lower == self._id_name:
+                self._response_id = value
+            if lower in self._captured:
+                known = self._headers.get(lower)
+                self._headers[lower] = value if known is None else known + b", " + value
+        elif lower == b"content-length" or lower == b"transfer-encoding":
+            self._until_close = False
+        elif lower == b"keep-alive" and value != self._keep_alive_value:
+            self._keep_alive_value = value
+            self.keep_alive_timeout = _keep_alive_timeout(value)
 
     def on_headers_complete(self) -> None:
         """Record the status; complete the response if it answers a HEAD request."""
@@ -248,15 +261,16 @@
             self._transport.abort()
             on_response(None)
             return
+        self._completed = True
+        self._reusable = reusable
         on_response(response)
-        # Bytes after the response are seen only when the parser continues.
-        asyncio.get_running_loop().call_soon(self._release_or_close, reusable)
 
-    def _release_or_close(self, reusable: bool) -> None:
+    def _release_or_close(self) -> None:
+        self._completed = False
         if self.closed:
             return
         unsent = self._transport.get_write_buffer_size()
-        if not reusable or self._unexpected or unsent:
+        if not self._reusable or self._unexpected or unsent:
             # While part of the request is unsent, the upstream would read the next
             # one as the rest of its body.
             self._transport.abort() if self._unexpected else self._transport.close()
