Compute the fingerprints of successful runs several at a time

Cause: after each successful run the gate searched the header block with a regular expression and hashed the request, although a fingerprint is read only after a crash, in a log line or while a request is under suspicion.

Change: the tracker of suspects keeps up to 64 successes whose fingerprints are not computed yet. While any request is suspected, and for bodies over 4 KiB, a fingerprint is computed immediately as before.

--- a/packages/rattanfork-core/rattanfork_core/quarantine/suspects.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/suspects.py
@@ -1,7 +1,7 @@
 """Suspects of the crashes of one upstream, as seen by the gate in front of it."""
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from rattanfork_core.clock import Clock
 
@@ -12,6 +12,8 @@
 #: or when the current one holds this many successes.
 _GENERATION_S = 60.0
 _MAX_GENERATION_SIZE = 4096
+#: Successes whose fingerprints are not computed yet; each keeps its request in memory.
+_MAX_PENDING = 64
 
 
 class SuspectTracker:
@@ -24,6 +26,9 @@
     seen it succeed: a popular request is in flight most of the time, and therefore
     also at crashes that it did not cause.
 
+    The fingerprints of successes are only read after a loss, so they are computed
+    several at a time, which costs less than to compute one after each run.
+
     Parameters
     ==========
 
@@ -48,6 +53,20 @@
         self._succeeded: set[int] = set()
         self._previous_succeeded: set[int] = set()
         self._next_rotation = clock.now() + _GENERATION_S
+        #: Functions that compute the fingerprints of the latest successes.
+        self._pending: list[Callable[[], int]] = []
+
+    def defer_success(self, fingerprint: Callable[[], int]) -> None:
+        """Record a success whose fingerprint is to be computed later."""
+        self._pending.append(fingerprint)
+        if len(self._pending) >= _MAX_PENDING:
+            self.record_pending()
+
+    def record_pending(self) -> None:
+        """Compute the fingerprints of deferred successes; call every few seconds."""
+        pending, self._pending = self._pending, []
+        for fingerprint in pending:
+            self.on_success(fingerprint())
 
     def on_success(self, fingerprint: int) -> None:
         """Record that the upstream completed a request."""
@@ -59,6 +78,8 @@
 
     def has_succeeded(self, fingerprint: int) -> bool:
         """Return whether the upstream recently completed the request."""
+        if self._pending:
+            self.record_pending()
         return fingerprint in self._succeeded or fingerprint in self._previous_succeeded
 
     def on_lost(self, fingerprint: int) -> None:
--- a/packages/rattanfork-core/rattanfork_core/quarantine/tests/test_suspects.py
+++ b/packages/rattanfork-core/rattanfork_core/quarantine/tests/test_suspects.py
@@ -50,6 +50,25 @@
     assert tracker.on_crash() == {1}
 
 
+def test_deferred_success_clears_a_suspect_at_once():
+    """Guards against suspects whose success is recorded but not computed yet."""
+    tracker = SuspectTracker(ManualClock())
+    tracker.defer_success(lambda: 1)
+    assert tracker.has_succeeded(1)
+    tracker.defer_success(lambda: 2)
+    tracker.on_lost(2)
+    assert tracker.on_crash([1, 3]) == {3}
+
+
+def test_deferred_successes_are_bounded():
+    """Guards against keeping the requests of many successes in memory."""
+    tracker = SuspectTracker(ManualClock())
+    for request in range(1000):
+        tracker.defer_success(lambda request=request: request)
+        assert len(tracker._pending) < 64
+    assert tracker.has_succeeded(0)
+
+
 def test_number_of_kept_successes_is_bounded():
     tracker = SuspectTracker(ManualClock())
     for request in range(20_000):
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -1,6 +1,7 @@
 """Route path, last stage: admission gate of this node's upstream."""
 
 from collections.abc import Iterable
+from functools import partial
 
 from rattanfork_core.admission import (
     AdmissionController,
@@ -24,6 +25,7 @@
     UpstreamConnection,
     UpstreamPool,
     UpstreamResponse,
+    fingerprint_of,
     render_head,
 )
 from rattanfork_node.relay.advertised_state import AdvertisedState
@@ -63,6 +65,9 @@
         Reason.STALE_INSTANCE,
     )
 )
+#: Size of a request body up to which the fingerprint of a successful run is computed
+#: later.  Until then the request is kept in memory.
+_MAX_DEFERRED_BODY_BYTES = 4096
 #: Key of the gate's own upstream, the only instance in its table of downstream
 #: thresholds.
 _OWN_UPSTREAM = ""
@@ -285,6 +290,7 @@
 
     def tick(self) -> None:
         """Update admission control; call every ``AdmissionController.TICK``."""
+        self._tracker.record_pending()
         self._apply_decisions(self._admission.tick())
 
     def sweep(self) -> None:
@@ -451,11 +457,27 @@
 
     def _record_dependencies(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
+            self._record_success(job)
+            self.dependencies.record_run(job.operation, job.services_reached)
+        result.services_reached = self.dependencies.services(job.operation)
+
+    def _record_success(self, job: Job) -> None:
+        if len(self._quarantine) or len(job.body) > _MAX_DEFERRED_BODY_BYTES:
             fingerprint = job.fingerprint
             self._tracker.on_success(fingerprint)
             self._quarantine.on_success(fingerprint)
-            self.dependencies.record_run(job.operation, job.services_reached)
-        result.services_reached = self.dependencies.services(job.operation)
+        else:
+            # Not a method of the job, which would keep the whole run in memory.
+            self._tracker.defer_success(
+                partial(
+                    fingerprint_of,
+                    job.method,
+                    job.target,
+                    job.block,
+                    job.body,
+                    job.account,
+                )
+            )
 
     def _refuse(self, job: Job, reason: Reason) -> None:
         self._counters.events[f"gate.{reason.label}"] += 1
