Start a request in a free slot without decision objects

Cause: the admission controller returned lists of decision objects also for the most frequent events, the start of a request in a free slot and the end of a run while nothing waits. The length of the queue was read through two further calls, several times per run, and each queued request made about 20 calls in a library for sorted lists.

Change: start_at_once() starts a request in a free slot, and enqueue() decides on the others; offer() does both as before. A run that ends while nothing waits returns at once. An upstream without a rate limit no longer has its tokens counted.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -67,6 +67,7 @@
         self._clock = clock
         self._settings = settings
         self._queue = WaitQueue()
+        #: Latest useful start of each waiter in the queue, by its key.
         self._latest_start: dict[int, float] = {}
         self._running: dict[int, Waiter] = {}
         self._limit = ConcurrencyLimit(
@@ -135,17 +136,35 @@
     def offer(self, waiter: Waiter) -> list[Decision]:
         """Start, enqueue or refuse a request that has arrived."""
         now = self._clock.now()
+        if self.start_at_once(waiter, now):
+            return [Start(waiter)]
+        return self.enqueue(waiter, now)
+
+    def start_at_once(self, waiter: Waiter, now: float) -> bool:
+        """Start a request that has arrived if a slot is free and none waits for it.
+
+        Returns whether it was started.  Otherwise the caller has to call
+        :meth:`enqueue`; both together do the same as :meth:`offer`, without a list of
+        decisions in the most frequent case.
+        """
         self._threshold.on_arrival(waiter.rank, now)
+        if (
+            self._latest_start  # has an entry for each waiter in the queue
+            or self._draining
+            or len(self._running) >= self._limit.current
+            or self._cannot_finish(waiter, now)
+            or not self._rate_limit.take()
+        ):
+            return False
+        self._start(waiter, now)
+        return True
+
+    def enqueue(self, waiter: Waiter, now: float) -> list[Decision]:
+        """Enqueue or refuse a request that :meth:`start_at_once` did not start."""
         if self._draining:
             return [Refuse(waiter, Reason.LEAVING)]
         if self._cannot_finish(waiter, now):
             return [Refuse(waiter, Reason.TOO_LATE)]
-        if (
-            not self._queue
-            and len(self._running) < self._limit.current
-            and self._rate_limit.take()
-        ):
-            return [self._start(waiter)]
         return self._enqueue(waiter, now)
 
     def finish(self, key: int, succeeded: bool = True) -> list[Decision]:
@@ -157,9 +176,9 @@
         if waiter is not None and succeeded:
             duration = now - waiter.started
             self._estimate.add(waiter.operation, duration)
-            limited = len(self._queue) > 0
+            limited = bool(self._latest_start)
             self._limit.on_finish(waiter.operation, waiter.started, duration, limited)
-        return self._start_next()
+        return self._start_next(now) if self._latest_start else []
 
     def on_upstream_shed(self) -> None:
         """Lower the limit, as the upstream itself refused a request for load."""
@@ -186,7 +205,7 @@
         for waiter in unfinishable:
             self._latest_start.pop(waiter.key, None)
             decisions.append(Refuse(waiter, Reason.TOO_LATE))
-        decisions += self._start_next()
+        decisions += self._start_next(now)
         decisions += self._shed_overdue(now)
         limit = self._limit.current
         if self._estimate.mean:
@@ -306,27 +325,26 @@
         self._latest_start.pop(waiter.key, None)
         return Refuse(waiter, reason)
 
-    def _start(self, waiter: Waiter) -> Start:
-        now = self._clock.now()
+    def _start(self, waiter: Waiter, now: float) -> None:
         self._add_busy_time(now)
         waiter.started = now
         if not self._running:
-            self._last_progress = waiter.started
+            self._last_progress = now
         self._running[waiter.key] = waiter
-        return Start(waiter)
 
-    def _start_next(self) -> list[Decision]:
+    def _start_next(self, now: float) -> list[Decision]:
         decisions: list[Decision] = []
         while (
-            len(self._queue)
+            self._latest_start
             and len(self._running) < self._limit.current
             and self._rate_limit.has_token()
         ):
             waiter = self._queue.pop_lowest_rank()
             self._latest_start.pop(waiter.key, None)
-            if self._cannot_finish(waiter, self._clock.now()):
+            if self._cannot_finish(waiter, now):
                 decisions.append(Refuse(waiter, Reason.TOO_LATE))
             else:
                 self._rate_limit.take()
-                decisions.append(self._start(waiter))
+                self._start(waiter, now)
+                decisions.append(Start(waiter))
         return decisions
--- a/packages/rattanfork-core/rattanfork_core/admission/queue.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/queue.py
@@ -1,14 +1,11 @@
 """Priority queue of requests that wait for a slot at the upstream."""
 
-from sortedcontainers import SortedKeyList
+from bisect import bisect_left
+from collections.abc import Iterator
 
 from rattanfork_core.admission.waiter import Waiter
 
 
-def _sort_key(waiter: Waiter) -> tuple[float, int]:
-    return (waiter.rank, waiter.key)
-
-
 class WaitQueue:
     """Waiters ordered by rank.
 
@@ -19,6 +16,9 @@
     it, a hash of the request ID.  All nodes therefore favour the same requests, and
     the calls that belong to one request succeed or fail together at all services.
 
+    Plain lists are used, as queues hold hundreds of waiters at most: inserting into one
+    costs less than the function calls of a library for sorted lists.
+
     Examples
     ========
 
@@ -32,33 +32,41 @@
     """
 
     def __init__(self) -> None:
-        self._waiters: SortedKeyList = SortedKeyList(key=_sort_key)
+        #: Rank and key of each waiter, in ascending order, and the waiters.
+        self._sort_keys: list[tuple[float, int]] = []
+        self._waiters: list[Waiter] = []
 
     def __len__(self) -> int:
         return len(self._waiters)
 
     def push(self, waiter: Waiter) -> None:
         """Add a waiter."""
-        self._waiters.add(waiter)
+        sort_key = (waiter.rank, waiter.key)
+        index = bisect_left(self._sort_keys, sort_key)
+        self._sort_keys.insert(index, sort_key)
+        self._waiters.insert(index, waiter)
 
     def count_ahead(self, rank: float) -> int:
         """Return the number of waiters that precede a rank."""
-        return self._waiters.bisect_key_left((rank, 0))
+        return bisect_left(self._sort_keys, (rank, 0))
 
     def pop_lowest_rank(self) -> Waiter:
         """Remove and return the waiter that starts next."""
+        del self._sort_keys[0]
         return self._waiters.pop(0)
 
     def pop_highest_rank(self) -> Waiter:
         """Remove and return the waiter that is shed first."""
+        del self._sort_keys[-1]
         return self._waiters.pop()
 
     def remove(self, waiter: Waiter) -> bool:
         """Remove a waiter; return whether it was there."""
-        try:
-            self._waiters.remove(waiter)
-        except ValueError:
+        index = bisect_left(self._sort_keys, (waiter.rank, waiter.key))
+        if index == len(self._waiters) or self._waiters[index] is not waiter:
             return False
+        del self._sort_keys[index]
+        del self._waiters[index]
         return True
 
     def pop_unfinishable(
@@ -67,15 +75,15 @@
         """Remove and return the waiters whose latest start is before ``now``."""
         unfinishable = [w for w in self._waiters if latest_start[w.key] < now]
         for waiter in unfinishable:
-            self._waiters.remove(waiter)
+            self.remove(waiter)
         return unfinishable
 
     def pop_arrived_before(self, arrived: float) -> list[Waiter]:
         """Remove and return the waiters that arrived before a time."""
         older = [w for w in self._waiters if w.arrived < arrived]
         for waiter in older:
-            self._waiters.remove(waiter)
+            self.remove(waiter)
         return older
 
-    def __iter__(self):
+    def __iter__(self) -> Iterator[Waiter]:
         return iter(self._waiters)
--- a/packages/rattanfork-core/rattanfork_core/advertised/rate_limit.py
+++ b/packages/rattanfork-core/rattanfork_core/advertised/rate_limit.py
@@ -118,6 +118,8 @@
 
     def has_token(self) -> bool:
         """Return whether a request may be sent now."""
+        if self._value is None and self._ramp_rate is None:
+            return True
         rate = self.rate
         if rate == inf:
             return True
@@ -126,6 +128,8 @@
 
     def take(self) -> bool:
         """Take a token for a request; return whether there was one."""
+        if self._value is None and self._ramp_rate is None:
+            return True
         if not self.has_token():
             return False
         self._tokens -= 1.0
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -265,7 +265,10 @@
         waiter = Waiter(self._next_key, job.rank, job.operation, job.deadline, now)
         job.waiter = waiter
         self._jobs[waiter.key] = job
-        self._apply_decisions(self._admission.offer(waiter))
+        if self._admission.start_at_once(waiter, now):
+            self._start(job)
+        else:
+            self._apply_decisions(self._admission.enqueue(waiter, now))
 
     def cancel(self, job: Job) -> None:
         """Cancel a request whose sender no longer waits for it."""
@@ -453,7 +456,9 @@
                 job.operation, _OWN_UPSTREAM, job.lowest_called_threshold
             )
         self._finish(job, result)
-        self._apply_decisions(self._admission.finish(job.waiter.key, succeeded))
+        decisions = self._admission.finish(job.waiter.key, succeeded)
+        if decisions:
+            self._apply_decisions(decisions)
 
     def _record_dependencies(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
