Skip the list of dependencies and a delegating budget while nothing changes

Cause: each successful run built a set, and for an operation with dependencies sorted the services anew; each request passed the retry budget of the gate, which only called the budget that it held.

Change: the sorted services are rebuilt when one of them crosses the share from which it counts. The retry budget of a gate is a ServiceRetryBudget with another allowance instead of holding one. The test that read the budget inside reads the same property.

--- a/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
@@ -11,7 +11,7 @@
 _EXTRA_SHARE = 0.75
 
 
-class GateRetryBudget:
+class GateRetryBudget(ServiceRetryBudget):
     """One gate's part of the bound on retries to its service.
 
     Explanation
@@ -51,47 +51,19 @@
     (True, False)
     """
 
-    __slots__ = ("_budget", "_extra", "_gates")
+    __slots__ = ("_extra", "_gates")
 
     def __init__(self, clock: Clock, ratio: float, extra: float, window: float) -> None:
         self._extra = extra * _EXTRA_SHARE
         self._gates = 1
-        self._budget = ServiceRetryBudget(
-            clock, ratio * _RATIO_SHARE, self._extra, window
-        )
-
-    @property
-    def allowed(self) -> float:
-        """Retries allowed in the current window."""
-        return self._budget.allowed
-
-    @property
-    def spent(self) -> int:
-        """Retries in the window that ends now."""
-        return self._budget.spent
+        super().__init__(clock, ratio * _RATIO_SHARE, self._extra, window)
 
     def set_gate_count(self, gates: int) -> None:
         """Set the number of gates that share the fixed allowance."""
         if gates != self._gates:
             self._gates = max(1, gates)
-            self._budget.extra = self._extra / self._gates
-
-    def count_request(self) -> None:
-        """Count a first attempt."""
-        self._budget.count_request()
-
-    def count_retry(self) -> None:
-        """Count a call that a retried run makes again; it needs no grant."""
-        self._budget.count_retry()
+            self.extra = self._extra / self._gates
 
     def grant(self, rank: float) -> bool:
         """Return whether a request of the given rank may be retried."""
-        return self._budget.spend(rank)
-
-    def refund(self) -> None:
-        """Return a granted retry that was not passed to the upstream."""
-        self._budget.refund()
-
-    def on_attempt(self, failed: bool) -> None:
-        """Count an attempt, and whether it failed."""
-        self._budget.on_attempt(failed)
+        return self.spend(rank)
--- a/packages/rattanfork-core/rattanfork_core/gate_status/dependencies.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/dependencies.py
@@ -1,6 +1,6 @@
 """Services that an operation depends on, learned from its runs."""
 
-from collections.abc import Iterable
+from collections.abc import Collection
 
 #: Weight of the latest run in the moving share of runs that call a service.
 _SMOOTHING = 0.1
@@ -43,13 +43,13 @@
         self._shares: dict[str, dict[str, float]] = {}
         self._services: dict[str, tuple[str, ...]] = {}
 
-    def record_run(self, operation: str, services: Iterable[str]) -> None:
+    def record_run(self, operation: str, services: Collection[str]) -> None:
         """Record the services that a successful run has called."""
-        called = set(services)
         shares = self._shares.get(operation)
+        if not services and not shares:
+            return
+        called = set(services)
         if shares is None:
-            if not called:
-                return
             if len(self._shares) >= _MAX_OPERATIONS:
                 self._shares.clear()
                 self._services.clear()
@@ -57,12 +57,15 @@
         for service in called - shares.keys():
             if len(shares) < _MAX_SERVICES_PER_OPERATION:
                 shares[service] = 0.0
-        for service, share in list(shares.items()):
-            share += _SMOOTHING * ((1.0 if service in called else 0.0) - share)
-            shares[service] = share
-        self._services[operation] = tuple(
-            sorted(s for s, share in shares.items() if share >= _MIN_SHARE)
-        )
+        changed = operation not in self._services
+        for service, share in shares.items():
+            latest = 1.0 if service in called else 0.0
+            shares[service] = new_share = share + _SMOOTHING * (latest - share)
+            changed |= (new_share >= _MIN_SHARE) is not (share >= _MIN_SHARE)
+        if changed:
+            self._services[operation] = tuple(
+                sorted(s for s, share in shares.items() if share >= _MIN_SHARE)
+            )
 
     def services(self, operation: str) -> tuple[str, ...]:
         """Return the services that a sufficient share of the runs call, sorted."""
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_fault_pairs.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_fault_pairs.py
@@ -86,7 +86,7 @@
 
     @property
     def allowed(self) -> float:
-        return self.grants._budget.allowed
+        return self.grants.allowed
 
 
 def _next_attempt(harness: RelayHarness, seen: set) -> tuple[FakeLink, int] | None:
