Bind the callbacks of a run without a function for each

Cause: a run passed four closures that only called a method with further arguments, and a method that made one of them.

Change: functools.partial, which calls the method directly.

--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -375,9 +375,7 @@
     def _start(self, job: Job) -> None:
         job.handed_over = True
         self._running[job.request_id] = job
-        self._pool.acquire(
-            lambda connection: self._send(job, connection), job.idempotent
-        )
+        self._pool.acquire(partial(self._send, job), job.idempotent)
 
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
         if connection is None:
@@ -394,7 +392,7 @@
         connection.send(
             self._render_request_head(job) + job.body,
             job.request_id,
-            lambda response: self._on_response(job, response),
+            partial(self._on_response, job),
             job.method == b"HEAD",
         )
 
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -1,6 +1,6 @@
 """Route path: handles messages from other nodes."""
 
-from collections.abc import Callable
+from functools import partial
 
 from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.clock import Clock
@@ -81,8 +81,8 @@
             run.repeated,
             run.may_have_arrived,
             run.attempt,
-            self._replier(link, run.number, run.route),
-            lambda: call_log.hand_over(run.number),
+            partial(self._reply, link, run.number, run.route),
+            partial(call_log.hand_over, run.number),
             link.peer,
             run.account,
         )
@@ -133,31 +133,29 @@
         """Reject requests for key epochs: keys are not issued here."""
         raise FrameError("keys are not issued by a routing node")
 
-    def _replier(
-        self, link: PeerLink, number: int, operation: str
-    ) -> Callable[[CallResult], None]:
-        def reply(result: CallResult) -> None:
-            link.calls.pop(number, None)
-            report = ()
-            reason = result.reason
-            if link.peer_level:
-                report = self._gate.advertised.report() or ()
-            elif reason is Reason.UPSTREAM_LIMIT:
-                reason = Reason.SHED
-            link.send_batched(
-                RunReply(
-                    number,
-                    int(result.outcome),
-                    int(reason),
-                    result.status,
-                    result.block,
-                    result.body,
-                    result.retry_elsewhere,
-                    float(self._gate.threshold(operation)),
-                    self._gate.outstanding,
-                    list(result.services_reached),
-                    *report,
-                )
+    def _reply(
+        self, link: PeerLink, number: int, operation: str, result: CallResult
+    ) -> None:
+        gate = self._gate
+        link.calls.pop(number, None)
+        report = ()
+        reason = result.reason
+        if link.peer_level:
+            report = gate.advertised.report() or ()
+        elif reason is Reason.UPSTREAM_LIMIT:
+            reason = Reason.SHED
+        link.send_batched(
+            RunReply(
+                number,
+                int(result.outcome),
+                int(reason),
+                result.status,
+                result.block,
+                result.body,
+                result.retry_elsewhere,
+                float(gate.threshold(operation)),
+                gate.outstanding,
+                list(result.services_reached),
+                *report,
             )
-
-        return reply
+        )
