Leave out updates of the gate's state that change nothing

Cause: each response looked for two headers that an upstream seldom sends and lifted a rate limit that was not in force; each run decayed a failure rate of zero, and was passed to an adaptive limit that does not adapt here.

Change: these calls are made only if there is something to do. A failure rate below one in a million counts as zero, far below the 0.2 from which an upstream is impaired.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -176,8 +176,13 @@
         if waiter is not None and succeeded:
             duration = now - waiter.started
             self._estimate.add(waiter.operation, duration)
-            limited = bool(self._latest_start)
-            self._limit.on_finish(waiter.operation, waiter.started, duration, limited)
+            if self._settings.adaptive:
+                self._limit.on_finish(
+                    waiter.operation,
+                    waiter.started,
+                    duration,
+                    limited=bool(self._latest_start),
+                )
         return self._start_next(now) if self._latest_start else []
 
     def on_upstream_shed(self) -> None:
@@ -280,7 +285,8 @@
         return max(bound, int(throughput * settings.queue_delay))
 
     def _cannot_finish(self, waiter: Waiter, now: float, wait: float = 0.0) -> bool:
-        if waiter.deadline <= now:
+        deadline = waiter.deadline
+        if deadline <= now:
             return True
         if not self._running:
             # An idle upstream always gets a request.  If an overlong estimate
@@ -288,7 +294,7 @@
             # stay closed after it has recovered.
             return False
         needed = wait + self._estimate.lower_bound(waiter.operation)
-        return now + needed > waiter.deadline
+        return now + needed > deadline
 
     def _enqueue(self, waiter: Waiter, now: float) -> list[Decision]:
         mean = self._estimate.mean
--- a/packages/rattanfork-core/rattanfork_core/gate_status/upstream_health.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/upstream_health.py
@@ -11,6 +11,8 @@
 #: Failure rate from which an upstream is impaired.  Healthy ones fail one run in
 #: hundreds; two failures in a row stay below the limit.
 _MAX_FAILURE_RATE = 0.2
+#: Failure rate below which it counts as zero, so that it need not be updated.
+_NEGLIGIBLE_RATE = 1e-6
 #: Largest weight of one run in the mean duration of an operation, and seconds over
 #: which the mean is taken, so that a slow upstream does not soon pass for normal.
 _MEAN_MAX_WEIGHT = 0.05
@@ -139,14 +141,17 @@
             return
         if mean:
             self._completed += 1.0
-        rate = self._current_failure_rate()
-        self._failure_rate = rate + _FAILURE_SMOOTHING * (
-            (1.0 if failed else 0.0) - rate
-        )
-        self._failure_rate_at = self._updated_at
+        if failed or self._failure_rate:
+            self._update_failure_rate(failed)
         if not failed and not self._is_slow():
             self._update_mean(operation, self._updated_at - started_at)
 
+    def _update_failure_rate(self, failed: bool) -> None:
+        rate = self._current_failure_rate()
+        rate += _FAILURE_SMOOTHING * ((1.0 if failed else 0.0) - rate)
+        self._failure_rate = rate if rate > _NEGLIGIBLE_RATE else 0.0
+        self._failure_rate_at = self._updated_at
+
     def _current_failure_rate(self) -> float:
         elapsed = self._updated_at - self._failure_rate_at
         return self._failure_rate * 0.5 ** (elapsed / _FAILURE_HALF_LIFE_SECONDS)
--- a/packages/rattanfork-node/rattanfork_node/relay/advertised_state.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/advertised_state.py
@@ -105,14 +105,16 @@
     def on_response(self, response: UpstreamResponse) -> None:
         """Apply the headers of a response of the current incarnation."""
         headers = response.headers
-        leaving = self._parse(headers, self._leaving_name, parse_leaving)
-        if leaving:
-            self._leave("response", self._upstream.born)
+        if self._leaving_name in headers:
+            leaving = self._parse(headers, self._leaving_name, parse_leaving)
+            if leaving:
+                self._leave("response", self._upstream.born)
         if self._stated_at is not None and response.received_at < self._stated_at:
             return
         self._stated_at = response.received_at
         if self._limit_name not in headers:
-            self._lift()
+            if self._rate_limit.value is not None:
+                self._lift(self._rate_limit.value)
             return
         limit = self._parse(headers, self._limit_name, parse_rate_limit)
         if limit is not None:
@@ -131,13 +133,14 @@
     def report(self) -> UpstreamReport | None:
         """Return the report on the upstream; None if it advertises nothing."""
         limit = self._rate_limit.value
-        if self._upstream is None or (limit is None and not self.leaving):
+        leaving = self._leaving is not None
+        if self._upstream is None or (limit is None and not leaving):
             return None
         return UpstreamReport(
             self._upstream.name,
             self._upstream.born,
             NO_LIMIT if limit is None else limit,
-            self.leaving,
+            leaving,
         )
 
     def _leave(self, source: str, born: int) -> None:
@@ -164,10 +167,7 @@
             source=source,
         )
 
-    def _lift(self) -> None:
-        limit = self._rate_limit.value
-        if limit is None:
-            return
+    def _lift(self, limit: float) -> None:
         self._rate_limit.lift()
         now = self._clock.now()
         if now >= self._next_change_line:
@@ -185,11 +185,8 @@
         name: bytes,
         parse: Callable[[bytes], _Value],
     ) -> _Value | None:
-        value = headers.get(name)
-        if value is None:
-            return None
         try:
-            return parse(value)
+            return parse(headers[name])
         except ValueError as error:
             self._counters.events["upstream.malformed-header"] += 1
             now = self._clock.now()
