Account for the busy time of slots without a call per event

Change: a start subtracts the time from the sum and an end adds it, which gives the same busy time at the next tick. The header line with the upstream's name is encoded when the upstream announces itself, and the parts of a fingerprint are collected in one expression.

--- a/packages/rattanfork-core/rattanfork_core/admission/controller.py
+++ b/packages/rattanfork-core/rattanfork_core/admission/controller.py
@@ -77,8 +77,9 @@
         self._estimate = ServiceTimeEstimate()
         self._threshold = AdmissionThreshold(settings.surge_sample)
         self._draining = False
-        self._busy_time = 0.0
-        self._busy_since = clock.now()
+        #: Busy time of the slots since the last tick, less the current time for each
+        #: run in progress: starts subtract the time, ends add it.
+        self._busy_balance = 0.0
         #: When the last run completed, or the first one started after an idle time.
         self._last_progress = clock.now()
 
@@ -170,8 +171,9 @@
     def finish(self, key: int, succeeded: bool = True) -> list[Decision]:
         """Record that a run has ended, and start waiting requests."""
         now = self._clock.now()
-        self._add_busy_time(now)
         waiter = self._running.pop(key, None)
+        if waiter is not None:
+            self._busy_balance += now
         self._last_progress = now
         if waiter is not None and succeeded:
             duration = now - waiter.started
@@ -219,7 +221,7 @@
                 capacity=throughput * self.TICK_SECONDS,
                 queue_fill=len(self._queue) / self._max_queue_length(limit, throughput),
                 utilisation=max(
-                    self._take_busy_time() / (limit * self.TICK_SECONDS),
+                    self._take_busy_time(now) / (limit * self.TICK_SECONDS),
                     1.0 - self._rate_limit.unused_share,
                 ),
             )
@@ -240,13 +242,10 @@
         reason = self._shed_reason()
         return [Refuse(waiter, reason) for waiter in overdue]
 
-    def _add_busy_time(self, now: float) -> None:
-        self._busy_time += len(self._running) * (now - self._busy_since)
-        self._busy_since = now
-
-    def _take_busy_time(self) -> float:
-        self._add_busy_time(self._clock.now())
-        busy, self._busy_time = self._busy_time, 0.0
+    def _take_busy_time(self, now: float) -> float:
+        running = len(self._running) * now
+        busy = self._busy_balance + running
+        self._busy_balance = -running
         return busy
 
     def _throughput(self, now: float, limit: int) -> float:
@@ -332,7 +331,7 @@
         return Refuse(waiter, reason)
 
     def _start(self, waiter: Waiter, now: float) -> None:
-        self._add_busy_time(now)
+        self._busy_balance -= now
         waiter.started = now
         if not self._running:
             self._last_progress = now
--- a/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
+++ b/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
@@ -32,10 +32,11 @@
     >>> first == request_fingerprint(b"GET", b"shop.example", b"/receipts", b"/7")
     False
     """
-    chunks = []
-    for part in parts:
-        chunks.append(len(part).to_bytes(_LENGTH_BYTES, "big"))
-        chunks.append(part)
+    chunks = [
+        chunk
+        for part in parts
+        for chunk in (len(part).to_bytes(_LENGTH_BYTES, "big"), part)
+    ]
     return xxh3_64_intdigest(b"".join(chunks))
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -127,6 +127,8 @@
         self._counters = counters
         self._not_run_name = names.not_run.lower()
         self._upstream: Upstream | None = None
+        #: Header line that names the incarnation which may run a request.
+        self._upstream_header = b""
         self._pool: UpstreamPool | None = None
         self._admission = AdmissionController(
             clock,
@@ -220,6 +222,10 @@
         elif not upstream.born:
             upstream = upstream._replace(born=known.born)
         self._upstream = upstream
+        self._upstream_header = b"%b: %b\r\n" % (
+            self._names.expected_upstream,
+            upstream.name.encode(),
+        )
         self.advertised.update_upstream(upstream)
         self._admission.limit.set_slots(max(1, int(upstream.slots * _SLOT_UTILIZATION)))
         self._accepting = True
@@ -253,7 +259,7 @@
         if job.boot != self._boot:
             self._refuse(job, Reason.STALE_INSTANCE)
             return
-        if not self.accepting:
+        if not self._accepting or self.advertised.leaving:
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
@@ -406,11 +412,10 @@
 
     def _render_request_head(self, job: Job) -> bytes:
         names = self._names
-        headers = b"%b: %d\r\n%b: %b\r\n" % (
+        headers = b"%b: %d\r\n%b" % (
             names.deadline,
             int((job.deadline - self._clock.now()) * 1000),
-            names.expected_upstream,
-            self._upstream.name.encode(),
+            self._upstream_header,
         )
         if job.account:
             headers += b"%b: %b\r\n" % (names.account, job.account.encode())
