--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -1,6 +1,7 @@
 """Route path, last stage: admission gate of this node's upstream."""
 
 from collections.abc import Iterable
+from functools import partial
 
 from rattanfork_core.admission import (
     AdmissionController,
@@ -25,6 +26,7 @@
     UpstreamConnection,
     UpstreamPool,
     UpstreamResponse,
+    fingerprint_of,
     render_head,
 )
 from rattanfork_node.relay.advertised_state import AdvertisedState
@@ -65,6 +67,9 @@
         Reason.STALE_INSTANCE,
     )
 )
+#: Size of a request body up to which the fingerprint of a successful run is computed
+#: later.  Until then the request is kept in memory.
+_MAX_DEFERRED_BODY_BYTES = 4096
 #: Key of the gate's own upstream, the only instance in its table of downstream
 #: thresholds.
 _OWN_UPSTREAM = ""
@@ -128,6 +133,8 @@
         self._counters = counters
         self._not_run_name = names.not_run.lower()
         self._upstream: Upstream | None = None
+        #: Header line that names the incarnation which may run a request.
+        self._upstream_header = b""
         self._pool: UpstreamPool | None = None
         self._admission = AdmissionController(
             clock,
@@ -226,6 +233,10 @@
         elif not upstream.born:
             upstream = upstream._replace(born=known.born)
         self._upstream = upstream
+        self._upstream_header = b"%b: %b\r\n" % (
+            self._names.expected_upstream,
+            upstream.name.encode(),
+        )
         self.advertised.update_upstream(upstream)
         self._admission.limit.set_slots(max(1, int(upstream.slots * _SLOT_UTILIZATION)))
         self._accepting = True
@@ -259,7 +270,7 @@
         if job.boot != self._boot:
             self._refuse(job, Reason.STALE_INSTANCE)
             return
-        if not self.accepting:
+        if not self._accepting or self.advertised.leaving:
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
@@ -276,7 +287,10 @@
         waiter = Waiter(self._next_key, job.rank, job.operation, job.deadline, now)
         job.waiter = waiter
         self._jobs[waiter.key] = job
-        self._apply_decisions(self._admission.offer(waiter))
+        if self._admission.start_at_once(waiter, now):
+            self._start(job)
+        else:
+            self._apply_decisions(self._admission.enqueue(waiter, now))
 
     def cancel(self, job: Job) -> None:
         """Cancel a request whose sender no longer waits for it."""
@@ -301,6 +315,7 @@
 
     def tick(self) -> None:
         """Update admission control; call every ``AdmissionController.TICK``."""
+        self._tracker.record_pending()
         self._apply_decisions(self._admission.tick())
 
     def sweep(self) -> None:
@@ -383,9 +398,7 @@
     def _start(self, job: Job) -> None:
         job.handed_over = True
         self._running[job.request_id] = job
-        self._pool.acquire(
-            lambda connection: self._send(job, connection), job.idempotent
-        )
+        self._pool.acquire(partial(self._send, job), job.idempotent)
 
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
         if connection is None:
@@ -402,7 +415,7 @@
         connection.send(
             self._render_request_head(job) + job.body,
             job.request_id,
-            lambda response: self._on_response(job, response),
+            partial(self._on_response, job),
             job.method == b"HEAD",
         )
 
@@ -416,11 +429,10 @@
 
     def _render_request_head(self, job: Job) -> bytes:
         names = self._names
-        headers = b"%b: %d\r\n%b: %b\r\n" % (
+        headers = b"%b: %d\r\n%b" % (
             names.deadline,
             int((job.deadline - self._clock.now()) * 1000),
-            names.expected_upstream,
-            self._upstream.name.encode(),
+            self._upstream_header,
         )
         if job.account:
             headers += b"%b: %b\r\n" % (names.account, job.account.encode())
@@ -464,15 +476,33 @@
                 job.operation, _OWN_UPSTREAM, job.lowest_called_threshold
             )
         self._finish(job, result)
-        self._apply_decisions(self._admission.finish(job.waiter.key, succeeded))
+        decisions = self._admission.finish(job.waiter.key, succeeded)
+        if decisions:
+            self._apply_decisions(decisions)
 
     def _record_dependencies(self, job: Job, result: CallResult) -> None:
         if result.status < 300:
+            self._record_success(job)
+            self.dependencies.record_run(job.operation, job.services_reached)
+        result.services_reached = self.dependencies.services(job.operation)
+
+    def _record_success(self, job: Job) -> None:
+        if len(self._quarantine) or len(job.body) > _MAX_DEFERRED_BODY_BYTES:
             fingerprint = job.fingerprint
             self._tracker.on_success(fingerprint)
             self._quarantine.on_success(fingerprint)
-            self.dependencies.record_run(job.operation, job.services_reached)
-        result.services_reached = self.dependencies.services(job.operation)
+        else:
+            # Not a method of the job, which would keep the whole run in memory.
+            self._tracker.defer_success(
+                partial(
+                    fingerprint_of,
+                    job.method,
+                    job.target,
+                    job.block,
+                    job.body,
+                    job.account,
+                )
+            )
 
     def _refuse(self, job: Job, reason: Reason) -> None:
         self._counters.events[f"gate.{reason.label}"] += 1
