--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
@@ -136,5 +136,6 @@
     assert pool.take(retryable=True) is None
     probe.send(b"...", b"r1", lambda _: None)
     probe.data_received(response())
-    probe._release_or_close(True)
+    probe._reusable = True
+    probe._release_or_close()
     assert pool.take(retryable=True) is kept[1]
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_counters.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_counters.py
@@ -27,7 +27,8 @@
     connection.data_received(
         response().replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
     )
-    connection._release_or_close(False)
+    connection._reusable = False
+    connection._release_or_close()
 
 
 def lose_run(pool: FakePool, connection) -> None:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool_refusals.py
@@ -38,7 +38,8 @@
     assert not upstream.acquired
     connection = upstream.used[3]
     connection.data_received(response())
-    connection._release_or_close(True)
+    connection._reusable = True
+    connection._release_or_close()
     assert upstream.acquired == [connection]
     assert not upstream.pool._waiting
     assert not upstream.pool._connecting
