--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -8,7 +8,7 @@
 from rattanfork_core.routing.instance import InstanceState
 from rattanfork_core.routing.subset import choose_subset
 
-#: Latency in seconds assumed of an instance without a reply so far.
+#: Latency in seconds assumed at most of an instance without a reply so far.
 _UNKNOWN_LATENCY_SECONDS = 0.01
 #: Factor on the score of an instance in another data centre.
 _REMOTE_FACTOR = 1.5
@@ -261,9 +261,17 @@
             second = candidates[-1]
         return first if self._score(first) <= self._score(second) else second
 
+    def _latency_to_assume(self) -> float:
+        """Return the latency to assume of an instance without a reply.
+
+        It is at most the fastest known one.  Otherwise an instance beside faster ones
+        would never be tried while there are few requests.
+        """
+        return min(self.fastest_latency or inf, _UNKNOWN_LATENCY_SECONDS)
+
     def _score(self, state: InstanceState) -> float:
         now = self._clock.now()
-        latency = state.expected_latency(now) or _UNKNOWN_LATENCY_SECONDS
+        latency = state.expected_latency(now) or self._latency_to_assume()
         score = (state.in_flight + 1) * latency * (1.0 + 10.0 * state.failure_rate)
         if state.data_centre != self._data_centre:
             score *= _REMOTE_FACTOR
--- a/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/tests/test_picker.py
@@ -287,3 +287,18 @@
         picker.states[name].in_flight = 0
     clock.advance(3.0)
     assert "i0" in {picker.pick(frozenset()) for _ in range(100)}
+
+
+def test_instance_without_a_reply_is_tried_beside_a_fast_one():
+    """Guards against an instance that gets no requests while there are few of them.
+
+    With one request at a time, the instance that answered first stayed the better
+    choice for ever if its latency was below the one assumed of the other.
+    """
+    clock = ManualClock(100.0)
+    picker = InstancePicker("n1", "dc1", clock, Random(1))
+    picker.update([InstanceState("a", "dc1"), InstanceState("b", "dc1")])
+    fast = picker.states["a"]
+    fast.on_sent(99.0)
+    fast.on_done(99.002, 99.0, failed=False)
+    assert {picker.pick(frozenset()) for _ in range(20)} == {"a", "b"}
