Persist which services each operation calls

Cause: an entry node that has just started knows no call chain until its first responses, so it admits requests that a service further down sheds.

--- a/packages/rattanfork-core/rattanfork_core/gate_status/dependencies.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/dependencies.py
@@ -1,6 +1,6 @@
 """Services that an operation depends on, learned from its runs."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 #: Weight of the latest run in the moving share of runs that call a service.
 _SMOOTHING = 0.1
@@ -67,6 +67,24 @@
                 sorted(s for s, share in shares.items() if share >= _MIN_SHARE)
             )
 
+    @property
+    def learned(self) -> dict[str, tuple[str, ...]]:
+        """Services of each operation that calls any, for nodes that start later."""
+        return {op: names for op, names in self._services.items() if names}
+
+    def restore(self, learned: Mapping[str, Collection[str]]) -> None:
+        """Adopt what other nodes had learned; own observations go first.
+
+        Parameters
+        ==========
+
+        learned : mapping
+            Services of each operation.
+        """
+        for operation, services in learned.items():
+            if operation not in self._shares:
+                self.record_run(operation, services)
+
     def services(self, operation: str) -> tuple[str, ...]:
         """Return the services that a sufficient share of the runs call, sorted."""
         return self._services.get(operation, ())
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -8,7 +8,7 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
-from rattanfork_core.gate_status import GateReportTable
+from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
     Membership,
@@ -36,6 +36,7 @@
 from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import GossipTask
+from rattanfork_node.member.dependency_task import DependencyTask
 from rattanfork_node.member.directory import InstanceDirectory
 from rattanfork_node.member.gate_report_task import GateReportTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
@@ -186,6 +187,7 @@
         self._body_budget = BodyBudget(body_budget_bytes(settings.memory_bytes))
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
+        self._dependencies = OperationDependencies()
         self._membership.on_status = self._on_member
         self._lease = ConfigurationLease(BootTimeClock())
         self._objectives = RouteObjectives(self._clock)
@@ -249,6 +251,9 @@
             time.time,
         )
         self._gate.crash_detector.on_crash = self._quarantine_task.on_crash
+        self._dependency_task = DependencyTask(
+            self._dependencies, self._membership, self._platform, self._counters
+        )
         self._store = StoreTasks(
             self._clock,
             self._random,
@@ -261,6 +266,7 @@
             self._pool,
             self._counters,
             self._quarantine_task.merge_record,
+            self._dependency_task.merge_record,
             self._quarantine_task.persist_all,
             self._lease,
         )
@@ -299,6 +305,7 @@
             self._gate_reports,
             self._quarantine,
             self._account_tasks.accounts,
+            self._dependencies,
             self._account_tasks.fair_shares,
         )
         self._state_reporter = StateReporter(
@@ -390,6 +397,7 @@
             self._gossip_task.tick()
             self._gate_report_task.tick()
             self._quarantine_task.tick()
+            self._dependency_task.tick()
             self._account_tasks.tick()
             self._pool.heartbeat()
             self._upstream_monitor.tick()
@@ -445,6 +453,7 @@
 
     def _stop(self) -> None:
         self._quarantine_task.close()
+        self._dependency_task.close()
         self._store.close()
         self._gossip_task.close()
         for _, server in self._servers:
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -56,6 +56,8 @@
         Event counters.
     on_quarantine : callable
         Called with the quarantine records that nodes have persisted.
+    on_dependencies : callable
+        Called with the dependencies that nodes have persisted.
     persist_quarantine : callable
         Coroutine function that writes the quarantine to the store.
     lease : ConfigurationLease
@@ -75,6 +77,7 @@
         pool: PeerPool,
         counters: Counters,
         on_quarantine: Callable[[object], None],
+        on_dependencies: Callable[[object], None],
         persist_quarantine: Callable[[], Awaitable[None]],
         lease: ConfigurationLease,
     ) -> None:
@@ -83,7 +86,9 @@
         store_readers = RoleAssignment(
             membership, "confirmation", _READERS_PER_DATA_CENTRE
         )
-        self._join = JoinTask(random, platform, membership, gossip_task, on_quarantine)
+        self._join = JoinTask(
+            random, platform, membership, gossip_task, on_quarantine, on_dependencies
+        )
         self._configuration_task = ConfigurationTask(
             clock,
             random,
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -10,6 +10,7 @@
 
 from rattanfork_node.member.gossip_task import GossipTask
 from rattanfork_node.member.records import (
+    DEPENDENCIES_ROW,
     MEMBERS_TABLE,
     QUARANTINE_PREFIX,
     decode_record,
@@ -22,7 +23,7 @@
 _MAX_RETRY_DELAY_S = 2.0
 
 
-def _ignore_quarantine(value: object) -> None:
+def _ignore(value: object) -> None:
     pass
 
 
@@ -52,6 +53,8 @@
         Receives the addresses for anti-entropy and introduces this node.
     on_quarantine : callable
         Receives the value of each quarantine row.
+    on_dependencies : callable
+        Receives the value of the row of dependencies.
     """
 
     def __init__(
@@ -60,13 +63,15 @@
         platform: WatchedPlatform,
         membership: Membership,
         gossip_task: GossipTask,
-        on_quarantine: Callable[[object], None] = _ignore_quarantine,
+        on_quarantine: Callable[[object], None] = _ignore,
+        on_dependencies: Callable[[object], None] = _ignore,
     ) -> None:
         self._random = random
         self._platform = platform
         self._membership = membership
         self._gossip_task = gossip_task
         self._on_quarantine = on_quarantine
+        self._on_dependencies = on_dependencies
         self._task: asyncio.Task | None = None
         self._joined = False
 
@@ -119,6 +124,9 @@
                 if key.startswith(QUARANTINE_PREFIX):
                     self._on_quarantine(orjson.loads(row.value))
                     continue
+                if key == DEPENDENCIES_ROW:
+                    self._on_dependencies(orjson.loads(row.value))
+                    continue
                 member = decode_record(row.value)
             except ValueError as error:
                 log_change("record_malformed", error=str(error))
--- a/packages/rattanfork-node/rattanfork_node/member/records.py
+++ b/packages/rattanfork-node/rattanfork_node/member/records.py
@@ -12,6 +12,14 @@
 #: one scan at start-up returns both.
 QUARANTINE_PREFIX = "quarantine:"
 
+#: Key of the row with the services that each operation calls, in the same table.
+DEPENDENCIES_ROW = "dependencies"
+
+
+def dependencies_key() -> str:
+    """Return the key of the row of dependencies."""
+    return f"{MEMBERS_TABLE}/{DEPENDENCIES_ROW}"
+
 
 def record_key(instance: str) -> str:
     """Return the key of the member record of an instance."""
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -106,6 +106,8 @@
         Fingerprints of requests that no upstream may run.
     accounts : ClientAccounts
         Authenticates callers by API key, if the configuration has accounts.
+    dependencies : OperationDependencies
+        Services behind each operation, learned from the responses to callers.
     fair_shares : FairShares or None
         Shares capacity fairly by account under overload; None to share it by request.
     """
@@ -127,6 +129,7 @@
         reports: GateReportTable,
         quarantine: Quarantine,
         accounts: ClientAccounts,
+        dependencies: OperationDependencies,
         fair_shares: FairShares | None = None,
     ) -> None:
         self.clock = clock
@@ -139,8 +142,7 @@
         self.early_shedder = EarlyShedder(clock)
         #: What the upstreams of other instances have advertised.
         self.upstream_reports = UpstreamReportTable()
-        #: Services behind each operation, learned from the responses to callers.
-        self.dependencies = OperationDependencies()
+        self.dependencies = dependencies
         #: Circuit breakers of the operations that callers request.
         self.breakers = OperationBreakers(clock)
         self.breakers.on_change = _log_circuit
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -8,7 +8,7 @@
 from rattanfork_core.client_accounts import AccountIndex, ClientAccount
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.fair_shares import FairShares, TotalsTable
-from rattanfork_core.gate_status import GateReportTable
+from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.quarantine import Quarantine
@@ -334,6 +334,7 @@
             self.reports,
             self.quarantine,
             self.accounts,
+            OperationDependencies(),
             self.fair_shares,
         )
 
