--- a/packages/rattanfork-core/rattanfork_core/fair_shares/collector.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/collector.py
@@ -48,8 +48,8 @@
 
     Each entry node reports to two members.  Of the collectors that receive reports, the
     one with the clearly higher total sends, and among equals the first by hash; the
-    others are silent while they hear it.  No election is needed: two that both send for
-    a moment send nearly the same totals.
+    others send nothing while they receive its totals.  No election is needed: two that
+    both send for a moment send nearly the same totals.
 
     Parameters
     ==========
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_fair_shares.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_fair_shares.py
@@ -139,7 +139,7 @@
 
 
 def test_partitioned_node_is_fair_within_two_seconds_by_its_own_requests():
-    """A node keeps its link to the service, but hears no other entry node.
+    """A node keeps its link to the service but receives nothing of other entry nodes.
 
     Two accounts use only this node; one sends six times as much as the other.  The
     node doesn't know the demand elsewhere, but shares what it gets between the two.
