Create the state machine of a request only when it is needed

Cause: for each request the entry node built a request budget, a state machine, two bound methods, an attempt, two commands and two lists, although nearly all requests are answered at their first attempt. The reply read the clock three times and called two enumerations.

Change: `Forwarding` picks the first instance and sends the attempt itself. An answer to it finishes the request; any other event first creates the state machine, which records that attempt, so all other decisions are made as before. A late event after the answer is ignored. The clock is read once per reply, and outcomes and reasons are looked up by number. What only refusals and failures need is skipped for answers.

--- a/packages/rattanfork-core/rattanfork_core/request/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/request/__init__.py
@@ -13,7 +13,12 @@
     request_fingerprint,
 )
 from rattanfork_core.request.importance import Importance
-from rattanfork_core.request.outcome import Outcome, Reason
+from rattanfork_core.request.outcome import (
+    Outcome,
+    Reason,
+    outcome_of,
+    reason_of,
+)
 from rattanfork_core.request.progress import rank_of_call
 from rattanfork_core.request.result import CallResult, FenceVerdict
 from rattanfork_core.request.retry_after import jittered_retry_after
@@ -36,7 +41,9 @@
     "SendFence",
     "format_fingerprint",
     "jittered_retry_after",
+    "outcome_of",
     "rank_of_call",
+    "reason_of",
     "request_fingerprint",
     "request_rank",
     "request_tiebreak",
--- a/packages/rattanfork-core/rattanfork_core/request/outcome.py
+++ b/packages/rattanfork-core/rattanfork_core/request/outcome.py
@@ -96,6 +96,39 @@
         return _REASON_LABELS[self]
 
 
+_OUTCOMES = {outcome.value: outcome for outcome in Outcome}
+_REASONS = {reason.value: reason for reason in Reason}
+
+
+def outcome_of(number: int) -> Outcome:
+    """Return the outcome of a number that a peer has sent.
+
+    A lookup, since calling an enumeration runs several functions.
+
+    Raises
+    ======
+
+    ValueError
+        If there is no such outcome.
+    """
+    outcome = _OUTCOMES.get(number)
+    # Only the missing case is passed on, as the number of one outcome is 0.
+    return Outcome(number) if outcome is None else outcome
+
+
+def reason_of(number: int) -> Reason:
+    """Return the reason of a number that a peer has sent.
+
+    Raises
+    ======
+
+    ValueError
+        If there is no such reason.
+    """
+    reason = _REASONS.get(number)
+    return Reason(number) if reason is None else reason
+
+
 # Precomputed, as labels are read several times per request and the ``name`` of an
 # enum member is slow to read.
 _OUTCOME_LABELS = tuple(o.name.lower().replace("_", "-") for o in Outcome)
--- a/packages/rattanfork-core/rattanfork_core/request/state_machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/state_machine.py
@@ -115,6 +115,15 @@
         """Send the first attempt, or finish if no instance is available."""
         return self._send_next(CallResult(Outcome.NOT_RUN, Reason.NO_INSTANCE))
 
+    def record_first_attempt(self, instance: str) -> None:
+        """Record that the first attempt was sent without :meth:`start`.
+
+        A driver that creates the state machine only once it needs a decision has
+        picked the instance of the first attempt itself.
+        """
+        delegated = self._budget.delegate()
+        self._attempts.append(Attempt(1, instance, delegated))
+
     def on_result(self, number: int, result: CallResult) -> list[Command]:
         """Handle the guard's result of an attempt."""
         attempt = self._attempts[number - 1]
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -17,6 +17,8 @@
     RequestStateMachine,
     SendCall,
     SendCancel,
+    outcome_of,
+    reason_of,
 )
 from rattanfork_core.request.commands import Command
 
@@ -32,6 +34,7 @@
 
 #: Time within which a gate must reply to a fence for an attempt whose link was lost.
 _FENCE_TIMEOUT_S = 0.5
+_NO_INSTANCES: frozenset[str] = frozenset()
 #: Multiple of an instance's mean latency.  If an attempt has waited longer when its
 #: deadline passes, it counts as a failure of the instance: time in a queue, which
 #: refuses late requests, can't explain such a wait.
@@ -86,16 +89,18 @@
 
     __slots__ = (
         "_admitted",
+        "_answered",
         "_attempt",
         "_attempt_records",
         "_blocked",
         "_exchange",
+        "_first_instance",
         "_instance_state",
         "_job",
         "_last_reason",
         "_link",
         "_lost_runs",
-        "_machine",
+        "_machine_or_none",
         "_may_have_arrived",
         "_number",
         "_parent",
@@ -128,26 +133,55 @@
         self._instance_state = None
         self._sent_at = 0.0
         self._sent_to = ""
-        route, deadline = admitted.route, admitted.deadline
-        budget = LocalRequestBudget(relay.clock, deadline, route.most_upstreams - 1)
-        self._machine = RequestStateMachine(
-            budget,
-            route.idempotent,
-            self._pick_instance,
-            may_retry=self._may_retry,
-            free_retries=_MAX_REFUSED_ATTEMPTS,
-        )
-        wait = max(0.0, deadline - relay.clock.now())
+        self._answered = False
+        self._first_instance = ""
+        self._machine_or_none: RequestStateMachine | None = None
+        wait = max(0.0, admitted.deadline - relay.clock.now())
         self._timer = relay.loop.call_later(wait, self._on_deadline)
 
+    @property
+    def _machine(self) -> RequestStateMachine:
+        """The state machine, created once anything but an answer happens.
+
+        Most requests are answered at the first attempt and need none.
+        """
+        machine = self._machine_or_none
+        if machine is None:
+            route = self._admitted.route
+            budget = LocalRequestBudget(
+                self._relay.clock, self._admitted.deadline, route.most_upstreams - 1
+            )
+            machine = self._machine_or_none = RequestStateMachine(
+                budget,
+                route.idempotent,
+                self._pick_instance,
+                may_retry=self._may_retry,
+                free_retries=_MAX_REFUSED_ATTEMPTS,
+            )
+            if self._first_instance:
+                machine.record_first_attempt(self._first_instance)
+        return machine
+
+    @property
+    def _finished(self) -> bool:
+        """Whether the final result has been determined."""
+        machine = self._machine_or_none
+        return self._answered or (machine is not None and machine.finished)
+
     def start(self) -> None:
         """Send the first attempt."""
         self._exchange.on_disconnect = self.on_caller_disconnected
-        self._execute(self._machine.start())
+        instance = self._pick_instance(_NO_INSTANCES)
+        if instance is None:
+            self._execute(self._machine.start())
+        else:
+            self._first_instance = instance
+            self._send(1, instance)
 
     def on_caller_disconnected(self) -> None:
         """Cancel all work, as the caller no longer waits for the response."""
-        self._execute(self._machine.on_caller_disconnected())
+        if not self._answered:
+            self._execute(self._machine.on_caller_disconnected())
 
     def _pick_instance(self, avoid: frozenset[str]) -> str | None:
         admitted = self._admitted
@@ -183,20 +217,23 @@
         return not len(quarantine) or quarantine.may_retry(self._exchange.fingerprint)
 
     def _on_deadline(self) -> None:
+        if self._answered:
+            return
         state = self._instance_state
         if state is not None and state.latency:
             # An unresponsive upstream produces no results, so without this no
             # failure would be counted and it would keep looking idle and fast.
-            waited = self._relay.clock.now() - self._sent_at
+            now = self._relay.clock.now()
+            waited = now - self._sent_at
             self._update_instance_state(
-                failed=True, counted=waited > _SILENT_LATENCY_FACTOR * state.latency
+                now, True, counted=waited > _SILENT_LATENCY_FACTOR * state.latency
             )
         self._execute(self._machine.on_deadline())
 
     def _execute(self, commands: list[Command]) -> None:
         for command in commands:
             if isinstance(command, SendCall):
-                self._send(command)
+                self._send(command.attempt, command.instance)
             elif isinstance(command, Finish):
                 self._finish(command.result)
             elif isinstance(command, SendCancel):
@@ -204,24 +241,24 @@
             else:
                 self._send_fence(command.attempt, command.instance)
 
-    def _send(self, command: SendCall) -> None:
-        self._attempt = command.attempt
+    def _send(self, attempt: int, instance: str) -> None:
+        self._attempt = attempt
         relay = self._relay
-        member = relay.directory.member(command.instance)
-        self._instance_state = self._admitted.picker.states.get(command.instance)
+        member = relay.directory.member(instance)
+        self._instance_state = self._admitted.picker.states.get(instance)
         self._sent_at = relay.clock.now()
         if self._instance_state is not None:
             self._instance_state.on_sent(self._sent_at)
-        self._sent_to = command.instance
-        if command.attempt > 1:
+        self._sent_to = instance
+        if attempt > 1:
             relay.counters.events["relay.retry"] += 1
-        if member is not None and member.name == relay.own_name:
+        if member is not None and instance == relay.own_name:
             self._submit_locally(member)
             return
         self._job = None
         link = relay.pool.ready_link(member) if member is not None else None
         if link is None:
-            self._connect_and_send(member, command.attempt)
+            self._connect_and_send(member, attempt)
         else:
             self._send_run(link, member)
 
@@ -291,7 +328,7 @@
             except LinkLostError:
                 self._on_unsent(attempt, member)
                 return
-            if self._machine.finished or attempt != self._attempt:
+            if self._finished or attempt != self._attempt:
                 return
             if link.peer != member.name:
                 self._relay.mark_dead(member.name)
@@ -311,11 +348,13 @@
 
     def _on_reply(self, attempt: int, member: Member, reply: RunReply | None) -> None:
         if reply is None:
-            self._update_instance_state(failed=True)
-            self._record_attempt(Reason.CONNECTION)
+            now = self._relay.clock.now()
+            self._update_instance_state(now, failed=True)
+            self._record_attempt(now, Reason.CONNECTION)
             self._last_reason = Reason.CONNECTION
             self._may_have_arrived = True
-            self._execute(self._machine.on_connection_lost(attempt))
+            if not self._answered:
+                self._execute(self._machine.on_connection_lost(attempt))
             return
         self._update_report(member, reply)
         self._relay.early_shedder.update(
@@ -324,8 +363,8 @@
         if self._instance_state is not None:
             self._instance_state.busy = reply.busy
         result = CallResult(
-            Outcome(reply.outcome),
-            Reason(reply.reason),
+            outcome_of(reply.outcome),
+            reason_of(reply.reason),
             reply.status,
             body=reply.body,
             retry_elsewhere=reply.retry_elsewhere,
@@ -350,26 +389,34 @@
         self._relay.upstream_reports.update(member.instance, report)
 
     def _on_result(self, attempt: int, result: CallResult) -> None:
-        if self._machine.finished:
-            self._update_instance_state(failed=False, counted=False)
+        now = self._relay.clock.now()
+        if self._finished:
+            self._update_instance_state(now, failed=False, counted=False)
             return
         # A refusal within a millisecond would make a limited instance look fast.
+        reason = result.reason
         self._update_instance_state(
-            failed=result.reason in _INSTANCE_FAILURE_REASONS,
-            counted=result.reason is not Reason.UPSTREAM_LIMIT,
+            now,
+            reason in _INSTANCE_FAILURE_REASONS,
+            reason is not Reason.UPSTREAM_LIMIT,
         )
-        self._record_attempt(result.reason, result.status)
-        self._last_reason = result.reason
-        self._may_have_arrived |= result.reason in _REACHED_UPSTREAM_REASONS
-        self._retry_denials += result.reason is Reason.NO_REPEAT
-        self._lost_runs += result.reason is Reason.CONNECTION
+        self._record_attempt(now, reason, result.status)
+        self._last_reason = reason
+        if reason is not Reason.NONE:
+            self._may_have_arrived |= reason in _REACHED_UPSTREAM_REASONS
+            self._retry_denials += reason is Reason.NO_REPEAT
+            self._lost_runs += reason is Reason.CONNECTION
+            if reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
+                # Another instance may succeed; without a retry the caller gets the
+                # upstream's own response.
+                result.outcome = Outcome.UNKNOWN
         if 200 <= result.status < 300:
             self._record_dependencies(result)
-        if result.reason is Reason.UPSTREAM_FAILED and result.retry_elsewhere:
-            # Another instance may succeed; without a retry the caller gets the
-            # upstream's own response.
-            result.outcome = Outcome.UNKNOWN
-        self._execute(self._machine.on_result(attempt, result))
+        if result.outcome is Outcome.ANSWERED and self._machine_or_none is None:
+            self._answered = True
+            self._finish(result)
+        else:
+            self._execute(self._machine.on_result(attempt, result))
 
     def _record_dependencies(self, result: CallResult) -> None:
         admitted = self._admitted
@@ -381,29 +428,28 @@
             self._parent.services_reached.add(admitted.service)
             self._parent.services_reached.update(result.services_reached)
 
-    def _update_instance_state(self, failed: bool, counted: bool = True) -> None:
+    def _update_instance_state(
+        self, now: float, failed: bool, counted: bool = True
+    ) -> None:
         state, self._instance_state = self._instance_state, None
         if state is None:
             return
         if counted:
-            operation = self._admitted.operation
-            now = self._relay.clock.now()
-            state.on_done(now, self._sent_at, failed, operation)
+            state.on_done(now, self._sent_at, failed, self._admitted.operation)
         else:
             state.on_inconclusive(self._sent_at)
 
-    def _record_attempt(self, reason: Reason, status: int = 0) -> None:
+    def _record_attempt(self, now: float, reason: Reason, status: int = 0) -> None:
         """Record how an attempt ended, for the request log; only once per attempt."""
         if not self._sent_to:
             return
-        seconds = self._relay.clock.now() - self._sent_at
         self._attempt_records.append(
-            AttemptRecord(self._sent_to, reason, status, seconds)
+            AttemptRecord(self._sent_to, reason, status, now - self._sent_at)
         )
         self._sent_to = ""
 
     def _send_cancel(self) -> None:
-        self._record_attempt(Reason.CANCELLED)
+        self._record_attempt(self._relay.clock.now(), Reason.CANCELLED)
         if self._instance_state is not None:
             self._instance_state.on_inconclusive(self._sent_at)
             self._instance_state = None
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -417,6 +417,27 @@
     assert left == []
 
 
+@on_loop
+async def test_events_after_the_answer_do_not_finish_a_request_again():
+    """Guards against a second result, which would count the request twice.
+
+    The cancellation of a run may reach a call of it that has just been answered.
+    """
+    harness = RelayHarness(peers=2)
+    exchange = harness.send_request()
+    on_disconnect = exchange.on_disconnect
+    [(link, index)] = harness.runs
+    link.reply(index, ANSWERED, status=200)
+    sent = list(link.sent)
+    on_disconnect()
+    link.lose(index)
+    await settle()
+    assert exchange.output == (200, b"", b"body")
+    assert sum(harness.counters.requests.values()) == 1
+    assert len(harness.runs) == 1
+    assert link.sent == sent
+
+
 @on_loop
 async def test_refusal_close_to_the_deadline_is_not_retried():
     """A gate reports "not run" when 20 ms are left, while runs take 100 ms.
