Decide in one function whether a request line is logged

Cause: the log sampler used three functions for a decision that is "no" for nearly every successful request under load, and the cause of a loss was determined for requests that are not lost.

Change: refill and decision are one function, with the bounds computed once, and the cause is determined only for requests that failed or were late. The sampler decided 25,000 random requests with five burst sizes as before.

--- a/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
+++ b/packages/rattanfork-core/rattanfork_core/trace/log_sampler.py
@@ -81,6 +81,8 @@
         self._clock = clock
         self._rate = rate
         self._burst = burst
+        self._sample_below = _SAMPLE_BELOW * burst
+        self._omit_below = _OMIT_BELOW * burst
         self._tokens = burst
         self._refilled_at = clock.now()
         self._omitted: Counter[str] = Counter()
@@ -96,8 +98,16 @@
         plain : bool
             Whether the request succeeded in time.
         """
-        self._refill()
-        if self._may_write(request_id, plain):
+        now = self._clock.now()
+        tokens = self._tokens + (now - self._refilled_at) * self._rate
+        if tokens > self._burst:
+            tokens = self._burst
+        self._refilled_at, self._tokens = now, tokens
+        if tokens >= 1 and (
+            not plain
+            or tokens > self._sample_below
+            or (tokens > self._omit_below and is_sampled(request_id.decode("latin-1")))
+        ):
             self._tokens -= 1
             return True
         self._omitted["plain" if plain else "trouble"] += 1
@@ -110,17 +120,3 @@
         """
         omitted, self._omitted = dict(self._omitted), Counter()
         return omitted
-
-    def _may_write(self, request_id: bytes, plain: bool) -> bool:
-        if self._tokens < 1:
-            return False
-        if not plain or self._tokens > _SAMPLE_BELOW * self._burst:
-            return True
-        if self._tokens <= _OMIT_BELOW * self._burst:
-            return False
-        return is_sampled(request_id.decode("latin-1"))
-
-    def _refill(self) -> None:
-        now = self._clock.now()
-        elapsed, self._refilled_at = now - self._refilled_at, now
-        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -110,13 +110,13 @@
         route = admitted.route
         outcome = result.outcome.label
         self._counters.durations.add((route.name, outcome), seconds)
-        good = 200 <= status < 300 and seconds <= route.target_latency
-        if admitted.parent is None and result.reason is not Reason.CANCELLED:
-            self._objectives.add(route.name, good)
+        late = seconds > route.target_latency
+        good = 200 <= status < 300 and not late
         if admitted.parent is None:
-            late = seconds > route.target_latency
-            cause = loss_cause(status, result.reason.label, late)
-            if cause is not None:
+            if result.reason is not Reason.CANCELLED:
+                self._objectives.add(route.name, good)
+            if not good:
+                cause = loss_cause(status, result.reason.label, late)
                 self._counters.losses[route.name, cause] += 1
         plain = good and len(attempts) == 1
         if not self._log.should_log(exchange.request_id, plain):
