Read the clock once per picked instance, and skip preferences among one

Cause: each step of a pick read the clock, and all steps were run even if only one instance was left, which they can't change.

Change: the time is passed on, and a single candidate is returned at once. A trial with 3,000 random sets of up to 6 instances and 30 picks each gave the same picks as before.

--- a/packages/rattanfork-core/rattanfork_core/routing/picker.py
+++ b/packages/rattanfork-core/rattanfork_core/routing/picker.py
@@ -156,32 +156,43 @@
         candidates = self._subset
         if excluded:
             candidates = [s for s in candidates if s.name not in excluded]
-        if not candidates:
-            return None
+        if len(candidates) < 2:
+            # All further conditions are preferences, which a single instance need not
+            # meet.
+            return candidates[0].name if candidates else None
+        now = self._clock.now()
         healthy = [s for s in candidates if not s.suspect]
         # If all are suspect, the fault is more likely this node or its network.
         candidates = healthy or candidates
-        candidates = self._unimpaired(candidates) or candidates
+        candidates = self._unimpaired(candidates, now) or candidates
         if timeout < inf:
-            candidates = self._fast(candidates, operation, timeout)
+            candidates = self._fast(candidates, operation, timeout, now)
         if self._local_load_limit:
-            candidates = self._local(candidates) or candidates
-        return self._pick_two(candidates).name
+            candidates = self._local(candidates, now) or candidates
+        return self._pick_two(candidates, now).name
 
-    def _unimpaired(self, candidates: list[InstanceState]) -> list[InstanceState]:
+    def _unimpaired(
+        self, candidates: list[InstanceState], now: float
+    ) -> list[InstanceState]:
         """Return the unimpaired instances with spare capacity.
 
         If there are none, the caller considers all candidates: impaired instances are
         avoided only while others have spare capacity.  Avoiding them always would move
         their load to the others, and in a service near its capacity all would shed.
         """
-        now = self._clock.now()
-        if all(s.impaired_until <= now for s in candidates):
+        for state in candidates:
+            if state.impaired_until > now:
+                break
+        else:
             return candidates
         return [s for s in candidates if s.impaired_until <= now and s.load < _MAX_LOAD]
 
     def _fast(
-        self, candidates: list[InstanceState], operation: str, timeout: float
+        self,
+        candidates: list[InstanceState],
+        operation: str,
+        timeout: float,
+        now: float,
     ) -> list[InstanceState]:
         """Return the instances at which a call hardly ever times out.
 
@@ -196,7 +207,6 @@
         calls would be probes.
         """
         max_mean = timeout / _TIMEOUT_MEANS
-        now = self._clock.now()
         latencies = [
             s.expected_operation_latency(operation, now, _LATENCY_MAX_AGE_SECONDS)
             for s in candidates
@@ -212,7 +222,9 @@
         limit = max(max_mean, _SIMILAR_LATENCY * fastest)
         return [s for s, latency in preferred if latency <= limit] or candidates
 
-    def _local(self, candidates: list[InstanceState]) -> list[InstanceState]:
+    def _local(
+        self, candidates: list[InstanceState], now: float
+    ) -> list[InstanceState]:
         """Return the healthy local instances with spare capacity.
 
         A call to another data centre costs traffic and latency, and an instance with
@@ -220,8 +232,7 @@
         all are compared; one that is much slower than the others, fails or is in its
         warm-up does not qualify.
         """
-        now = self._clock.now()
-        fastest = min((s.latency for s in candidates if s.latency), default=0.0)
+        fastest = min([s.latency for s in candidates if s.latency], default=0.0)
         max_latency = _MAX_LOCAL_SLOWDOWN * fastest
         return [
             s
@@ -251,7 +262,7 @@
         chosen = self._random.choices(healthy, weights, k=count)
         return [state.name for state in chosen]
 
-    def _pick_two(self, candidates: list[InstanceState]) -> InstanceState:
+    def _pick_two(self, candidates: list[InstanceState], now: float) -> InstanceState:
         count = len(candidates)
         if count == 1:
             return candidates[0]
@@ -259,10 +270,11 @@
         second = candidates[int(self._random.random() * (count - 1))]
         if second is first:
             second = candidates[-1]
-        return first if self._score(first) <= self._score(second) else second
+        if self._score(first, now) <= self._score(second, now):
+            return first
+        return second
 
-    def _score(self, state: InstanceState) -> float:
-        now = self._clock.now()
+    def _score(self, state: InstanceState, now: float) -> float:
         latency = state.expected_latency(now) or _UNKNOWN_LATENCY_SECONDS
         score = (state.in_flight + 1) * latency * (1.0 + 10.0 * state.failure_rate)
         if state.data_centre != self._data_centre:
