--- a/packages/rattanfork-core/rattanfork_core/request/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/request/__init__.py
@@ -14,7 +14,12 @@
     request_fingerprint,
 )
 from rattanfork_core.request.importance import Importance
-from rattanfork_core.request.outcome import Outcome, Reason
+from rattanfork_core.request.outcome import (
+    Outcome,
+    Reason,
+    outcome_of,
+    reason_of,
+)
 from rattanfork_core.request.progress import rank_of_call
 from rattanfork_core.request.proof import Proof
 from rattanfork_core.request.result import CallResult, FenceVerdict
@@ -40,7 +45,9 @@
     "cancel_lead",
     "format_fingerprint",
     "jittered_retry_after",
+    "outcome_of",
     "rank_of_call",
+    "reason_of",
     "reply_wait",
     "request_fingerprint",
     "request_rank",
