--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -251,9 +251,17 @@
             self._uploads.read(exchange, route, parent, resume)
             return
         rank = rank_of_call(parent.rank, parent.succeeded_calls)
-        blocked = self._shedding_instances(picker, route, service, rank)
+        operation = self.operation(route, service)
+        blocked = self._shedding_instances(picker, operation, service, rank)
         self._forward(
-            exchange, route, service, rank, parent, picker, blocked or _NO_INSTANCES
+            exchange,
+            route,
+            service,
+            operation,
+            rank,
+            parent,
+            picker,
+            blocked or _NO_INSTANCES,
         )
 
     def _admit_caller_request(
@@ -275,20 +283,20 @@
                 return
             if decision.data_centre is not None:
                 outside = picker.instances_outside(decision.data_centre)
+        operation = self.operation(route, service)
         rank = self._ranker.rank(
-            exchange,
-            route,
-            rule_sets_importance,
-            self.operation(route, service),
-            service,
+            exchange, route, rule_sets_importance, operation, service
+        )
+        self._admit_by_load(
+            exchange, route, service, operation, rank, picker, outside, rule
         )
-        self._admit_by_load(exchange, route, service, rank, picker, outside, rule)
 
     def _admit_by_load(
         self,
         exchange: Exchange,
         route: Route,
         service: str,
+        operation: str,
         rank: float,
         picker: InstancePicker,
         outside: frozenset[str],
@@ -306,7 +314,6 @@
                 exchange, Reason.LEAVING, retry_after, route=route.name
             )
             return
-        operation = self.operation(route, service)
         share = self.breakers.share(operation)
         if share < 1.0 and not self.breakers.admits(
             operation, exchange.request_id.decode("latin-1")
@@ -321,7 +328,7 @@
             return
         blocked = None
         if rank < self._chain_thresholds.threshold(operation, service):
-            blocked = self._shedding_instances(picker, route, service, rank)
+            blocked = self._shedding_instances(picker, operation, service, rank)
         if blocked is None:
             self._refusals.refuse(
                 exchange,
@@ -334,21 +341,28 @@
             )
             return
         if exchange.is_body_pending:
-            inputs = (exchange, route, service, rank, picker, outside, rule)
+            inputs = (exchange, route, service, operation, rank, picker, outside, rule)
             resume = partial(self._admit_by_load, *inputs)
             self._uploads.read(exchange, route, None, resume)
             return
         self._forward(
-            exchange, route, service, rank, None, picker, blocked, outside, rule
+            exchange,
+            route,
+            service,
+            operation,
+            rank,
+            None,
+            picker,
+            blocked,
+            outside,
+            rule,
         )
 
     def _shedding_instances(
-        self, picker: InstancePicker, route: Route, service: str, rank: float
+        self, picker: InstancePicker, operation: str, service: str, rank: float
     ) -> frozenset[str] | None:
         """Return the instances that shed a rank; None if all have announced it."""
-        blocked = self.early_shedder.shedding_instances(
-            picker, self.operation(route, service), rank
-        )
+        blocked = self.early_shedder.shedding_instances(picker, operation, rank)
         if blocked is None or not len(self._reports):
             return blocked
         shedding = self._reports.shedding_instances(service, picker.subset, rank)
@@ -441,6 +455,7 @@
         exchange: Exchange,
         route: Route,
         service: str,
+        operation: str,
         rank: float,
         parent: Job | None,
         picker: InstancePicker,
@@ -455,7 +470,7 @@
         admitted = AdmittedRequest(
             route,
             service,
-            self.operation(route, service),
+            operation,
             rank,
             began,
             deadline,
--- a/packages/rattanfork-node/rattanfork_node/relay/run_replies.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/run_replies.py
@@ -1,7 +1,7 @@
 """Route path: replies of peer nodes to runs."""
 
 from rattanfork_core.advertised import UpstreamReport, UpstreamReportTable
-from rattanfork_core.request import CallResult, Outcome, Reason
+from rattanfork_core.request import CallResult, Outcome, outcome_of, reason_of
 
 from rattanfork_node.peer import RunReply
 
@@ -9,8 +9,8 @@
 def result_from_reply(reply: RunReply) -> CallResult:
     """Return the result of an attempt from the reply of its gate."""
     return CallResult(
-        Outcome(reply.outcome),
-        Reason(reply.reason),
+        outcome_of(reply.outcome),
+        reason_of(reply.reason),
         reply.status,
         body=reply.body,
         retry_elsewhere=reply.retry_elsewhere,
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -438,6 +438,52 @@
     assert left == []
 
 
+@on_loop
+async def test_request_answered_after_a_retry_leaves_no_reference_cycle():
+    """Guards against an answer that bypasses the state machine of a retried request.
+
+    Its callables would refer to the request until the next collection.
+    """
+    harness = RelayHarness(peers=2)
+    gc.collect()
+    gc.disable()
+    try:
+        harness.send_request()
+        [(link, index)] = harness.runs
+        link.reply(index, NOT_RUN, Reason.UPSTREAM_DOWN, retry_elsewhere=True)
+        [other] = [each for each in harness.links if each is not link]
+        other.reply(0, ANSWERED, status=200)
+        link.runs.clear()
+        other.runs.clear()
+        await settle()
+        left = [o for o in gc.get_objects() if isinstance(o, Exchange | Job)]
+    finally:
+        gc.enable()
+    assert left == []
+
+
+@on_loop
+async def test_events_after_the_answer_do_not_finish_a_request_again():
+    """Guards against a second result, which would count the request twice.
+
+    The cancellation of a run may reach a call of it that has just been answered.
+    """
+    harness = RelayHarness(peers=2)
+    exchange = harness.send_request()
+    on_disconnect, on_give_up = exchange.on_disconnect, exchange.on_give_up
+    [(link, index)] = harness.runs
+    link.reply(index, ANSWERED, status=200)
+    sent = list(link.sent)
+    on_disconnect()
+    on_give_up()
+    link.lose(index)
+    await settle()
+    assert exchange.output == (200, b"", b"body")
+    assert sum(harness.counters.requests.values()) == 1
+    assert len(harness.runs) == 1
+    assert link.sent == sent
+
+
 @on_loop
 async def test_refusal_close_to_the_deadline_is_not_retried():
     """A gate reports "not run" when 20 ms are left, while runs take 100 ms.
