--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -58,9 +58,6 @@
 #: Retry-After of a node that has no configuration yet; it reads one within about a
 #: second of its start.
 _NOT_READY_RETRY_S = 0.3
-#: Factor on the Retry-After of an operation that hardly ever completes.  A failing
-#: upstream recovers within seconds, a full one within tenths of a second.
-_CIRCUIT_RETRY_FACTOR = 4.0
 _NO_INSTANCES: frozenset[str] = frozenset()
 
 
@@ -321,7 +318,7 @@
             self._refusals.refuse(
                 exchange,
                 Reason.CIRCUIT_OPEN,
-                _CIRCUIT_RETRY_FACTOR * self._jittered_retry_after(rank),
+                self._jittered_retry_after(rank),
                 route=route.name,
                 admitted_share=round(share, 3),
             )
