Log how each retry was charged, and from which state of the budget

A bound on retries that was exceeded could not be traced: the lines of runs said only whether a request was a retry. They now hold how it was charged (granted, denied, inherited from a run that is a retry) and the budget before the decision: age of the gate, number of gates that it divides by, retries spent and allowed. The summary line and the gauges hold the same, and the charges since the start. No decision changes.

--- a/packages/rattanfork-core/rattanfork_core/budgets/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/__init__.py
@@ -6,6 +6,7 @@
 from rattanfork_core.budgets.local_request_budget import LocalRequestBudget
 from rattanfork_core.budgets.rate_limit import RateLimit
 from rattanfork_core.budgets.request_budget import RequestBudget
+from rattanfork_core.budgets.retry_decision import RetryCharge, RetryDecision
 from rattanfork_core.budgets.run_context import RunContext
 from rattanfork_core.budgets.service_retry_budget import ServiceRetryBudget
 
@@ -16,6 +17,8 @@
     "LocalRequestBudget",
     "RateLimit",
     "RequestBudget",
+    "RetryCharge",
+    "RetryDecision",
     "RunContext",
     "ServiceRetryBudget",
 ]
--- a/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
@@ -1,5 +1,6 @@
 """Retries that one gate of a service grants to the nodes that call it."""
 
+from rattanfork_core.budgets.retry_decision import RetryCharge, RetryDecision
 from rattanfork_core.budgets.service_retry_budget import ServiceRetryBudget
 from rattanfork_core.clock import Clock
 
@@ -51,13 +52,27 @@
     (True, False)
     """
 
-    __slots__ = ("_extra", "_gates")
+    __slots__ = ("_created_at", "_extra", "_gates", "charged")
 
     def __init__(self, clock: Clock, ratio: float, extra: float, window: float) -> None:
         self._extra = extra * _EXTRA_SHARE
         self._gates = 1
+        self._created_at = clock.now()
+        #: Retries since the start, by how they were charged.
+        self.charged = dict.fromkeys(RetryCharge, 0)
         super().__init__(clock, ratio * _RATIO_SHARE, self._extra, window)
 
+    @property
+    def state(self) -> RetryDecision:
+        """The state that a decision made now would be based on."""
+        return RetryDecision(
+            RetryCharge.DENIED,
+            self._clock.now() - self._created_at,
+            self._gates,
+            self.spent,
+            self.allowed,
+        )
+
     def set_gate_count(self, gates: int) -> None:
         """Set the number of gates that share the fixed allowance."""
         if gates != self._gates:
@@ -66,4 +81,18 @@
 
     def grant(self, rank: float) -> bool:
         """Return whether a request of the given rank may be retried."""
-        return self.spend(rank)
+        return self.decide(rank).charge is RetryCharge.GRANTED
+
+    def decide(self, rank: float) -> RetryDecision:
+        """Grant or deny the retry of a request of the given rank."""
+        before = self.state
+        charge = RetryCharge.GRANTED if self.spend(rank) else RetryCharge.DENIED
+        self.charged[charge] += 1
+        return before._replace(charge=charge)
+
+    def charge_inherited(self) -> RetryDecision:
+        """Charge a call of a run that is itself a retry."""
+        before = self.state
+        self.count_retry()
+        self.charged[RetryCharge.INHERITED] += 1
+        return before._replace(charge=RetryCharge.INHERITED)
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -118,11 +118,19 @@
             cut=round(self._gate.own_threshold, 3),
             upstream_limit=self._gate.rate_limit,
             upload=self._upload_fields(),
+            retries=self._retry_fields(),
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
             **self._fair_share_gauges(),
         )
 
+    def _retry_fields(self) -> dict[str, object]:
+        """Return the state of the retry budget, and its charges since the start."""
+        grants = self._gate.grants
+        fields = grants.state.as_log_field()
+        del fields["charge"]
+        return fields | {str(charge): n for charge, n in grants.charged.items()}
+
     def _upload_fields(self) -> dict[str, int]:
         """Return what the bodies of uploads hold at this node, in bytes."""
         budget = self._body_budget
@@ -172,6 +180,12 @@
             "upload_bytes_at_gate": self._gate.upload_bytes,
             "repeats_granted": self._gate.grants.spent,
             "repeats_allowed": self._gate.grants.allowed,
+            "retry_budget_age_seconds": self._gate.grants.state.age,
+            "retry_budget_gates": self._gate.grants.state.gates,
+            **{
+                f"retries_{charge}": count
+                for charge, count in self._gate.grants.charged.items()
+            },
             "ready": int(self._is_ready()),
             "configuration_version": self._configuration.version,
             "configuration_age_seconds": self._clock.now() - self._configuration_since,
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -203,6 +203,8 @@
             "upstream": upstream,
             "failed_calls": job.failed_calls,
         }
+        if job.retry is not None:
+            fields["retry"] = job.retry.as_log_field()
         if job.connection is not None:
             # How long it had been idle before the run; 0 for a new connection.
             idle_ms = _milliseconds(job.connection.idle_before)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -336,10 +336,10 @@
         without the call, all work of the run so far would be lost.
         """
         if job.may_have_arrived:
-            job.granted = self.grants.grant(job.rank)
+            job.retry = self.grants.decide(job.rank)
             return job.granted
         if job.repeated:
-            self.grants.count_retry()
+            job.retry = self.grants.charge_inherited()
         elif job.attempt == 1:
             # A later attempt was counted as a request by the gate that shed the first.
             self.grants.count_request()
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from rattanfork_core.admission import Waiter
+from rattanfork_core.budgets import RetryCharge, RetryDecision
 from rattanfork_core.request import CallResult
 
 from rattanfork_node.http1 import UpstreamConnection, fingerprint_of
@@ -76,8 +77,8 @@
     incarnation: int = 0
     handed_over: bool = False
     ended: bool = False
-    #: Whether the retry budget was charged for it.
-    granted: bool = False
+    #: How it was charged to the retry budget; None if it was not.
+    retry: RetryDecision | None = None
     #: Lowest admission threshold announced by the services that the run has called.
     lowest_called_threshold: float = float("inf")
     #: Services that the run called successfully, and the services behind those.
@@ -95,6 +96,11 @@
             self.method, self.target, self.block, self.body, self.account
         )
 
+    @property
+    def granted(self) -> bool:
+        """Whether the retry budget granted it."""
+        return self.retry is not None and self.retry.charge is RetryCharge.GRANTED
+
     @property
     def is_repeat(self) -> bool:
         """Whether an upstream may have received it, or its parent run, before."""
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
@@ -158,3 +158,32 @@
     refused, ran = harness.log.lines
     assert (ran["id"], ran["connection_idle_ms"]) == ("ran", 250.0)
     assert "connection_idle_ms" not in refused
+
+
+def test_run_line_of_retry_has_budget_before_the_decision():
+    """A retry is granted, a second one denied, and a call of a retried run charged.
+
+    The lines show from which state of the retry budget each was decided, so that a
+    bound that was exceeded can be traced to the gates that granted too much.
+    """
+    harness = GateHarness(slots=9)
+    harness.clock.advance(4)
+    harness.grants.set_gate_count(30)
+    for number, fields in enumerate(({"may_have_arrived": True}, {"repeated": True})):
+        harness.submit(f"r{number}", **fields)
+        harness.answer(number)
+    harness.submit("r2", may_have_arrived=True)
+    lines = {line["id"]: line["retry"] for line in harness.log.lines}
+    assert [lines[f"r{n}"]["charge"] for n in range(3)] == [
+        "granted",
+        "inherited",
+        "denied",
+    ]
+    assert [lines[f"r{n}"]["spent"] for n in range(3)] == [0, 1, 2]
+    assert lines["r0"] == {
+        "charge": "granted",
+        "age_s": 4.0,
+        "gates": 30,
+        "spent": 0,
+        "allowed": 1.2,
+    }
