Grant retries only for requests of the same gate; keep the bound across restarts

What callers saw: retries of a service beyond the stated bound when several disruptions came at once. Cause: the bound is a sum over the gates of the service, and each gate's part of it rested on what it remembered and believed. A successor of a killed gate took the whole fixed allowance until it had counted the gates, and granted again what its predecessor had granted; each gate used the best of its own windows, which lie at different times when load moves; the number of gates fell with each lost member.

Change: the bound of a window is at least half the ratio of the requests in it and in the window before. Each gate grants that part of its own requests, over every span up to a window, so the sum holds without messages whichever gates restart and wherever load moves. The fixed allowance is divided by the highest number of gates in 300 s, counted only after the node has read the members, and taken only after a window. Calls of retried runs are reserved at their current rate. A refund returns the retry that was charged, and a call of a retried run that is refused is refunded as well.

--- a/packages/rattanfork-core/rattanfork_core/budgets/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/__init__.py
@@ -6,7 +6,11 @@
 from rattanfork_core.budgets.local_request_budget import LocalRequestBudget
 from rattanfork_core.budgets.rate_limit import RateLimit
 from rattanfork_core.budgets.request_budget import RequestBudget
-from rattanfork_core.budgets.retry_decision import RetryCharge, RetryDecision
+from rattanfork_core.budgets.retry_decision import (
+    RetryBudgetState,
+    RetryCharge,
+    RetryDecision,
+)
 from rattanfork_core.budgets.run_context import RunContext
 from rattanfork_core.budgets.service_retry_budget import ServiceRetryBudget
 
@@ -17,6 +21,7 @@
     "LocalRequestBudget",
     "RateLimit",
     "RequestBudget",
+    "RetryBudgetState",
     "RetryCharge",
     "RetryDecision",
     "RunContext",
--- a/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
@@ -1,15 +1,28 @@
 """Retries that one gate of a service grants to the nodes that call it."""
 
-from rattanfork_core.budgets.retry_decision import RetryCharge, RetryDecision
-from rattanfork_core.budgets.service_retry_budget import ServiceRetryBudget
+from collections.abc import Iterator
+from itertools import accumulate
+
+from rattanfork_core.budgets.retry_decision import (
+    RetryBudgetState,
+    RetryCharge,
+    RetryDecision,
+)
+from rattanfork_core.budgets.service_retry_budget import BUCKETS, ServiceRetryBudget
 from rattanfork_core.clock import Clock
+from rattanfork_core.quota.windowed_maximum import WindowedMaximum
 
-#: Fraction of the traffic-based allowance that a gate grants.  Gates reach their peak
-#: windows at different times, so their full allowances could exceed the total bound.
-_RATIO_SHARE = 0.9
-#: Fraction of the fixed allowance that is granted: nodes may temporarily disagree
-#: on how many gates share it.
-_EXTRA_SHARE = 0.75
+#: Fraction of the fixed allowance from which retries are granted.  The rest is left to
+#: inherited retries, which can't be planned.
+_GRANTED_EXTRA_SHARE = 0.75
+#: Seconds for which the number of gates is remembered: longer than a partition lasts
+#: that leaves a gate with few others in sight.
+_GATE_COUNT_SECONDS = 300.0
+#: Buckets by which the requests that pay for retries may be older than the first of
+#: them: a window, less the bucket in which that retry lies.
+_LOOKBACK = BUCKETS - 1
+#: Buckets from which the current rate of inherited retries is taken.
+_RATE_BUCKETS = 3
 
 
 class GateRetryBudget(ServiceRetryBudget):
@@ -22,8 +35,24 @@
     nodes of a large fleet, it allows each only one or two retries: some use them up
     by chance and most never need them.  It is divided among the gates of the called
     service instead.  They are few, all requests pass through them, and each grants
-    retries in proportion to the requests that it receives, so the sum stays within
-    the bound without any communication.
+    retries in proportion to the requests that it receives.
+
+    The bound of a window is a fraction ``ratio`` of the requests in that window, or
+    in the one before if that had more.  It is therefore at least ``ratio / 2`` of the
+    requests in both together.  Each gate grants at most this part of its own requests:
+    the retries of any span that ends now, up to a window, are at most ``ratio / 2`` of
+    the requests in that span and the window before it.  The sum over all gates then
+    stays within the bound without any communication, however the load moves among
+    them.  A gate that restarts starts without requests, so it grants nothing on the
+    account of its predecessor, whose grants are paid for by the predecessor's requests.
+
+    The fixed allowance is divided by the highest number of gates seen recently.  A
+    gate takes its part only after a window, when what its predecessor has taken of it
+    has left the window.
+
+    Calls of a run that is itself a retry are retries, too.  If one were denied, the
+    work of its run would be lost, so such inherited retries are charged and never
+    denied, and the gate grants others only what these leave at their current rate.
 
     If demand exceeds the budget, the most important requests are granted all their
     retries.  With few gates, each sees enough of the demand to determine the rank
@@ -52,32 +81,66 @@
     (True, False)
     """
 
-    __slots__ = ("_created_at", "_extra", "_gates", "charged")
+    __slots__ = (
+        "_created_at",
+        "_extra",
+        "_gate_count",
+        "_inherited",
+        "_inherited_demand",
+        "charged",
+    )
 
     def __init__(self, clock: Clock, ratio: float, extra: float, window: float) -> None:
-        self._extra = extra * _EXTRA_SHARE
-        self._gates = 1
+        super().__init__(clock, ratio, 0.0, window)
+        self._extra = extra
+        #: Highest recent number of gates; None until they have been counted.
+        self._gate_count: WindowedMaximum | None = None
         self._created_at = clock.now()
+        #: Inherited retries: all that arrived, and those admitted, which are a part
+        #: of ``_retries``.
+        self._inherited_demand = [0] * len(self._retries)
+        self._inherited = [0] * len(self._retries)
+        self._series += (self._inherited_demand, self._inherited)
         #: Retries since the start, by how they were charged.
         self.charged = dict.fromkeys(RetryCharge, 0)
-        super().__init__(clock, ratio * _RATIO_SHARE, self._extra, window)
 
     @property
-    def state(self) -> RetryDecision:
-        """The state that a decision made now would be based on."""
-        return RetryDecision(
-            RetryCharge.DENIED,
-            self._clock.now() - self._created_at,
-            self._gates,
-            self.spent,
-            self.allowed,
-        )
+    def age(self) -> float:
+        """Seconds since the gate started to count."""
+        return self._clock.now() - self._created_at
+
+    @property
+    def available(self) -> float:
+        """Retries that may be granted now."""
+        self._advance()
+        rate = sum(self._inherited_demand[:_RATE_BUCKETS]) / _RATE_BUCKETS
+        admitted = accumulate(self._inherited)
+        reserved = (max(0.0, rate * n - count) for n, count in enumerate(admitted, 1))
+        left = (left - r for left, r in zip(self._left(), reserved, strict=True))
+        return min(left) + self._extra_share * _GRANTED_EXTRA_SHARE
+
+    @property
+    def allowed(self) -> float:
+        """Retries allowed in the current window, including those spent."""
+        return self.spent + self.available
+
+    @property
+    def state(self) -> RetryBudgetState:
+        """The current state."""
+        gates = 0 if self._gate_count is None else self._gate_count.value
+        return RetryBudgetState(self.age, gates, self.spent, self.allowed)
 
     def set_gate_count(self, gates: int) -> None:
-        """Set the number of gates that share the fixed allowance."""
-        if gates != self._gates:
-            self._gates = max(1, gates)
-            self.extra = self._extra / self._gates
+        """Set the number of gates that share the fixed allowance.
+
+        It must not be called before the gates are known: a gate that has seen no
+        others takes the whole part.
+        """
+        gates = max(1, gates)
+        if self._gate_count is None:
+            self._gate_count = WindowedMaximum(self._clock, _GATE_COUNT_SECONDS, gates)
+        else:
+            self._gate_count.update(gates)
 
     def grant(self, rank: float) -> bool:
         """Return whether a request of the given rank may be retried."""
@@ -87,12 +150,44 @@
         """Grant or deny the retry of a request of the given rank."""
         before = self.state
         charge = RetryCharge.GRANTED if self.spend(rank) else RetryCharge.DENIED
-        self.charged[charge] += 1
-        return before._replace(charge=charge)
+        return self._record(charge, before)
 
-    def charge_inherited(self) -> RetryDecision:
+    def decide_inherited(self) -> RetryDecision:
         """Charge a call of a run that is itself a retry."""
         before = self.state
-        self.count_retry()
-        self.charged[RetryCharge.INHERITED] += 1
-        return before._replace(charge=RetryCharge.INHERITED)
+        self._inherited_demand[0] += 1
+        self._retries[0] += 1
+        self._inherited[0] += 1
+        return self._record(RetryCharge.INHERITED, before)
+
+    def refund(self, decision: RetryDecision) -> None:
+        """Return a retry that was charged and not sent."""
+        self._advance()
+        index = self._bucket - decision.bucket
+        if index >= len(self._retries):
+            return
+        self._retries[index] -= 1
+        if decision.charge is RetryCharge.INHERITED:
+            self._inherited[index] -= 1
+
+    def _left(self) -> Iterator[float]:
+        """Return the retries that the requests still pay for, for spans of 1, 2, ...
+
+        The spans end now; the last one covers a window.
+        """
+        requests = list(accumulate(self._requests))
+        for span, spent in enumerate(accumulate(self._retries)):
+            yield self._ratio / 2 * requests[span + _LOOKBACK] - spent
+
+    def _record(self, charge: RetryCharge, before: RetryBudgetState) -> RetryDecision:
+        self.charged[charge] += 1
+        return RetryDecision(charge, before, self._bucket)
+
+    @property
+    def _extra_share(self) -> float:
+        """Part of the fixed allowance that this gate may grant."""
+        if self._gate_count is None or self.age < len(self._retries) * (
+            self._bucket_seconds
+        ):
+            return 0.0
+        return self._extra / self._gate_count.value
--- a/packages/rattanfork-core/rattanfork_core/budgets/retry_decision.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/retry_decision.py
@@ -9,24 +9,22 @@
 
     #: Charged and admitted.
     GRANTED = "granted"
-    #: Denied: the budget has no retry left for its rank.
+    #: Denied: the budget has no retry left for it.
     DENIED = "denied"
-    #: Call of a run that is itself a retry: charged, and never denied.
+    #: Call of a run that is itself a retry: charged and admitted.
     INHERITED = "inherited"
 
 
-class RetryDecision(NamedTuple):
-    """How one retry was charged, and the state of the budget before.
+class RetryBudgetState(NamedTuple):
+    """State of a gate's retry budget.
 
     Parameters
     ==========
 
-    charge : RetryCharge
-        How it was charged.
     age : float
         Seconds since the gate's process started to count.
     gates : int
-        Number of gates by which the gate divides the fixed allowance.
+        Number of gates by which it divides the fixed allowance; 0 while unknown.
     spent : int
         Retries charged in the window.
     allowed : float
@@ -35,11 +33,10 @@
     Examples
     ========
 
-    >>> RetryDecision(RetryCharge.DENIED, 3.5, 30, 12, 11.25).as_log_field()
-    {'charge': 'denied', 'age_s': 3.5, 'gates': 30, 'spent': 12, 'allowed': 11.2}
+    >>> RetryBudgetState(3.5, 30, 12, 11.25).as_log_field()
+    {'age_s': 3.5, 'gates': 30, 'spent': 12, 'allowed': 11.2}
     """
 
-    charge: RetryCharge
     age: float
     gates: int
     spent: int
@@ -48,9 +45,31 @@
     def as_log_field(self) -> dict[str, object]:
         """Return the field of a log line."""
         return {
-            "charge": str(self.charge),
             "age_s": round(self.age, 2),
             "gates": self.gates,
             "spent": self.spent,
             "allowed": round(self.allowed, 1),
         }
+
+
+class RetryDecision(NamedTuple):
+    """How one retry was charged.
+
+    Parameters
+    ==========
+
+    charge : RetryCharge
+        How it was charged.
+    before : RetryBudgetState
+        State of the budget before.
+    bucket : int
+        Number of the time bucket in which it was counted.
+    """
+
+    charge: RetryCharge
+    before: RetryBudgetState
+    bucket: int
+
+    def as_log_field(self) -> dict[str, object]:
+        """Return the field of a log line."""
+        return {"charge": str(self.charge), **self.before.as_log_field()}
--- a/packages/rattanfork-core/rattanfork_core/budgets/service_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/service_retry_budget.py
@@ -5,7 +5,7 @@
 from rattanfork_core.request.importance import RANK_LIMIT, Importance
 
 #: Number of buckets in the sliding window.
-_BUCKETS = 10
+BUCKETS = 10
 #: Weight of one attempt in the moving average of the failure rate.
 _FAILURE_WEIGHT = 0.02
 #: Rank below which requests count as important: writes, and requests that a user
@@ -81,6 +81,7 @@
         "_ratio",
         "_requests",
         "_retries",
+        "_series",
         "_window",
         "extra",
     )
@@ -91,12 +92,14 @@
         #: Additional retries allowed per window; depends on the number of nodes.
         self.extra = extra
         self._window = window
-        self._bucket_seconds = window / _BUCKETS
+        self._bucket_seconds = window / BUCKETS
         self._bucket = int(clock.now() / self._bucket_seconds)
         # Newest bucket first.  Requests are kept for two windows, because the
         # previous window may set the bound.
-        self._requests = [0] * (2 * _BUCKETS)
-        self._retries = [0] * (_BUCKETS + 1)
+        self._requests = [0] * (2 * BUCKETS)
+        self._retries = [0] * (BUCKETS + 1)
+        #: All counts by bucket, which advance together.
+        self._series: tuple[list[int], ...] = (self._requests, self._retries)
         self._failure_rate = 0.0
         self._demand = RetryDemand(clock)
 
@@ -106,9 +109,9 @@
         self._advance()
         requests = self._requests
         peak = max(
-            sum(requests[:_BUCKETS]),
-            sum(requests[_BUCKETS // 2 : _BUCKETS + _BUCKETS // 2]),
-            sum(requests[_BUCKETS:]),
+            sum(requests[:BUCKETS]),
+            sum(requests[BUCKETS // 2 : BUCKETS + BUCKETS // 2]),
+            sum(requests[BUCKETS:]),
         )
         return self._ratio * peak + self.extra
 
@@ -118,6 +121,11 @@
         self._advance()
         return sum(self._retries)
 
+    @property
+    def available(self) -> float:
+        """Retries that may be spent now."""
+        return self.allowed - self.spent
+
     @property
     def rank_cutoff(self) -> float:
         """Rank below which all requested retries are granted."""
@@ -139,11 +147,6 @@
         self._advance()
         self._requests[0] += 1
 
-    def count_retry(self) -> None:
-        """Count a retry that needs no grant."""
-        self._advance()
-        self._retries[0] += 1
-
     def on_attempt(self, failed: bool) -> None:
         """Count an attempt, and whether the service refused or failed it."""
         self._failure_rate += _FAILURE_WEIGHT * (
@@ -153,22 +156,14 @@
     def spend(self, rank: float) -> bool:
         """Take one retry for a request; return False if it must not be retried."""
         self._demand.add(rank)
-        if self.spent + 1 > self.allowed or rank >= self.rank_cutoff:
+        if self.available < 1 or rank >= self.rank_cutoff:
             return False
         self._retries[0] += 1
         return True
 
-    def refund(self) -> None:
-        """Return a retry that was not sent."""
-        self._advance()
-        for index, count in enumerate(self._retries):
-            if count:
-                self._retries[index] -= 1
-                return
-
     def _retries_per_second(self, spread: float) -> float:
         """Return the rate that uses up the budget in ``spread`` of a window."""
-        return max(0.0, self.allowed - self.spent) / (spread * self._window)
+        return max(0.0, self.available) / (spread * self._window)
 
     def _advance(self) -> None:
         bucket = int(self._clock.now() / self._bucket_seconds)
@@ -176,6 +171,6 @@
         if elapsed <= 0:
             return
         self._bucket = bucket
-        for counts in (self._requests, self._retries):
+        for counts in self._series:
             fresh = [0] * min(elapsed, len(counts))
             counts[:] = fresh + counts[: len(counts) - len(fresh)]
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -414,8 +414,10 @@
         for _, server in self._servers:
             server.sweep()
         self._metrics.sweep()
-        gate_count = self._directory.instance_count(self._settings.relay.service)
-        self._gate.grants.set_gate_count(gate_count)
+        if self._store.joined:
+            # Before, the members that this node sees may be a few of all.
+            gate_count = self._directory.instance_count(self._settings.relay.service)
+            self._gate.grants.set_gate_count(gate_count)
 
     def _on_member(self, member: Member, before: MemberStatus | None) -> None:
         self._state_reporter.on_member(member, before)
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -127,9 +127,8 @@
     def _retry_fields(self) -> dict[str, object]:
         """Return the state of the retry budget, and its charges since the start."""
         grants = self._gate.grants
-        fields = grants.state.as_log_field()
-        del fields["charge"]
-        return fields | {str(charge): n for charge, n in grants.charged.items()}
+        charged = {str(charge): count for charge, count in grants.charged.items()}
+        return grants.state.as_log_field() | charged
 
     def _upload_fields(self) -> dict[str, int]:
         """Return what the bodies of uploads hold at this node, in bytes."""
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -332,18 +332,17 @@
     def _admit_arrival(self, job: Job) -> bool:
         """Charge the retry budget for a request; return whether it is admitted.
 
-        A child call of a run that is itself a retry is charged but never denied:
+        A child call of a run that is itself a retry is denied only at the bound:
         without the call, all work of the run so far would be lost.
         """
         if job.may_have_arrived:
             job.retry = self.grants.decide(job.rank)
-            return job.granted
-        if job.repeated:
-            job.retry = self.grants.charge_inherited()
+        elif job.repeated:
+            job.retry = self.grants.decide_inherited()
         elif job.attempt == 1:
             # A later attempt was counted as a request by the gate that shed the first.
             self.grants.count_request()
-        return True
+        return not job.is_denied_retry
 
     def _cancel_calls(self, job: Job) -> None:
         """Cancel the child calls of a run; some upstreams ignore a closed connection.
@@ -506,8 +505,8 @@
 
     def _refuse(self, job: Job, reason: Reason) -> None:
         self._counters.events[f"gate.{reason.label}"] += 1
-        if job.granted:
-            self.grants.refund()
+        if job.retry is not None and not job.is_denied_retry:
+            self.grants.refund(job.retry)
         self._finish(job, not_run(reason))
 
     def _hold_body(self, job: Job) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -97,9 +97,9 @@
         )
 
     @property
-    def granted(self) -> bool:
-        """Whether the retry budget granted it."""
-        return self.retry is not None and self.retry.charge is RetryCharge.GRANTED
+    def is_denied_retry(self) -> bool:
+        """Whether the retry budget denied it."""
+        return self.retry is not None and self.retry.charge is RetryCharge.DENIED
 
     @property
     def is_repeat(self) -> bool:
