Deny calls of retried runs at the bound on retries

Cause: calls of a run that is itself a retry were charged and never denied.

Change: they are admitted up to the bound, whatever their rank, and denied as not run beyond it; the sender tries another gate.

--- a/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
@@ -51,8 +51,9 @@
     has left the window.
 
     Calls of a run that is itself a retry are retries, too.  If one were denied, the
-    work of its run would be lost, so such inherited retries are charged and never
-    denied, and the gate grants others only what these leave at their current rate.
+    work of its run would be lost, so such inherited retries are admitted up to the
+    bound, whatever their rank, and the gate grants others only what these leave at
+    their current rate.
 
     If demand exceeds the budget, the most important requests are granted all their
     retries.  With few gates, each sees enough of the demand to determine the rank
@@ -153,9 +154,11 @@
         return self._record(charge, before)
 
     def decide_inherited(self) -> RetryDecision:
-        """Charge a call of a run that is itself a retry."""
+        """Admit or deny a call of a run that is itself a retry."""
         before = self.state
         self._inherited_demand[0] += 1
+        if min(self._left()) + self._extra_share < 1:
+            return self._record(RetryCharge.DENIED, before)
         self._retries[0] += 1
         self._inherited[0] += 1
         return self._record(RetryCharge.INHERITED, before)
