--- a/packages/rattanfork-core/rattanfork_core/budgets/tests/retry_simulation.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/tests/retry_simulation.py
@@ -201,28 +201,35 @@
 
 
 def restarting(
-    rate: float, times: Sequence[float], gates: Sequence[int] = range(18)
+    rate: float,
+    times: Sequence[float],
+    gates: Sequence[int] = range(18),
+    make_gate: MakeGate = GateRetryBudget,
 ) -> RetrySimulation:
     """Return a simulation of which some gates restart at some times."""
-    simulation = RetrySimulation(rate=rate)
+    simulation = RetrySimulation(rate=rate, make_gate=make_gate)
     for time in times:
         simulation.at(time, lambda: simulation.restart(gates))
     return simulation
 
 
-def disagreeing(rate: float, views: Sequence[int]) -> RetrySimulation:
+def disagreeing(
+    rate: float, views: Sequence[int], make_gate: MakeGate = GateRetryBudget
+) -> RetrySimulation:
     """Return a simulation of which the gates disagree on their number."""
-    simulation = RetrySimulation(rate=rate)
+    simulation = RetrySimulation(rate=rate, make_gate=make_gate)
     simulation.at(5.0, lambda: simulation.set_views(views))
     return simulation
 
 
-def moving(rate: float, times: Sequence[float]) -> RetrySimulation:
+def moving(
+    rate: float, times: Sequence[float], make_gate: MakeGate = GateRetryBudget
+) -> RetrySimulation:
     """Return a simulation of which the load moves between halves of the gates.
 
     Attempts fail from second 12 on, when all gates have a full window behind them.
     """
-    simulation = RetrySimulation(rate=rate)
+    simulation = RetrySimulation(rate=rate, make_gate=make_gate)
     simulation.failing_from = 12.0
     halves = [[1.0] * 15 + [0.0] * 15, [0.0] * 15 + [1.0] * 15]
     simulation.set_weights(halves[0])
@@ -232,8 +239,10 @@
     return simulation
 
 
-def inheriting(rate: float, share: float = 0.2) -> RetrySimulation:
+def inheriting(
+    rate: float, share: float = 0.2, make_gate: MakeGate = GateRetryBudget
+) -> RetrySimulation:
     """Return a simulation with calls of repeated runs, which are never denied."""
-    simulation = RetrySimulation(rate=rate)
+    simulation = RetrySimulation(rate=rate, make_gate=make_gate)
     simulation.inherited = share
     return simulation
