Check the bound on retries in the soak, from what workers receive

The soak did not check the bound, and none of its faults killed most nodes within one window while instances fail. Workers now record all that reaches them, rejected requests too; the check is the stated bound, in any window of 10 s.

A worker announces itself up to 0.4 s after its node has started, so a new gate serves few retries before it has counted the gates. The simulation of the gates shows the fault; the soak guards against others.

A signal sent 5, 20 or 40 ms after the start of the process ends it, one after 60 ms doesn't; the first statement of the program ignores it. No program can handle a signal before its first statement, so the soak waits until the signal is handled.

--- a/packages/rattanfork-core/rattanfork_core/budgets/tests/retry_simulation.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/tests/retry_simulation.py
@@ -5,13 +5,13 @@
 instances, not from what any gate believes.
 """
 
-from bisect import bisect_right
 from collections.abc import Callable, Sequence
 from heapq import heappop, heappush
 from itertools import accumulate, count
 from random import Random
 
 from rattanfork_core.budgets import GateRetryBudget, RetryCharge
+from rattanfork_core.budgets.tests.retry_arrivals import Arrivals
 from rattanfork_core.clock import ManualClock
 
 RATIO, EXTRA, WINDOW = 0.2, 91.0, 10.0
@@ -25,39 +25,6 @@
 MakeGate = Callable[[ManualClock, float, float, float], GateRetryBudget]
 
 
-class Arrivals:
-    """Requests to a service and the arrivals beyond the first of each.
-
-    Parameters
-    ==========
-
-    ratio, extra, window : float
-        The stated bound.
-    """
-
-    def __init__(
-        self, ratio: float = RATIO, extra: float = EXTRA, window: float = WINDOW
-    ) -> None:
-        self.requests: list[float] = []
-        self.repeats: list[float] = []
-        self._ratio, self._extra, self._window = ratio, extra, window
-
-    def excess(self, at: float) -> float:
-        """Return the repeats above the bound in the window that ends at a time."""
-        window = self._window
-        peak = max(
-            _count(self.requests, at - back - window, at - back)
-            for back in (0.0, window / 2, window)
-        )
-        repeats = _count(self.repeats, at - window, at)
-        return repeats - self._ratio * peak - self._extra
-
-    @property
-    def worst_excess(self) -> float:
-        """Largest excess of any window; negative if the bound always holds."""
-        return max((self.excess(at) for at in self.repeats), default=-self._extra)
-
-
 class RetrySimulation:
     """A service under load, of which half of the attempts fail from second 3 on.
 
@@ -82,7 +49,7 @@
         make_gate: MakeGate = GateRetryBudget,
     ) -> None:
         self.clock = ManualClock(1000.0)
-        self.arrivals = Arrivals()
+        self.arrivals = Arrivals(RATIO, EXTRA, WINDOW)
         #: Number of gates that each gate sees.
         self.views = [gates] * gates
         #: Share of the attempts that fail, from ``failing_from`` on.
@@ -196,10 +163,6 @@
                 return
 
 
-def _count(times: list[float], after: float, until: float) -> int:
-    return bisect_right(times, until) - bisect_right(times, after)
-
-
 def restarting(
     rate: float,
     times: Sequence[float],
--- a/packages/rattanfork-core/rattanfork_core/budgets/tests/test_retry_bound.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/tests/test_retry_bound.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from rattanfork_core.budgets import GateRetryBudget, RetryCharge
+from rattanfork_core.budgets.tests.retry_arrivals import Arrivals
 from rattanfork_core.budgets.tests.retry_simulation import (
-    Arrivals,
     disagreeing,
     inheriting,
     moving,
--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -13,6 +13,7 @@
   statement that it leaves.
 - ``limit``: a worker gets no more requests than the rate limit that it advertises.
 - ``budget``: a request that crashes workers is quarantined.
+- ``retries``: the retries that reach workers stay within the bound.
 - ``revoked`` and ``denied``: a revoked key is rejected, a valid key accepted.
 - ``configuration``: a change comes into force in time and is not reverted.
 - ``time`` and ``recovery``: responses come in time, and service recovers after
@@ -24,6 +25,7 @@
 
 from rattanfork_soak.keys import ACCOUNT_NAME, KeyRing
 from rattanfork_soak.record import Record
+from rattanfork_soak.retry_check import check_retries
 from rattanfork_soak.violation import Violation
 from rattanfork_soak.worker import DEADLY_PATH, Arrival, SoakWorker
 
@@ -141,6 +143,12 @@
                 "budget", after[_MAX_RUNS_AFTER], f"deadly request ran at {times} s"
             )
 
+    def check_retries(self) -> None:
+        """Check the retries of all requests so far."""
+        violation = check_retries(self._workers, self.records)
+        if violation is not None:
+            self.violations.append(violation)
+
     def add_violation(self, invariant: str, at: float, text: str) -> None:
         """Add a violation that was detected elsewhere."""
         self._add_violation(invariant, at, text)
--- a/packages/rattanfork-soak/rattanfork_soak/faults.py
+++ b/packages/rattanfork-soak/rattanfork_soak/faults.py
@@ -10,6 +10,9 @@
 from rattanfork_soak.worker import WorkerFault
 
 _LINK_FAULTS = (LinkFault.DELAY, LinkFault.RESET, LinkFault.SILENT, LinkFault.ONE_WAY)
+#: Malfunctions after which a request is retried, and the longest time until they begin.
+_RETRIED_FAULTS = (WorkerFault.SHEDS, WorkerFault.FAILS, WorkerFault.TRUNCATES)
+_MAX_FAILURE_DELAY_S = 8.0
 _STORE_FAULTS = ("busy", "many", "lost", "reset")
 #: Time for which a draining worker goes on serving after the acknowledgement.
 _DRAIN_TIME_S = 2.4
@@ -194,6 +197,41 @@
             site.record_disturbance()
 
 
+class RestartsUnderFailure(PowerLoss):
+    """Most nodes are killed several times within seconds, while all workers fail.
+
+    Guards against retries that are granted again by nodes that forgot what they had
+    granted.
+    """
+
+    def __init__(self, environment: Environment, random: Random) -> None:
+        super().__init__(environment, random)
+        self.begins_after = random.uniform(0.0, _MAX_FAILURE_DELAY_S)
+        self.worker_fault = random.choice(_RETRIED_FAULTS)
+        self.kills = random.randint(3, 4)
+        #: Time for which a killed node is down.
+        self.seconds = random.uniform(0.0, 0.3)
+
+    def __str__(self) -> str:
+        return (
+            f"{type(self).__name__}: all workers: {self.worker_fault.value}, "
+            f"{self.kills} times, from {self.begins_after:.2f} s later"
+        )
+
+    async def inject(self) -> None:
+        """Let the workers fail and kill nodes meanwhile."""
+        await asyncio.sleep(self.begins_after)
+        workers = [site.worker for site in self.environment.sites]
+        for worker in workers:
+            worker.fault = self.worker_fault
+        for _ in range(self.kills):
+            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            await super().inject()
+        await asyncio.sleep(1.0)
+        for worker in workers:
+            worker.fault = WorkerFault.NONE
+
+
 #: Relative frequency of each kind of fault.
 FAULT_WEIGHTS: dict[type[Fault], int] = {
     StoreUnavailable: 3,
--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -11,6 +11,7 @@
 
 from rattanfork_soak.keys import REVOKE_WITHIN_S
 from rattanfork_soak.proxy import LoopbackProxy
+from rattanfork_soak.retry_check import EXTRA_RETRIES, RETRY_RATIO, RETRY_WINDOW_S
 from rattanfork_soak.worker import SoakWorker
 
 #: Time after SIGTERM within which a node has to exit.
@@ -63,7 +64,13 @@
             service=self.worker.service,
             address=self.worker_link.address,
         )
-        bounds = ("strictRevoke=true", f"revokeS={REVOKE_WITHIN_S:g}")
+        bounds = (
+            "strictRevoke=true",
+            f"revokeS={REVOKE_WITHIN_S:g}",
+            f"budgetRatio={RETRY_RATIO:g}",
+            f"budgetExtra={EXTRA_RETRIES:g}",
+            f"budgetWindowS={RETRY_WINDOW_S:g}",
+        )
         self._node = NodeProcess(
             self.name, proxied_worker, self.store_link, folder, ports, bounds
         )
@@ -138,8 +145,13 @@
         self._record_interruption()
 
     def reload(self) -> None:
-        """Send SIGHUP: the settings may have changed."""
-        self._signal(signal.SIGHUP)
+        """Send SIGHUP: the settings may have changed.
+
+        No program can handle a signal that arrives before its first statement, so none
+        is sent while the interpreter of a node starts.
+        """
+        if _handles(self.pid, signal.SIGHUP):
+            self._signal(signal.SIGHUP)
 
     async def restart(self) -> None:
         """Wait until the node has exited, kill it if it is late, and start it again."""
@@ -176,3 +188,17 @@
     def _signal(self, number: int) -> None:
         if self._node.process.returncode is None:
             self._node.process.send_signal(number)
+
+
+def _handles(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or catches a signal."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except OSError:
+        return False
+    masks = [
+        int(line.split()[1], 16)
+        for line in status.splitlines()
+        if line.startswith(("SigIgn:", "SigCgt:"))
+    ]
+    return any(mask >> (number - 1) & 1 for mask in masks)
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -10,7 +10,12 @@
 from rattanfork_soak.checks import Checks
 from rattanfork_soak.client import Client
 from rattanfork_soak.environment import ROUTE_TIMEOUT_S, Environment
-from rattanfork_soak.faults import Fault, StoreDropsWatches, draw_fault
+from rattanfork_soak.faults import (
+    Fault,
+    RestartsUnderFailure,
+    StoreDropsWatches,
+    draw_fault,
+)
 from rattanfork_soak.site import Site
 from rattanfork_soak.violation import Violation
 
@@ -97,6 +102,7 @@
             await environment.stop()
         checks.review()
         checks.check_deadly()
+        checks.check_retries()
         self.requests = sum(1 for _ in checks.records)
         return checks.violations
 
@@ -134,17 +140,24 @@
 
     async def _inject_faults(self, environment: Environment) -> None:
         fault_interval = self._settings.fault_interval
+        # A separate generator, so that these faults do not change the plan of others.
+        restarts = RestartsUnderFailure(environment, Random(self._seed + 5))
+        self.plan.append(f"{environment.now():7.2f} s  {restarts}")
+        self._start_fault(restarts)
         while environment.now() < self._settings.seconds:
             await asyncio.sleep(
                 self._random.uniform(0.2 * fault_interval, 1.8 * fault_interval)
             )
             fault = draw_fault(environment, self._random)
             self.plan.append(f"{environment.now():7.2f} s  {fault}")
-            task = asyncio.ensure_future(self._run_fault(fault))
-            self._faults.add(task)
-            task.add_done_callback(self._faults.discard)
+            self._start_fault(fault)
         await asyncio.gather(*self._faults)
 
+    def _start_fault(self, fault: Fault) -> None:
+        task = asyncio.ensure_future(self._run_fault(fault))
+        self._faults.add(task)
+        task.add_done_callback(self._faults.discard)
+
     async def _run_fault(self, fault: Fault) -> None:
         async with asyncio.timeout(_FAULT_TIMEOUT_S):
             await fault.inject()
--- a/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/tests/test_checks.py
@@ -168,6 +168,19 @@
     assert history.violated == expected
 
 
+@pytest.mark.parametrize(("retries", "expected"), [(8, set()), (9, {"retries"})])
+def test_retries_beyond_the_bound_are_reported(retries, expected):
+    """Ten requests allow no whole retry beside the fixed number of 8."""
+    history = History()
+    for number in range(10):
+        record = history.ask(f"r{number}", idempotent=True)
+        history.worker.received.append((record.request_id, 1.1))
+    for number in range(retries):
+        history.worker.received.append((f"r{number % 10}", 2.0 + number / 10))
+    history.checks.check_retries()
+    assert history.violated == expected
+
+
 @pytest.mark.parametrize(("sent", "expected"), [(4.0, set()), (4.5, {"revoked"})])
 def test_run_with_revoked_key_is_reported(sent, expected):
     history = History()
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -82,6 +82,8 @@
         self.base_name = name
         self.fault = WorkerFault.NONE
         self.arrivals: list[Arrival] = []
+        #: IDs and times of all requests that reached the worker, rejected ones too.
+        self.received: list[tuple[str, float]] = []
         self.address = ("127.0.0.1", 0)
         #: Announces a state to the node; returns the status of the response.
         self.announce: Callable[[str], Awaitable[int | None]] = _ignore_announcement
@@ -175,9 +177,10 @@
         identity = {INSTANCE: self.name}
         if request.path == "/health":
             return web.Response(status=503 if self._draining else 200, headers=identity)
+        request_id = request.headers[REQUEST_ID]
+        self.received.append((request_id, self._now()))
         if request.headers.get(EXPECTED) != self.name:
             return web.Response(status=421, headers=identity)
-        request_id = request.headers[REQUEST_ID]
         echo = {REQUEST_ID: request_id}
         selected = self._random.random() < 0.5
         if self.fault is WorkerFault.SHEDS and selected:
