--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 50
 FIRST ?= 0
 .PHONY: demo test bench speed hops starts shared matrix slopes confirmations reports \
-    accounts connections fair soak lint format fuzz clean
+    accounts connections fair retries soak lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -72,6 +72,9 @@
 fair: $(READY)
 	$(BIN)/python bench/fair_shares.py
 
+retries: $(READY)
+	$(BIN)/python bench/retry_budget.py
+
 slopes: $(READY)
 	$(BIN)/python bench/slopes.py
 
--- a/bench/retry_budget.py
+++ b/bench/retry_budget.py
@@ -11,11 +11,10 @@
 """
 
 import sys
-from collections import deque
+from bisect import bisect_right
 from collections.abc import Callable, Sequence
-from pathlib import Path
 
-from rattanfork_core.budgets import GateRetryBudget
+from rattanfork_core.budgets import GateRetryBudget, RetryCharge, RetryDecision
 from rattanfork_core.budgets.tests.retry_simulation import (
     EXTRA,
     RATIO,
@@ -39,8 +38,8 @@
 
     def __init__(self, ratio: float) -> None:
         self._ratio = ratio
-        self._requests: deque[float] = deque()
-        self._retries: deque[float] = deque()
+        self._requests: list[float] = []
+        self._retries: list[float] = []
         self._silent_until = 0.0
         self.asked = 0
 
@@ -57,21 +56,21 @@
     def grant(self, now: float) -> bool:
         """Return whether a retry may be sent."""
         self.asked += 1
-        while self._requests and self._requests[0] <= now - 2 * WINDOW:
-            self._requests.popleft()
-        while self._retries and self._retries[0] <= now - WINDOW:
-            self._retries.popleft()
         peak = max(
-            sum(now - back - WINDOW < at <= now - back for at in self._requests)
-            for back in ((0.0, WINDOW / 2, WINDOW) if self._ratio else (0.0,))
+            _count(self._requests, now - back) for back in (0.0, WINDOW / 2, WINDOW)
         )
         allowed = self._ratio * peak + EXTRA
-        if now < self._silent_until or len(self._retries) + 1 > allowed:
+        if now < self._silent_until or _count(self._retries, now) + 1 > allowed:
             return False
         self._retries.append(now)
         return True
 
 
+def _count(times: list[float], until: float) -> int:
+    """Return how many of the sorted times lie in the window that ends at a time."""
+    return bisect_right(times, until) - bisect_right(times, until - WINDOW)
+
+
 class LeasingGate(GateRetryBudget):
     """A gate that asks an issuer for retries, after its own part if it has one."""
 
@@ -97,6 +96,11 @@
             return True
         return self.is_connected and self.issuer.grant(self._clock.now())
 
+    def decide_inherited(self) -> RetryDecision:
+        """Decide as for other retries."""
+        charge = RetryCharge.INHERITED if self.grant(0.0) else RetryCharge.DENIED
+        return RetryDecision(charge, self.state, 0)
+
 
 def leasing(own_ratio: float) -> Callable[[], tuple[type[GateRetryBudget], Issuer]]:
     """Return a factory of a class of gates and their issuer."""
@@ -168,5 +172,4 @@
 
 
 if __name__ == "__main__":
-    sys.path.insert(0, str(Path(__file__).parent))
     main()
