--- a/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/budgets/gate_retry_budget.py
@@ -117,8 +117,9 @@
         rate = sum(self._inherited_demand[:_RATE_BUCKETS]) / _RATE_BUCKETS
         admitted = accumulate(self._inherited)
         reserved = (max(0.0, rate * n - count) for n, count in enumerate(admitted, 1))
-        left = (left - r for left, r in zip(self._left(), reserved, strict=True))
-        return min(left) + self._extra_share * _GRANTED_EXTRA_SHARE
+        spans = zip(self._unspent_by_span(), reserved, strict=True)
+        left = min(unspent - inherited for unspent, inherited in spans)
+        return left + self._extra_share * _GRANTED_EXTRA_SHARE
 
     @property
     def allowed(self) -> float:
@@ -157,7 +158,7 @@
         """Admit or deny a call of a run that is itself a retry."""
         before = self.state
         self._inherited_demand[0] += 1
-        if min(self._left()) + self._extra_share < 1:
+        if min(self._unspent_by_span()) + self._extra_share < 1:
             return self._record(RetryCharge.DENIED, before)
         self._retries[0] += 1
         self._inherited[0] += 1
@@ -173,10 +174,11 @@
         if decision.charge is RetryCharge.INHERITED:
             self._inherited[index] -= 1
 
-    def _left(self) -> Iterator[float]:
-        """Return the retries that the requests still pay for, for spans of 1, 2, ...
+    def _unspent_by_span(self) -> Iterator[float]:
+        """Return how many more retries the requests pay for, for each span.
 
-        The spans end now; the last one covers a window.
+        The spans end now and begin 1, 2, ... buckets before; the last one covers a
+        window.
         """
         requests = list(accumulate(self._requests))
         for span, spent in enumerate(accumulate(self._retries)):
@@ -189,8 +191,7 @@
     @property
     def _extra_share(self) -> float:
         """Part of the fixed allowance that this gate may grant."""
-        if self._gate_count is None or self.age < len(self._retries) * (
-            self._bucket_seconds
-        ):
+        longest_span = len(self._retries) * self._bucket_seconds
+        if self._gate_count is None or self.age < longest_span:
             return 0.0
         return self._extra / self._gate_count.value
