Log what attached an upstream, and announcements that are ignored

upstream_attached named neither its evidence nor how old that was, so the lines could not tell a late heartbeat from a probe that was answered before the leaving, nor a process that had just started. It states the source, the sequence of the announcement or the time that the probe took, and the age of the process. An announcement that is acknowledged and ignored had a counter only; it has a line, at most one a second.

Test: test_log_states_what_attached_an_upstream. No logic changes.

--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -9,6 +9,7 @@
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.membership import Membership
 from rattanfork_core.routes import Configuration, ServiceConfig
+from rattanfork_node.app import upstream_monitor
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.config.tests.fakes import member
@@ -204,6 +205,24 @@
     assert harness.serving is None
 
 
+def test_log_states_what_attached_an_upstream(monkeypatch):
+    """Guards against an attachment whose evidence no log line tells."""
+    lines = []
+    monkeypatch.setattr(
+        upstream_monitor,
+        "log_change",
+        lambda what, **fields: lines.append((what, fields)),
+    )
+    harness = MonitorHarness()
+    harness.probe("i1")
+    harness.announce("i2", 4, born=7)
+    harness.announce("i2", 3, born=7)
+    [probed, announced, ignored] = lines
+    assert (probed[1]["source"], probed[1]["node_age_s"]) == ("probe", 1.0)
+    assert (announced[1]["source"], announced[1]["sequence"]) == ("announcement", 4)
+    assert (ignored[0], ignored[1]["sequence"]) == ("announcement_ignored", 3)
+
+
 #: Sequence number from which an upstream's announcements state its leaving.
 LEAVES_AT = 4
 EVENTS = st.lists(
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -18,6 +18,8 @@
 _DEFAULT_SLOTS = 64
 #: Seconds between two probes of an upstream that is not identified yet.
 _PROBE_INTERVAL_S = 0.4
+#: Seconds between two log lines on ignored announcements.
+_IGNORED_LOG_INTERVAL_S = 1.0
 
 
 class UpstreamMonitor:
@@ -79,6 +81,8 @@
         self._counters = counters
         self._spawn = spawn
         self._tracker = AnnouncementTracker()
+        self._started_at = clock.now()
+        self._next_ignored_line = clock.now()
         self._closed = False
         self._probing = False
         self._next_probe = 0.0
@@ -101,13 +105,20 @@
             return False
         if not self._tracker.accept(announcement):
             self._counters.events["announcement.late"] += 1
+            self._log_ignored(announcement)
         elif announcement.leaving or self._has_stated_leaving(
             announcement.upstream, announcement.born
         ):
             self._detach("leaving", announcement.upstream)
         else:
             self._last_slots = announcement.slots
-            self._attach(announcement.upstream, announcement.slots, announcement.born)
+            self._attach(
+                announcement.upstream,
+                announcement.slots,
+                announcement.born,
+                source="announcement",
+                sequence=announcement.sequence,
+            )
         return True
 
     def on_leave(self, upstream: str, born: int | None = None) -> None:
@@ -138,6 +149,7 @@
             self._spawn(self._probe(service.probe_path))
 
     async def _probe(self, path: str) -> None:
+        sent_at = self._clock.now()
         name = await self._prober.ask(path)
         self._probing = False
         self._next_probe = self._clock.now() + _PROBE_INTERVAL_S
@@ -151,7 +163,12 @@
                 return
         elif current is not None and not self._gate.misdirected:
             return
-        self._attach(name, self._last_slots or _DEFAULT_SLOTS)
+        self._attach(
+            name,
+            self._last_slots or _DEFAULT_SLOTS,
+            source="probe",
+            probe_ms=round((self._clock.now() - sent_at) * 1000, 1),
+        )
 
     def _on_leaving_stated(self, upstream: Upstream) -> None:
         self._leaving = upstream
@@ -164,7 +181,8 @@
             return False
         return leaving.is_same_incarnation(leaving._replace(name=name, born=born))
 
-    def _attach(self, name: str, slots: int, born: int = 0) -> None:
+    def _attach(self, name: str, slots: int, born: int = 0, **evidence: object) -> None:
+        """Attach an upstream; ``evidence`` is logged: what showed that it is ready."""
         if self._closed:
             return
         attached_upstream = self._gate.upstream
@@ -178,7 +196,14 @@
             connections = configuration.services[self._service].connections
         self._gate.attach(upstream, connections)
         if attached_upstream is None or replaced:
-            log_change("upstream_attached", upstream=name, slots=slots, born=born)
+            log_change(
+                "upstream_attached",
+                upstream=name,
+                slots=slots,
+                born=born,
+                node_age_s=round(self._clock.now() - self._started_at, 2),
+                **evidence,
+            )
         me = self._membership.me
         if replaced or not me.ready or me.slots != slots:
             self._membership.update_me(
@@ -190,3 +215,17 @@
             self._gate.detach()
             self._membership.update_me(ready=False)
             log_change("upstream_released", why=why, upstream=upstream)
+
+    def _log_ignored(self, announcement: Announcement) -> None:
+        now = self._clock.now()
+        if now < self._next_ignored_line:
+            return
+        self._next_ignored_line = now + _IGNORED_LOG_INTERVAL_S
+        log_change(
+            "announcement_ignored",
+            upstream=announcement.upstream,
+            sequence=announcement.sequence,
+            born=announcement.born,
+            leaving=announcement.leaving,
+            retired=self._tracker.is_retired(announcement.upstream),
+        )
