--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -197,6 +197,20 @@
     assert harness.serving == "i1"
 
 
+def test_late_announcement_does_not_revert_deregistration_of_probed_upstream():
+    """Guards against a retired start time that is lower than the true one.
+
+    Neither the probe nor the deregistration states when the upstream started.
+    """
+    harness = MonitorHarness()
+    harness.probe("i1")
+    harness.monitor.on_leave("i1")
+    harness.announce("i1", 9, born=1000)
+    assert harness.serving is None
+    harness.announce("i1", 1, born=2000)
+    assert harness.serving == "i1"
+
+
 def test_upstream_of_another_service_is_not_attached():
     """Guards against requests being executed by an upstream of another service."""
     harness = MonitorHarness()
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -244,3 +244,18 @@
     assert harness.grants.spent == 1
     harness.gate.cancel(job)
     assert harness.grants.spent == 0
+
+
+def test_request_that_waits_for_a_connection_is_not_sent_to_a_leaving_upstream():
+    """Guards against a request that reaches an upstream after its leaving."""
+    harness = GateHarness()
+    harness.pool.hold_connects = True
+    _, results = harness.submit()
+    harness.gate.detach()
+    [result] = results
+    assert (result.outcome, result.reason) == (Outcome.NOT_RUN, Reason.LEAVING)
+    [on_acquired] = harness.pool.pending
+    connection = FakeConnection()
+    on_acquired(connection)
+    assert connection.sent == b""
+    assert len(results) == 1
