Refuse requests that wait for a connection when their upstream leaves

A request that had left the queue and waited for a connection of the pool was not refused at the leaving, and was sent once it had one: up to about a second after the acknowledgement, as connecting is bounded by 1 s, so within the draining time. It is now refused as not run, after the queue is empty (finishing it would otherwise start the next one), and tried elsewhere at once instead of waiting for its connection.

test_request_that_waits_for_a_connection_is_not_sent_to_a_leaving_upstream failed before and passes; the tests of all orders of three events at a gate pass.

--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -243,10 +243,13 @@
         self.misdirected = False
 
     def detach(self) -> None:
-        """Admit no more requests; refuse waiting ones, let running ones finish."""
+        """Admit no more requests; refuse those not sent, let running ones finish."""
         self._accepting = False
         for job in [j for j in self._jobs.values() if not j.handed_over]:
             self._withdraw(job, Reason.LEAVING)
+        # These wait for a connection, which may take a second to open.
+        for job in [j for j in self._jobs.values() if j.connection is None]:
+            self._finish_run(job, not_run(Reason.LEAVING), False)
 
     def parent_of(self, request_id: bytes) -> Job | None:
         """Return the run that made a child call, by the request ID of the call.
