Make leaving final for an incarnation, and its unknown start known

Callers would have seen requests run by an upstream more than its draining time after its deregistration was acknowledged, without any restart in between: a node that attached its upstream by a probe does not know when it started, a deregistration does not state it, and start 0 was retired; a late announcement that states its start then counted as one of a later incarnation with the same ID.

Statements in announcements, deregistrations and responses now go into the same record, and leaving is final in each case.

--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -1,11 +1,8 @@
 """Rejects late announcements and those of incarnations that have ended."""
 
-from collections import OrderedDict
-
 from rattanfork_core.announcements.announcement import Announcement
-
-#: Bound on the retired upstreams that are kept, to detect their late announcements.
-_MAX_RETIRED = 64
+from rattanfork_core.announcements.retired_incarnations import RetiredIncarnations
+from rattanfork_core.clock import Clock
 
 
 class AnnouncementTracker:
@@ -17,23 +14,30 @@
     Announcements may arrive late.  One sent before the upstream began to drain would
     revert it to accepting requests, and one of a crashed incarnation would replace its
     successor at the same address.  Within an incarnation, announcements are ordered by
-    sequence.  An incarnation that has been succeeded, or has left, is retired: its
-    announcements are ignored from then on.
+    sequence.  An incarnation that has been succeeded, or has stated that it leaves, is
+    retired: its announcements are ignored from then on, whatever they state.
 
     An upstream may restart with the same ID.  Its sequence restarts as well, so of two
     incarnations with one ID the one with the later start is the newer.  Starts of
     different IDs are never compared: they may be times of unsynchronised clocks.
 
+    Parameters
+    ==========
+
+    clock : Clock
+        Source of the current time.
+
     Examples
     ========
 
-    >>> tracker = AnnouncementTracker()
-    >>> def announce(name, sequence, leaving=False, born=0):
+    >>> from rattanfork_core.clock import ManualClock
+    >>> tracker = AnnouncementTracker(ManualClock())
+    >>> def announce(name, sequence, leaving=False, born=5):
     ...     return Announcement(name, "s", "h", 1, 8, sequence, leaving, 0.0, born)
     >>> tracker.accept(announce("a", 1)), tracker.accept(announce("a", 3, leaving=True))
     (True, True)
-    >>> tracker.accept(announce("a", 2))
-    False
+    >>> tracker.accept(announce("a", 2)), tracker.accept(announce("a", 4))
+    (False, False)
     >>> tracker.accept(announce("a", 1, born=7)), tracker.current.leaving
     (True, False)
     >>> tracker.accept(announce("b", 1)), tracker.accept(announce("a", 4, born=7))
@@ -42,10 +46,9 @@
     'b'
     """
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._current: Announcement | None = None
-        #: Latest start of each retired upstream, by its ID.
-        self._retired: OrderedDict[str, int] = OrderedDict()
+        self._retired = RetiredIncarnations(clock)
 
     @property
     def current(self) -> Announcement | None:
@@ -53,16 +56,25 @@
         return self._current
 
     def accept(self, announcement: Announcement) -> bool:
-        """Store an announcement if it is the newest; return whether it is."""
+        """Store an announcement if it is the newest; return whether it is.
+
+        One that states leaving retires its incarnation in any case.
+        """
         name, born = announcement.upstream, announcement.born
-        if self._is_incarnation_retired(name, born):
+        if self._retired.rejects(name, born):
             return False
+        if announcement.leaving:
+            self._retired.add(name, born)
         current = self._current
         if current is not None:
-            if current.upstream != name:
-                self._record_retired(current.upstream, current.born)
-            elif (born, announcement.sequence) <= (current.born, current.sequence):
+            if current.upstream == name:
+                if (born, announcement.sequence) <= (current.born, current.sequence):
+                    return False
+            elif announcement.leaving:
+                # It may be a late one of a predecessor.
                 return False
+            else:
+                self._retired.add(current.upstream, current.born)
         self._current = announcement
         return True
 
@@ -79,29 +91,26 @@
             state it.
         """
         current = self._current
-        if current is not None and current.upstream == upstream:
-            if born is not None and born < current.born:
-                # Late message of an incarnation that has already been succeeded.
-                return False
-            self._record_retired(upstream, max(current.born, born or 0))
-            self._current = None
-            return True
-        self._record_retired(upstream, born or 0)
-        return False
+        if current is None or current.upstream != upstream:
+            self._retired.add(upstream, born or 0)
+            return False
+        if born is not None and born < current.born:
+            # Late message of an incarnation that has already been succeeded.
+            self._retired.add(upstream, born)
+            return False
+        self._retired.add(upstream, max(current.born, born or 0))
+        self._current = None
+        return True
 
     def is_retired(self, upstream: str) -> bool:
         """Return whether the newest known incarnation of an ID has been retired."""
-        current = self._current
-        if current is not None and current.upstream == upstream:
+        if not self._retired.includes(upstream):
             return False
-        return upstream in self._retired
-
-    def _is_incarnation_retired(self, upstream: str, born: int) -> bool:
-        latest = self._retired.get(upstream)
-        return latest is not None and born <= latest
+        current = self._current
+        if current is None or current.upstream != upstream:
+            return True
+        return current.born <= self._retired.start_of(upstream)
 
-    def _record_retired(self, upstream: str, born: int) -> None:
-        self._retired[upstream] = max(born, self._retired.get(upstream, 0))
-        self._retired.move_to_end(upstream)
-        if len(self._retired) > _MAX_RETIRED:
-            self._retired.popitem(last=False)
+    def retired_start(self, upstream: str) -> int:
+        """Return the latest retired start of an ID; 0 if unknown."""
+        return self._retired.start_of(upstream)
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -80,15 +80,13 @@
         self._address = address
         self._counters = counters
         self._spawn = spawn
-        self._tracker = AnnouncementTracker()
+        self._tracker = AnnouncementTracker(clock)
         self._started_at = clock.now()
         self._next_ignored_line = clock.now()
         self._closed = False
         self._probing = False
         self._next_probe = 0.0
         self._last_slots = 0
-        #: Last incarnation that stated in a response that it leaves.
-        self._leaving: Upstream | None = None
         gate.advertised.on_leaving = self._on_leaving_stated
 
     def on_announcement(self, announcement: Announcement) -> bool:
@@ -103,13 +101,14 @@
         """
         if announcement.service != self._service:
             return False
+        upstream = announcement.upstream
         if not self._tracker.accept(announcement):
             self._counters.events["announcement.late"] += 1
             self._log_ignored(announcement)
-        elif announcement.leaving or self._has_stated_leaving(
-            announcement.upstream, announcement.born
-        ):
-            self._detach("leaving", announcement.upstream)
+            if self._is_attached(upstream) and self._tracker.is_retired(upstream):
+                self._detach("leaving", upstream)
+        elif announcement.leaving:
+            self._detach("leaving", upstream)
         else:
             self._last_slots = announcement.slots
             self._attach(
@@ -123,10 +122,10 @@
 
     def on_leave(self, upstream: str, born: int | None = None) -> None:
         """Detach an upstream that has left; ``born`` is its start time if known."""
-        attached_upstream = self._gate.upstream
         was_current = self._tracker.retire(upstream, born)
-        attached = attached_upstream is not None and attached_upstream.name == upstream
-        if was_current or (attached and self._tracker.is_retired(upstream)):
+        if was_current or (
+            self._is_attached(upstream) and self._tracker.is_retired(upstream)
+        ):
             self._detach("left", upstream)
 
     def close(self) -> None:
@@ -155,13 +154,9 @@
         self._next_probe = self._clock.now() + _PROBE_INTERVAL_S
         if name is None or self._tracker.is_retired(name):
             return
-        if self._has_stated_leaving(name, born=0):
-            return
         current = self._tracker.current
-        if current is not None and current.upstream == name:
-            if current.leaving:
-                return
-        elif current is not None and not self._gate.misdirected:
+        other_announced = current is not None and current.upstream != name
+        if other_announced and not self._gate.misdirected:
             return
         self._attach(
             name,
@@ -171,15 +166,13 @@
         )
 
     def _on_leaving_stated(self, upstream: Upstream) -> None:
-        self._leaving = upstream
+        self._tracker.retire(upstream.name, upstream.born)
         self._gate.detach()
         self._membership.update_me(ready=False)
 
-    def _has_stated_leaving(self, name: str, born: int) -> bool:
-        leaving = self._leaving
-        if leaving is None:
-            return False
-        return leaving.is_same_incarnation(leaving._replace(name=name, born=born))
+    def _is_attached(self, name: str) -> bool:
+        upstream = self._gate.upstream
+        return upstream is not None and upstream.name == name
 
     def _attach(self, name: str, slots: int, born: int = 0, **evidence: object) -> None:
         """Attach an upstream; ``evidence`` is logged: what showed that it is ready."""
