Keep an acknowledged leaving beyond the process that acknowledged it

Callers saw requests run by an upstream that had said it was leaving, up to 8 s after the acknowledgement. Cause: the acknowledgement was kept by the process that gave it. A process started beside the same upstream attached whatever it heard first, a heartbeat sent before or a healthy response to a probe. Class: a promise that is given with a 200 and kept in the memory of one process.

A retirement (instance, upstream, start) is now a fact of the fleet. It is also sent to the other nodes. The rows are written again after a restore. The new messages are sent only to nodes that understand them (message level 2).

Why it works: the 200 follows the write, the store is linearizable, and a later process reads after it started, so it sees the row; retirements are never revoked, so merging them in any order is safe.

The number of calls to the store grows by one for each leaving and by none for a start.

--- a/packages/rattanfork-core/rattanfork_core/fair_shares/tests/test_exchange.py
+++ b/packages/rattanfork-core/rattanfork_core/fair_shares/tests/test_exchange.py
@@ -103,7 +103,7 @@
     assert names == [
         *("Ping", "Ack", "PingRequest", "GateUpdate", "CrashUpdate"),
         *("LeaseRequest", "LeaseReply", "QuotaRequest", "QuotaReply"),
-        *("DemandReport", "DemandTotals"),
+        *("DemandReport", "DemandTotals", "RetirementUpdate"),
     ]
 
 
--- a/packages/rattanfork-core/rattanfork_core/membership/messages.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/messages.py
@@ -20,6 +20,7 @@
 )
 from rattanfork_core.membership.member import Member
 from rattanfork_core.quarantine import CrashReport, SuccessReport
+from rattanfork_core.retirement import Retirement
 
 #: Bytes of the truncated HMAC-SHA256 at the head of a datagram.
 _MAC_BYTES = 12
@@ -98,8 +99,14 @@
     successes: tuple[SuccessReport, ...] = ()
 
 
+class RetirementUpdate(NamedTuple):
+    """Upstreams that have stated that they leave; it has no reply."""
+
+    retirements: tuple[Retirement, ...]
+
+
 #: Datagrams without a reply, whose content each receiver disseminates in turn.
-GossipUpdate = GateUpdate | CrashUpdate | DemandTotals
+GossipUpdate = GateUpdate | CrashUpdate | DemandTotals | RetirementUpdate
 #: Datagrams of failure detection.
 GossipMessage = Ping | Ack | PingRequest
 #: The index of a type is sent on the wire, so new types are appended.  Nodes of a build
@@ -112,6 +119,7 @@
     CrashUpdate,
     *DIRECT_MESSAGE_TYPES,
     *DEMAND_MESSAGE_TYPES,
+    RetirementUpdate,
 )
 #: All messages that a datagram may hold.
 Datagram = GossipMessage | GossipUpdate | DirectMessage | DemandReport
@@ -171,6 +179,11 @@
                 tuple(CrashReport.from_fields(r) for r in reports),
                 tuple(SuccessReport.from_fields(s) for s in successes),
             )
+        if message_type is RetirementUpdate:
+            [retirements] = fields
+            return RetirementUpdate(
+                tuple(Retirement.from_fields(r) for r in retirements)
+            )
         number, sender, target, versions, updates = fields
     except Exception as error:
         raise ValueError(
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -40,6 +40,7 @@
 from rattanfork_node.member.directory import InstanceDirectory
 from rattanfork_node.member.gate_report_task import GateReportTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
+from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import (
     DecisionLog,
@@ -254,6 +255,16 @@
         self._dependency_task = DependencyTask(
             self._dependencies, self._membership, self._platform, self._counters
         )
+        self._retirements = RetirementTask(
+            self._clock,
+            self._random,
+            self._platform,
+            self._membership,
+            self._gossip_task,
+            self._pool,
+            self._counters,
+        )
+        self._handler.set_retirement_task(self._retirements)
         self._store = StoreTasks(
             self._clock,
             self._random,
@@ -267,6 +278,7 @@
             self._counters,
             self._quarantine_task.merge_record,
             self._dependency_task.merge_record,
+            self._retirements,
             self._quarantine_task.persist_all,
             self._lease,
         )
@@ -329,6 +341,7 @@
             self._membership,
             self._configuration,
             self._prober,
+            self._retirements,
             settings.relay.service,
             settings.upstream,
             self._counters,
@@ -398,6 +411,7 @@
             self._gate_report_task.tick()
             self._quarantine_task.tick()
             self._dependency_task.tick()
+            self._retirements.tick()
             self._account_tasks.tick()
             self._pool.heartbeat()
             self._upstream_monitor.tick()
@@ -459,6 +473,7 @@
     def _stop(self) -> None:
         self._quarantine_task.close()
         self._dependency_task.close()
+        self._retirements.close()
         self._store.close()
         self._gossip_task.close()
         for _, server in self._servers:
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -20,6 +20,7 @@
 from rattanfork_node.config.rules_watcher import RulesWatcher
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.join import JoinTask
+from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.telemetry import Counters
 
@@ -58,6 +59,8 @@
         Called with the quarantine records that nodes have persisted.
     on_dependencies : callable
         Called with the dependencies that nodes have persisted.
+    retirements : RetirementTask
+        Receives the retirements that nodes have persisted.
     persist_quarantine : callable
         Coroutine function that writes the quarantine to the store.
     lease : ConfigurationLease
@@ -78,6 +81,7 @@
         counters: Counters,
         on_quarantine: Callable[[object], None],
         on_dependencies: Callable[[object], None],
+        retirements: RetirementTask,
         persist_quarantine: Callable[[], Awaitable[None]],
         lease: ConfigurationLease,
     ) -> None:
@@ -87,7 +91,14 @@
             membership, "confirmation", _READERS_PER_DATA_CENTRE
         )
         self._join = JoinTask(
-            random, platform, membership, gossip_task, on_quarantine, on_dependencies
+            random,
+            platform,
+            membership,
+            gossip_task,
+            on_quarantine,
+            on_dependencies,
+            retirements.merge_record,
+            retirements.on_joined,
         )
         self._configuration_task = ConfigurationTask(
             clock,
@@ -137,7 +148,7 @@
             store_readers,
             membership,
             rules,
-            persist_quarantine,
+            (retirements.persist_all, persist_quarantine),
             counters,
         )
         membership.cached_versions = self._cached_versions
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -3,11 +3,13 @@
 import asyncio
 from random import Random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from rattanfork_core.announcements import Announcement
 from rattanfork_core.clock import ManualClock
 from rattanfork_core.membership import Membership
+from rattanfork_core.retirement import Retirement
 from rattanfork_core.routes import Configuration, ServiceConfig
 from rattanfork_node.app import upstream_monitor
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
@@ -30,15 +32,36 @@
         return self.answer
 
 
+class FakeRetirements:
+    """Retirements that are kept for as long as the test runs."""
+
+    def __init__(self) -> None:
+        self.known = True
+        self.own: list[Retirement] = []
+        self.on_learned = None
+
+    def retire(self, upstream: str, born: int) -> None:
+        self.own.append(Retirement("me", upstream, born))
+
+    def has_retired(self, upstream: str) -> bool:
+        return any(entry.upstream == upstream for entry in self.own)
+
+    def learn(self) -> None:
+        """Complete the start of a process."""
+        self.known = True
+        self.on_learned()
+
+
 class MonitorHarness:
     """A newly started upstream monitor with a closed gate."""
 
-    def __init__(self) -> None:
+    def __init__(self, retirements: FakeRetirements | None = None) -> None:
         self.clock = ManualClock(100.0)
         self.gate = GateHarness().gate
         self.gate.detach()
         self.gate._upstream = None
         self.prober = FakeProber()
+        self.retirements = retirements or FakeRetirements()
         self.waiting: list = []
         holder = ConfigurationHolder(
             lambda _: Configuration(1, (), {"s": ServiceConfig("/health", 9)})
@@ -51,6 +74,7 @@
             self.membership,
             holder,
             self.prober,
+            self.retirements,
             "s",
             ("127.0.0.1", 1),
             Counters(),
@@ -211,6 +235,49 @@
     assert harness.serving == "i1"
 
 
+@pytest.mark.parametrize("kept", [True, False])
+def test_started_process_keeps_the_retirements_of_its_predecessor(kept):
+    """Guards against a late announcement at a process that has just started.
+
+    It may come before or after the process has read what its predecessors retired.
+    """
+    retirements = FakeRetirements()
+    MonitorHarness(retirements).announce("i1", 7, leaving=True, born=1000)
+    retirements.known = False
+    harness = MonitorHarness(retirements)
+    if kept:
+        retirements.learn()
+    harness.announce("i1", 6, born=1000)
+    harness.probe("i1")
+    assert harness.serving is None
+    retirements.learn()
+    assert harness.serving is None
+    harness.probe("i1")
+    assert harness.serving is None
+    harness.announce("i1", 1, born=2000)
+    assert harness.serving == "i1"
+
+
+def test_announced_upstream_is_attached_as_soon_as_retirements_are_known():
+    """Guards against an upstream that waits for its next announcement."""
+    retirements = FakeRetirements()
+    retirements.known = False
+    harness = MonitorHarness(retirements)
+    harness.announce("i1", 1)
+    assert harness.serving is None
+    retirements.learn()
+    assert harness.serving == "i1"
+
+
+def test_retirement_that_is_learned_late_detaches_its_upstream():
+    """Guards against a process that heard of other nodes before the store answered."""
+    harness = MonitorHarness()
+    harness.announce("i1", 1, born=1000)
+    harness.retirements.retire("i1", 1000)
+    harness.retirements.learn()
+    assert harness.serving is None
+
+
 def test_upstream_of_another_service_is_not_attached():
     """Guards against requests being executed by an upstream of another service."""
     harness = MonitorHarness()
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -8,6 +8,7 @@
 
 from rattanfork_node.app.prober import UpstreamProber
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.relay import Gate
 from rattanfork_node.relay.upstream import Upstream
 from rattanfork_node.telemetry import Counters, log_change
@@ -18,6 +19,9 @@
 _DEFAULT_SLOTS = 64
 #: Seconds between two probes of an upstream that is not identified yet.
 _PROBE_INTERVAL_S = 0.4
+#: Seconds for which an acknowledgement of leaving waits for the store.  Upstreams
+#: ignore acknowledgements that take a second.
+_ACKNOWLEDGE_WITHIN_S = 0.8
 #: Seconds between two log lines on ignored announcements.
 _IGNORED_LOG_INTERVAL_S = 1.0
 
@@ -33,8 +37,10 @@
     attaches an upstream that has announced its leaving, since the probe may have been
     answered before that announcement.
 
-    An upstream may also state in its responses that it leaves.  It is then detached,
-    and later announcements of the same incarnation do not attach it again.
+    An upstream may also state in its responses that it leaves.  However it states
+    that, it is detached at once and for good.  An announcement of it is acknowledged
+    once the store holds it, and a process that has just started attaches no upstream
+    before it knows which of them its predecessors have retired.
 
     Parameters
     ==========
@@ -49,6 +55,8 @@
         Configuration with the upstream's connection limit and probe path.
     prober : UpstreamProber
         Probes the upstream for its ID.
+    retirements : RetirementTask
+        Keeps the incarnations that have stated that they leave.
     service : str
         Service of the upstream.
     address : pair
@@ -66,6 +74,7 @@
         membership: Membership,
         configuration: ConfigurationHolder,
         prober: UpstreamProber,
+        retirements: RetirementTask,
         service: str,
         address: tuple[str, int],
         counters: Counters,
@@ -76,6 +85,7 @@
         self._membership = membership
         self._configuration = configuration
         self._prober = prober
+        self._retirements = retirements
         self._service = service
         self._address = address
         self._counters = counters
@@ -88,6 +98,7 @@
         self._next_probe = 0.0
         self._last_slots = 0
         gate.advertised.on_leaving = self._on_leaving_stated
+        retirements.on_learned = self._on_retirements_learned
 
     def on_announcement(self, announcement: Announcement) -> bool:
         """Handle an announcement of the upstream.
@@ -110,14 +121,10 @@
         elif announcement.leaving:
             self._detach("leaving", upstream)
         else:
-            self._last_slots = announcement.slots
-            self._attach(
-                announcement.upstream,
-                announcement.slots,
-                announcement.born,
-                source="announcement",
-                sequence=announcement.sequence,
-            )
+            self._attach_announced(announcement)
+        if announcement.leaving or self._retirements.has_retired(upstream):
+            # A late announcement may state a start that was unknown.
+            self._retire(upstream)
         return True
 
     def on_leave(self, upstream: str, born: int | None = None) -> None:
@@ -127,6 +134,18 @@
             self._is_attached(upstream) and self._tracker.is_retired(upstream)
         ):
             self._detach("left", upstream)
+        self._retire(upstream)
+
+    def acknowledge_leaving(self, upstream: str, done: Callable[[bool], None]) -> None:
+        """Call ``done`` with whether the store holds that an upstream leaves.
+
+        It is called at once if that is known, and within a second in any case.
+        """
+        born = self._tracker.retired_start(upstream)
+        if self._retirements.is_stored(upstream, born):
+            done(True)
+        else:
+            self._spawn(self._acknowledge(upstream, born, done))
 
     def close(self) -> None:
         """Attach no upstream from now on, since this node leaves."""
@@ -140,6 +159,8 @@
         )
         if not probe_needed or configuration is None or self._probing or self._closed:
             return
+        if not self._retirements.known:
+            return
         if self._clock.now() < self._next_probe:
             return
         service = configuration.services.get(self._service)
@@ -167,9 +188,51 @@
 
     def _on_leaving_stated(self, upstream: Upstream) -> None:
         self._tracker.retire(upstream.name, upstream.born)
+        self._retire(upstream.name)
         self._gate.detach()
         self._membership.update_me(ready=False)
 
+    def _retire(self, upstream: str) -> None:
+        self._retirements.retire(upstream, self._tracker.retired_start(upstream))
+
+    async def _acknowledge(
+        self, upstream: str, born: int, done: Callable[[bool], None]
+    ) -> None:
+        began_at = self._clock.now()
+        stored = await self._retirements.wait_stored(
+            upstream, born, _ACKNOWLEDGE_WITHIN_S
+        )
+        log_change(
+            "leaving_acknowledged" if stored else "leaving_not_acknowledged",
+            upstream=upstream,
+            born=born,
+            waited_ms=round((self._clock.now() - began_at) * 1000, 1),
+        )
+        done(stored)
+
+    def _on_retirements_learned(self) -> None:
+        for retired in self._retirements.own:
+            self._tracker.retire(retired.upstream, retired.born or None)
+        attached = self._gate.upstream
+        if attached is not None and self._tracker.is_retired(attached.name):
+            self._detach("retired", attached.name)
+        announced = self._tracker.current
+        if announced is not None and not announced.leaving:
+            self._attach_announced(announced)
+
+    def _attach_announced(self, announcement: Announcement) -> None:
+        """Attach an announced upstream, once all retirements are known."""
+        if not self._retirements.known:
+            return
+        self._last_slots = announcement.slots
+        self._attach(
+            announcement.upstream,
+            announcement.slots,
+            announcement.born,
+            source="announcement",
+            sequence=announcement.sequence,
+        )
+
     def _is_attached(self, name: str) -> bool:
         upstream = self._gate.upstream
         return upstream is not None and upstream.name == name
--- a/packages/rattanfork-node/rattanfork_node/config/restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/restore_task.py
@@ -35,8 +35,8 @@
     ===========
 
     A store that is restored from a backup starts a new era.  The operator and
-    the upstreams rewrite their own rows.  Member records, accepted rules and the
-    quarantine were written by nodes, which may not contact the store again for
+    the upstreams rewrite their own rows.  Member records, accepted rules, retirements
+    and the quarantine were written by nodes, which may not contact the store again for
     hours, so a few readers rewrite them for all from their local state.
     Conditional writes keep them from overwriting newer rows.
 
@@ -53,8 +53,8 @@
         Membership view of this node.
     rules : RevisionState
         The rules in force.
-    persist_quarantine : callable
-        Coroutine function that writes the quarantine to the store.
+    persist_first : tuple of callable
+        Coroutine functions that write the retirements and the quarantine to the store.
     counters : Counters
         Event counters.
     """
@@ -66,7 +66,7 @@
         readers: RoleAssignment,
         membership: Membership,
         rules: RevisionState,
-        persist_quarantine: Callable[[], Awaitable[None]],
+        persist_first: tuple[Callable[[], Awaitable[None]], ...],
         counters: Counters,
     ) -> None:
         self._random = random
@@ -74,7 +74,7 @@
         self._readers = readers
         self._membership = membership
         self._rules = rules
-        self._persist_quarantine = persist_quarantine
+        self._persist_first = persist_first
         self._counters = counters
         self._era = 0
         self._task: asyncio.Task | None = None
@@ -106,9 +106,10 @@
         delay = _MIN_RETRY_DELAY_S
         while self._platform.era == era:
             try:
-                # The quarantine is written first: if all nodes terminate now, only
-                # the stored copy protects the upstreams.
-                await self._persist_quarantine()
+                # These are written first: if all nodes terminate now, only the stored
+                # copies protect the upstreams.
+                for persist in self._persist_first:
+                    await persist()
                 members = await self._write_missing_records()
                 rules = await self._write_rules()
             except PlatformDownError:
--- a/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/test_restore_task.py
@@ -94,7 +94,7 @@
             RoleAssignment(self.membership, "confirmation", readers),
             self.membership,
             self.rules,
-            self.persist_quarantine,
+            (self.persist_quarantine,),
             self.counters,
         )
 
--- a/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
@@ -15,6 +15,7 @@
     GossipUpdate,
     Member,
     Membership,
+    RetirementUpdate,
     Send,
     SyncSchedule,
     decode_gossip,
@@ -97,6 +98,8 @@
         self.on_gate_reports: Callable[[ReportsByService], None] = _ignore
         #: Called with crash reports from other nodes.
         self.on_crash_update: Callable[[CrashUpdate], None] = _ignore
+        #: Called with retirements of upstreams from other nodes.
+        self.on_retirement_update: Callable[[RetirementUpdate], None] = _ignore
 
     @property
     def sent_bytes(self) -> int:
@@ -150,6 +153,9 @@
         if isinstance(message, CrashUpdate):
             self.on_crash_update(message)
             return
+        if isinstance(message, RetirementUpdate):
+            self.on_retirement_update(message)
+            return
         direct = self.direct_handlers.get(type(message))
         if direct is not None:
             direct(message, addr)
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -13,6 +13,7 @@
     DEPENDENCIES_ROW,
     MEMBERS_TABLE,
     QUARANTINE_PREFIX,
+    RETIREMENT_PREFIX,
     decode_record,
     record_key,
 )
@@ -27,6 +28,10 @@
     pass
 
 
+def _do_nothing() -> None:
+    pass
+
+
 class JoinTask:
     """Writes the record of this node to the store, then reads those of others.
 
@@ -55,6 +60,10 @@
         Receives the value of each quarantine row.
     on_dependencies : callable
         Receives the value of the row of dependencies.
+    on_retirement : callable
+        Receives the value of each row of a retirement.
+    on_joined : callable
+        Called once this node is recorded and has read all rows.
     """
 
     def __init__(
@@ -65,6 +74,8 @@
         gossip_task: GossipTask,
         on_quarantine: Callable[[object], None] = _ignore,
         on_dependencies: Callable[[object], None] = _ignore,
+        on_retirement: Callable[[object], None] = _ignore,
+        on_joined: Callable[[], None] = _do_nothing,
     ) -> None:
         self._random = random
         self._platform = platform
@@ -72,6 +83,8 @@
         self._gossip_task = gossip_task
         self._on_quarantine = on_quarantine
         self._on_dependencies = on_dependencies
+        self._on_retirement = on_retirement
+        self._on_joined = on_joined
         self._task: asyncio.Task | None = None
         self._joined = False
 
@@ -115,6 +128,7 @@
                 await asyncio.sleep(delay * self._random.uniform(0.7, 1.3))
                 delay = min(_MAX_RETRY_DELAY_S, 2 * delay)
         log_change("joined", members=len(self._membership.members))
+        self._on_joined()
 
     def _apply_rows(self, rows: Rows) -> None:
         me = self._membership.me
@@ -124,6 +138,9 @@
                 if key.startswith(QUARANTINE_PREFIX):
                     self._on_quarantine(orjson.loads(row.value))
                     continue
+                if key.startswith(RETIREMENT_PREFIX):
+                    self._on_retirement(orjson.loads(row.value))
+                    continue
                 if key == DEPENDENCIES_ROW:
                     self._on_dependencies(orjson.loads(row.value))
                     continue
--- a/packages/rattanfork-node/rattanfork_node/member/records.py
+++ b/packages/rattanfork-node/rattanfork_node/member/records.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable, Mapping
 
 import orjson
+from rattanfork_core.hashing import hash64
 from rattanfork_core.membership import Member, MemberStatus
+from rattanfork_core.retirement import Retirement
 from rattanfork_platform import Row
 
 #: Table of the rows that nodes read at start-up.
@@ -12,6 +14,9 @@
 #: one scan at start-up returns both.
 QUARANTINE_PREFIX = "quarantine:"
 
+#: Key prefix of the rows of retirements, which share the table for the same reason.
+RETIREMENT_PREFIX = "retired:"
+
 #: Key of the row with the services that each operation calls, in the same table.
 DEPENDENCIES_ROW = "dependencies"
 
@@ -31,6 +36,16 @@
     return f"{MEMBERS_TABLE}/{QUARANTINE_PREFIX}{instance}"
 
 
+def retirement_key(retirement: Retirement) -> str:
+    """Return the key of the row of a retirement.
+
+    Each has a row of its own, so that a write which the store performs late, after its
+    call was given up, can't replace a newer one.
+    """
+    name = hash64(f"{retirement.upstream}|{retirement.born}")
+    return f"{MEMBERS_TABLE}/{RETIREMENT_PREFIX}{retirement.instance}:{name:016x}"
+
+
 def decode_record(value: bytes) -> Member:
     """Decode a member record.
 
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -36,6 +36,12 @@
     encode_message,
 )
 from rattanfork_node.peer.pool import PeerPool
+from rattanfork_node.peer.retirement_messages import (
+    PersistReply,
+    PersistRequest,
+    RetirementsReply,
+    RetirementsRequest,
+)
 from rattanfork_node.peer.rules import rules_reply
 
 __all__ = [
@@ -58,9 +64,13 @@
     "PeerHandler",
     "PeerLink",
     "PeerPool",
+    "PersistReply",
+    "PersistRequest",
     "Ping",
     "Pong",
     "Reply",
+    "RetirementsReply",
+    "RetirementsRequest",
     "RulesReply",
     "RulesRequest",
     "Run",
--- a/packages/rattanfork-node/rattanfork_node/peer/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/handler.py
@@ -15,6 +15,10 @@
     Run,
     SyncRequest,
 )
+from rattanfork_node.peer.retirement_messages import (
+    PersistRequest,
+    RetirementsRequest,
+)
 
 if TYPE_CHECKING:
     from rattanfork_node.peer.link import PeerLink
@@ -39,6 +43,14 @@
         """Reply with the cached configuration."""
         raise FrameError("this node does not serve configurations")
 
+    def on_retirements(self, link: "PeerLink", request: RetirementsRequest) -> None:
+        """Reply with the known retirements of upstreams."""
+        raise FrameError("this node does not keep retirements")
+
+    def on_persist(self, link: "PeerLink", request: PersistRequest) -> None:
+        """Write a retirement to the store and reply with the result."""
+        raise FrameError("this node does not keep retirements")
+
     @abstractmethod
     def on_cancel(self, link: "PeerLink", number: int) -> None:
         """Cancel the call or run with this number."""
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -35,6 +35,10 @@
     decode_message,
     encode_message,
 )
+from rattanfork_node.peer.retirement_messages import (
+    PersistRequest,
+    RetirementsRequest,
+)
 
 #: Receive buffer until the peer has proved that it has the shared key.
 _HANDSHAKE_BUFFER_BYTES = 2048
@@ -349,6 +353,10 @@
             handler.on_epoch(self, message)
         elif isinstance(message, ConfigurationRequest):
             handler.on_configuration(self, message)
+        elif isinstance(message, RetirementsRequest):
+            handler.on_retirements(self, message)
+        elif isinstance(message, PersistRequest):
+            handler.on_persist(self, message)
         else:
             raise FrameError(f"{type(message).__name__}: not a request")
 
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -11,12 +11,21 @@
 from rattanfork_core.advertised.report import NO_LIMIT
 
 from rattanfork_node.peer.errors import FrameError
+from rattanfork_node.peer.retirement_messages import (
+    PersistReply,
+    PersistRequest,
+    RetirementsReply,
+    RetirementsRequest,
+)
 
 PROTOCOL_VERSION = 4
-#: Optional fields that a node understands: 1 adds the reports on upstreams to runs and
-#: their replies.  Nodes exchange their levels in pings, so that a node of a lower level
-#: never gets a field that it would reject.
-MESSAGE_LEVEL = 1
+#: Optional fields and messages that a node understands: 1 adds the reports on
+#: upstreams to runs and their replies, 2 the messages on retirements.  Nodes exchange
+#: their levels in pings, so that a node of a lower level never gets what it would
+#: reject.
+MESSAGE_LEVEL = 2
+#: Lowest level of a node that understands the messages on retirements.
+RETIREMENTS_LEVEL = 2
 #: Maximum characters of a header, a path or the ID of an upstream.
 _MAX_TEXT_LENGTH = 16_384
 _MAX_HEADERS = 200
@@ -305,6 +314,10 @@
     | RunReply
     | ConfigurationRequest
     | ConfigurationReply
+    | RetirementsRequest
+    | RetirementsReply
+    | PersistRequest
+    | PersistReply
 )
 
 #: Messages that reply to a request by its number.
@@ -317,6 +330,8 @@
     BurnReply,
     EpochReply,
     ConfigurationReply,
+    RetirementsReply,
+    PersistReply,
 )
 
 _KINDS: tuple[type, ...] = Message.__args__
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -23,6 +23,7 @@
     decode_message,
     encode_message,
 )
+from rattanfork_node.peer.messages import MESSAGE_LEVEL
 
 CALL = Call(
     1, "b", "get", "GET", "/get", [["A", "b"]], b"", "r", "c", 2, 2.5, 900, 1, "", True
@@ -264,7 +265,7 @@
     pair.deliver()
     near, far = pair.links
     assert near._ready.done()
-    assert (near.peer_level, far.peer_level) == (1, 1)
+    assert (near.peer_level, far.peer_level) == (MESSAGE_LEVEL, MESSAGE_LEVEL)
 
 
 @on_event_loop
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -1,6 +1,10 @@
 """Route path: handles messages from other nodes."""
 
+from __future__ import annotations
+
+import asyncio
 from functools import partial
+from typing import TYPE_CHECKING
 
 from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.clock import Clock
@@ -22,6 +26,9 @@
     FenceReply,
     FrameError,
     PeerLink,
+    PersistReply,
+    PersistRequest,
+    RetirementsRequest,
     Run,
     RunReply,
 )
@@ -29,6 +36,9 @@
 from rattanfork_node.relay.job import Job
 from rattanfork_node.telemetry import Counters
 
+if TYPE_CHECKING:
+    from rattanfork_node.member.retirement_task import RetirementTask
+
 
 class RelayPeerHandler(BasePeerHandler):
     """Handles runs, cancels, fences and configuration requests from peer nodes.
@@ -60,6 +70,12 @@
         self._clock = clock
         self._gate = gate
         self._configuration = configuration
+        self._retirements: RetirementTask | None = None
+        self._background: set[asyncio.Task] = set()
+
+    def set_retirement_task(self, retirements: RetirementTask) -> None:
+        """Set the task that keeps retirements, which is created after this handler."""
+        self._retirements = retirements
 
     def on_run(self, link: PeerLink, run: Run) -> None:
         """Submit a run to the gate."""
@@ -124,6 +140,16 @@
         document = holder.document if newer else b""
         link.send(ConfigurationReply(request.number, holder.version, document))
 
+    def on_retirements(self, link: PeerLink, request: RetirementsRequest) -> None:
+        """Reply with the retirements that this node knows."""
+        link.send(self._retirements.reply(request.number))
+
+    def on_persist(self, link: PeerLink, request: PersistRequest) -> None:
+        """Write a retirement to the store, and reply whether it is stored."""
+        task = asyncio.ensure_future(self._persist(link, request))
+        self._background.add(task)
+        task.add_done_callback(self._background.discard)
+
     def on_closed(self, link: PeerLink) -> None:
         """Cancel the runs received over a link that was closed."""
         super().on_closed(link)
@@ -144,6 +170,14 @@
         """Reject requests for key epochs: keys are not issued here."""
         raise FrameError("keys are not issued by a routing node")
 
+    async def _persist(self, link: PeerLink, request: PersistRequest) -> None:
+        try:
+            stored = await self._retirements.write_for_peer(request)
+        except ValueError as error:
+            self.on_bad_frame(str(error))
+            stored = False
+        link.send(PersistReply(request.number, stored))
+
     def _reply(
         self, link: PeerLink, number: int, operation: str, result: CallResult
     ) -> None:
