Let the soak's workers leave in all published ways, and kill their nodes then

The soak missed the incident: its workers never deregistered, never said ready late, refused probes from the first moment of leaving, and no node was killed between an acknowledged leaving and the end of its worker. Now workers drain or deregister, half of them respond as healthy meanwhile, an earlier announcement arrives late, they serve for seconds, and their node, or all nodes, are killed within 0.5 s of the acknowledgement.

--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -8,7 +8,8 @@
 - ``unasked``: workers get only requests that were sent, unaltered, with the
   client account and without the key.
 - ``lost``: a draining node responds to requests that a worker has run.
-- ``drain``: no request arrives at a worker after its draining was acknowledged.
+- ``drain``: no request arrives at a worker after its leaving was acknowledged, by
+  whatever processes its node has had since.
 - ``leaving``: no request arrives at a worker from a node that has forwarded its
   statement that it leaves.
 - ``limit``: a worker gets no more requests than the rate limit that it advertises.
@@ -32,7 +33,7 @@
 #: Statuses that guarantee that the request did not run and never will.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _UNAUTHENTICATED = 401
-#: Time after an acknowledged draining in which requests may still arrive, plus an
+#: Time after an acknowledged leaving in which requests may still arrive, plus an
 #: allowance for scheduling delays of the soak process.
 _DRAIN_LIMIT_S = 2.0 + 0.3
 #: Excess over the route's timeout from which a response is late.  The soak process
--- a/packages/rattanfork-soak/rattanfork_soak/environment.py
+++ b/packages/rattanfork-soak/rattanfork_soak/environment.py
@@ -11,7 +11,7 @@
 
 from rattanfork_soak.keys import ACCOUNT_NAME, KeyRing
 from rattanfork_soak.site import Site
-from rattanfork_soak.worker import SoakWorker
+from rattanfork_soak.worker import Departure, SoakWorker
 
 #: Time until a worker that a request crashed is restarted.
 _RESTART_DELAY_S = 1.0
@@ -34,6 +34,16 @@
 #: time for which such a worker serves after it has stated so.
 _LEAVING_INTERVAL_S = (3.0, 8.0)
 _LEAVING_TIME_S = (2.5, 5.0)
+#: Bounds of the time between two workers whose node is killed once it has acknowledged
+#: that they leave, of the time until then, of that until a late announcement, and of
+#: the time for which such a worker serves.
+_KILLED_LEAVING_INTERVAL_S = (0.5, 3.0)
+_KILL_DELAY_S = (0.0, 0.5)
+_LATENESS_S = (0.0, 2.0)
+_LONG_SERVING_TIME_S = (3.0, 7.0)
+#: Share of these kills that all nodes get, and of workers that hide that they leave.
+_KILL_ALL_SHARE = 0.3
+_HIDING_SHARE = 0.5
 #: Timeout of requests, in the configuration of each route.
 ROUTE_TIMEOUT_S = 2.0
 
@@ -175,6 +185,48 @@
                 site.worker.crash()
                 await site.worker.start()
 
+    async def kill_after_leaving(self, random: Random, until: float) -> None:
+        """Kill nodes that have acknowledged that their worker leaves, until a time.
+
+        The worker goes on serving, may respond as healthy, and an announcement as ready
+        that it sent before arrives late.
+        """
+        while self.now() < until:
+            await asyncio.sleep(random.uniform(*_KILLED_LEAVING_INTERVAL_S))
+            site = random.choice(self.sites)
+            departure = random.choice(list(Departure))
+            hides = random.random() < _HIDING_SHARE
+            all_killed = random.random() < _KILL_ALL_SHARE
+            kill_delay = random.uniform(*_KILL_DELAY_S)
+            lateness = random.uniform(*_LATENESS_S)
+            serving_time = random.uniform(*_LONG_SERVING_TIME_S)
+            if self.worker_lock(site).locked():
+                continue
+            async with self.worker_lock(site):
+                site.worker.hides_leaving = hides
+                await site.worker.leave(departure)
+                await asyncio.sleep(kill_delay)
+                await self._kill_nodes(self.sites if all_killed else [site])
+                await asyncio.sleep(lateness)
+                await site.announce_late()
+                await asyncio.sleep(serving_time)
+                site.record_disturbance()
+                site.worker.crash()
+                await site.worker.start()
+
+    async def _kill_nodes(self, sites: list[Site]) -> None:
+        """Kill and restart those of some nodes that no fault has locked."""
+        free = [site for site in sites if not self.node_lock(site).locked()]
+        await asyncio.gather(*map(self.kill_and_restart, free))
+
+    async def kill_and_restart(self, site: Site, down_time: float = 0.0) -> None:
+        """Kill a node and start it again."""
+        async with self.node_lock(site):
+            site.kill()
+            await asyncio.sleep(down_time)
+            await site.restart()
+            site.record_disturbance()
+
     async def change_configuration(self, keys: list[str] | None = None) -> None:
         """Write the next version of the configuration, with ``keys`` if given."""
         self.version += 1
--- a/packages/rattanfork-soak/rattanfork_soak/faults.py
+++ b/packages/rattanfork-soak/rattanfork_soak/faults.py
@@ -121,7 +121,7 @@
     async def inject(self) -> None:
         """Drain, stop and restart the worker."""
         async with self.environment.worker_lock(self.site):
-            await self.site.worker.drain()
+            await self.site.worker.leave()
             await asyncio.sleep(_DRAIN_TIME_S + self.seconds)
             self.site.record_disturbance()
             self.site.worker.crash()
@@ -133,11 +133,7 @@
 
     async def inject(self) -> None:
         """Kill and restart the node."""
-        async with self.environment.node_lock(self.site):
-            self.site.kill()
-            await self.wait()
-            await self.site.restart()
-            self.site.record_disturbance()
+        await self.environment.kill_and_restart(self.site, self.seconds)
 
 
 class NodePause(Fault):
@@ -187,14 +183,9 @@
             for p in self.environment.sites
             if not self.environment.node_lock(p).locked()
         ]
-        await asyncio.gather(*map(self._crash_node, free))
-
-    async def _crash_node(self, site: Site) -> None:
-        async with self.environment.node_lock(site):
-            site.kill()
-            await self.wait()
-            await site.restart()
-            site.record_disturbance()
+        await asyncio.gather(
+            *(self.environment.kill_and_restart(site, self.seconds) for site in free)
+        )
 
 
 class RestartsUnderFailure(PowerLoss):
--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -75,6 +75,7 @@
             self.name, proxied_worker, self.store_link, folder, ports, bounds
         )
         self.worker.announce = self._announce
+        self.worker.deregister = self._deregister
         await self._node.spawn()
 
     @property
@@ -181,6 +182,16 @@
         self._node.worker.name = self.worker.name
         return await self._node.announce(state, _ANNOUNCED_SLOTS)
 
+    async def announce_late(self) -> None:
+        """Deliver an announcement as ready that was sent before the last message."""
+        await self._node.announce(
+            "ready", _ANNOUNCED_SLOTS, sequence=self._node.sequence - 1
+        )
+
+    async def _deregister(self) -> int | None:
+        self._node.worker.name = self.worker.name
+        return await self._node.deregister()
+
     def _record_interruption(self) -> None:
         self.record_disturbance()
         self.interrupted_at = self.now()
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -134,6 +134,9 @@
             environment.rotate_keys(Random(self._seed + 2)),
             environment.advertise_limits(Random(self._seed + 3)),
             environment.state_leaving(Random(self._seed + 4)),
+            environment.kill_after_leaving(
+                Random(self._seed + 6), self._settings.seconds
+            ),
             self._review_forever(environment, checks),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -36,6 +36,17 @@
     """Announce to nobody, as long as the node is not started."""
 
 
+async def _ignore_deregistration() -> None:
+    """Deregister nowhere, as long as the node is not started."""
+
+
+class Departure(Enum):
+    """How a worker tells its node that it leaves."""
+
+    DRAINS = "announces draining"
+    DEREGISTERS = "deregisters without an announcement"
+
+
 class WorkerFault(Enum):
     """Malfunction of a worker."""
 
@@ -87,7 +98,11 @@
         self.address = ("127.0.0.1", 0)
         #: Announces a state to the node; returns the status of the response.
         self.announce: Callable[[str], Awaitable[int | None]] = _ignore_announcement
-        #: When the node acknowledged the draining of an incarnation, by its ID.
+        #: Deregisters the worker at the node; returns the status of the response.
+        self.deregister: Callable[[], Awaitable[int | None]] = _ignore_deregistration
+        #: Whether it responds 200 to health probes though it leaves.
+        self.hides_leaving = False
+        #: When the node acknowledged the leaving of an incarnation, by its ID.
         self.drained_at: dict[str, float] = {}
         #: What the worker advertises in its responses, and all that it ever did.
         self.advertised: Advertisement | None = None
@@ -123,7 +138,7 @@
         """Start a new incarnation at the same address."""
         self.stop_advertising()
         self._number += 1
-        self._draining = False
+        self._draining = self.hides_leaving = False
         self.crashed_at = None
         server = web.Server(self._handle, access_log=None)
         loop = asyncio.get_running_loop()
@@ -131,17 +146,21 @@
         self.address = self._listener.sockets[0].getsockname()[:2]
         self._tasks = [asyncio.ensure_future(self._announce_forever(self.name))]
 
-    async def drain(self) -> None:
-        """Announce draining until the node acknowledges it."""
+    async def leave(self, departure: Departure = Departure.DRAINS) -> None:
+        """State leaving until the node acknowledges it."""
         self._draining = True
         name = self.name
-        while (
-            self.name == name
-            and await self.announce("draining") != _ACKNOWLEDGED_STATUS
+        while self.name == name and await self._state_leaving(departure) != (
+            _ACKNOWLEDGED_STATUS
         ):
             await asyncio.sleep(0.1)
         self.drained_at.setdefault(name, self._now())
 
+    async def _state_leaving(self, departure: Departure) -> int | None:
+        if departure is Departure.DEREGISTERS:
+            return await self.deregister()
+        return await self.announce("draining")
+
     def crash(self) -> None:
         """Stop listening and abort all connections without draining."""
         self._listener.close()
@@ -176,7 +195,8 @@
             return web.Response()
         identity = {INSTANCE: self.name}
         if request.path == "/health":
-            return web.Response(status=503 if self._draining else 200, headers=identity)
+            leaving = self._draining and not self.hides_leaving
+            return web.Response(status=503 if leaving else 200, headers=identity)
         request_id = request.headers[REQUEST_ID]
         self.received.append((request_id, self._now()))
         if request.headers.get(EXPECTED) != self.name:
