Compare a restorable store with a few nodes before it is believed

A store that is restored from an older copy may have lost the row of a retirement while other nodes still know it. Where the store states eras, a node that has read it now also asks up to three others, one after the other, and goes on with the first complete table, after all have replied, or after 0.3 s.

--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -27,11 +27,11 @@
 #: each node that hears of it for the first time.
 _FIRST_FANOUT = 8
 _FANOUT = 4
-#: Members whose complete tables stand for the store while it does not answer.  One may
-#: have missed a datagram.
+#: Members whose complete tables stand for the store while it does not answer, as one
+#: may have missed a datagram.  It is also the number asked at once.
 _COMPLETE_REPLIES = 3
-#: Seconds for which a node that has read a store which can be restored from an older
-#: copy waits for the table of one other node.
+#: Seconds after which a node that has read a store which can be restored from an older
+#: copy waits no longer for the table of one other node.
 _CONFIRM_WITHIN_S = 0.3
 #: Seconds for a request to a peer, connecting included.
 _PEER_TIMEOUT_S = 0.6
@@ -55,7 +55,7 @@
 
     A node that the store does not answer lets a peer write for it.  A store that can be
     restored from an older copy may have lost a row, so that a node which has read it
-    also waits for the table of one other node, for a short time.
+    also asks for the table of one other node, for a short time.
 
     Parameters
     ==========
@@ -101,6 +101,8 @@
         self._read_at: float | None = None
         #: Members that have replied with a complete table.
         self._replied: set[str] = set()
+        #: Whether a few members have been asked, whatever they replied.
+        self._confirmed = False
         self._background: set[asyncio.Task] = set()
         self._asking = False
         #: Called when retirements of this instance have been learned from others, and
@@ -169,10 +171,9 @@
         self._check_known()
         if self._known or self._asking:
             return
-        others = [m for m in self._other_members() if m.name not in self._replied]
-        if others:
+        if self._other_members():
             self._asking = True
-            self._spawn(self._ask_for_table(self._random.choice(others)))
+            self._spawn(self._ask_for_tables())
 
     def reply(self, number: int) -> RetirementsReply:
         """Return the reply to a peer that has just started."""
@@ -231,8 +232,8 @@
         others = len(self._other_members())
         if self._read_at is not None:
             waited = self._clock.now() - self._read_at
-            confirmed = self._replied or not others or waited >= _CONFIRM_WITHIN_S
-            if confirmed or not self._platform.era:
+            confirmed = self._confirmed or self._replied or not others
+            if confirmed or not self._platform.era or waited >= _CONFIRM_WITHIN_S:
                 self._set_known("store")
         elif others and len(self._replied) >= min(_COMPLETE_REPLIES, others):
             self._set_known("peers")
@@ -253,6 +254,21 @@
         me = self._membership.me.name
         return [m for m in self._membership.present() if m.name != me]
 
+    async def _ask_for_tables(self) -> None:
+        """Ask members, in random order, until enough of them have replied."""
+        others = [m for m in self._other_members() if m.name not in self._replied]
+        self._random.shuffle(others)
+        try:
+            for member in others[:_COMPLETE_REPLIES]:
+                await self._ask_for_table(member)
+                self._check_known()
+                if self._known:
+                    return
+            self._confirmed |= bool(others)
+        finally:
+            self._asking = False
+        self._check_known()
+
     async def _ask_for_table(self, member: Member) -> None:
         try:
             link = await self._link_to(member)
@@ -262,13 +278,11 @@
                 link.ask(RetirementsRequest(link.next_number()))
             )
             self._merge([Retirement.from_fields(r) for r in reply.retirements])
-            if reply.complete:
-                self._replied.add(member.name)
         except (LinkLostError, TimeoutError, ValueError):
             self._counters.events["retirement.peer-lost"] += 1
-        finally:
-            self._asking = False
-            self._check_known()
+            return
+        if reply.complete:
+            self._replied.add(member.name)
 
     async def _ask_to_write(self, retirement: Retirement) -> bool:
         """Let a random peer write a retirement; return whether the store holds it."""
--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -9,7 +9,8 @@
   client account and without the key.
 - ``lost``: a draining node responds to requests that a worker has run.
 - ``drain``: no request arrives at a worker after its leaving was acknowledged, by
-  whatever processes its node has had since.
+  whatever processes its node has had since; unless the store was restored from a copy
+  without it and all nodes were restarted, so that nothing remembers it.
 - ``leaving``: no request arrives at a worker from a node that has forwarded its
   statement that it leaves.
 - ``limit``: a worker gets no more requests than the rate limit that it advertises.
@@ -22,7 +23,7 @@
 - ``process``: no node exits unless it is stopped.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from rattanfork_soak.keys import ACCOUNT_NAME, KeyRing
 from rattanfork_soak.record import Record
@@ -49,6 +50,10 @@
 _MIN_SERVED_SHARE = 0.9
 
 
+def _never(acknowledged_at: float) -> bool:
+    return False
+
+
 class Checks:
     """Collects violations of invariants.
 
@@ -61,15 +66,23 @@
         Timeout of routes in seconds; None disables the check of response times.
     keys : KeyRing
         The keys of all clients.
+    is_forgotten : callable
+        Returns whether neither the store nor a node can remember what was
+        acknowledged at a time.
     """
 
     def __init__(
-        self, workers: list[SoakWorker], timeout: float | None, keys: KeyRing
+        self,
+        workers: list[SoakWorker],
+        timeout: float | None,
+        keys: KeyRing,
+        is_forgotten: Callable[[float], bool] = _never,
     ) -> None:
         self.violations: list[Violation] = []
         self._workers = workers
         self._timeout = timeout
         self._keys = keys
+        self._is_forgotten = is_forgotten
         self._records: dict[str, Record] = {}
         self._runs: dict[str, list[Arrival]] = {}
         self._reviewed = [0] * len(workers)
@@ -174,7 +187,11 @@
         if arrival.has_key or arrival.account != ACCOUNT_NAME:
             self._add_violation("unasked", arrival.at, f"{arrival}")
         drained_at = worker.drained_at.get(arrival.incarnation)
-        if drained_at is not None and arrival.at > drained_at + _DRAIN_LIMIT_S:
+        if (
+            drained_at is not None
+            and arrival.at > drained_at + _DRAIN_LIMIT_S
+            and not self._is_forgotten(drained_at)
+        ):
             text = (
                 f"{arrival}, {arrival.at - drained_at:.2f} s after the acknowledgement"
             )
--- a/packages/rattanfork-soak/rattanfork_soak/environment.py
+++ b/packages/rattanfork-soak/rattanfork_soak/environment.py
@@ -73,7 +73,8 @@
     ) -> None:
         self.store = FakeStore()
         self.version = 0
-        self.restores = 0
+        #: When the store was restored from an older backup, in seconds of the soak.
+        self.restored_at: list[float] = []
         self._started_at = monotonic()
         self._restart_delay = restart_delay
         self.keys = KeyRing(self.now)
@@ -94,6 +95,16 @@
         """Return seconds since the start of the soak."""
         return monotonic() - self._started_at
 
+    def is_forgotten(self, acknowledged_at: float) -> bool:
+        """Return whether nothing can remember what was acknowledged at a time.
+
+        A backup without it was restored, and no node runs that ran at the time.
+        """
+        restored = any(at >= acknowledged_at for at in self.restored_at)
+        return restored and all(
+            site.started_at > acknowledged_at for site in self.sites
+        )
+
     def node_lock(self, site: Site) -> asyncio.Lock:
         """Return the lock to hold while a node is stopped and started."""
         return self._node_locks[site.name]
@@ -141,7 +152,7 @@
         while True:
             await asyncio.sleep(random.uniform(*_RESTORE_INTERVAL_S))
             self.store.restore(random.randint(1, _MAX_LOST_WRITES))
-            self.restores += 1
+            self.restored_at.append(self.now())
             await asyncio.sleep(random.uniform(*_REWRITE_DELAY_S))
             await self.store.put("op", "config", self._configuration())
 
--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -98,6 +98,11 @@
         """Exit status of a node that exited without being stopped; None otherwise."""
         return None if self._exit_expected else self._node.process.returncode
 
+    @property
+    def started_at(self) -> float:
+        """When the node's process was started again; minus infinity before."""
+        return self._started_at
+
     @property
     def stable(self) -> bool:
         """Whether no start, stop, pause or fault has affected the node for a while."""
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -89,7 +89,7 @@
         environment = Environment(self._folder, self._settings.nodes, self._random)
         timeout = ROUTE_TIMEOUT_S if self._settings.check_times else None
         workers = [site.worker for site in environment.sites]
-        checks = Checks(workers, timeout, environment.keys)
+        checks = Checks(workers, timeout, environment.keys, environment.is_forgotten)
         try:
             await environment.start()
             self._start_tasks(environment, checks)
