--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -115,7 +115,8 @@
         upstream = announcement.upstream
         if not self._tracker.accept(announcement):
             self._counters.events["announcement.late"] += 1
-            self._log_ignored(announcement)
+            if not announcement.leaving:
+                self._log_ignored(announcement)
             if self._is_attached(upstream) and self._tracker.is_retired(upstream):
                 self._detach("leaving", upstream)
         elif announcement.leaving:
@@ -282,6 +283,5 @@
             upstream=announcement.upstream,
             sequence=announcement.sequence,
             born=announcement.born,
-            leaving=announcement.leaving,
             retired=self._tracker.is_retired(announcement.upstream),
         )
