Attach an upstream again that a late announcement replaced

Found while asking what a process that has just started may believe: it hears of its upstream first and then gets a late announcement of the predecessor, which had crashed before. That looked like one of a successor; the running upstream was retired, all its later announcements were rejected, and it got no requests until its node was restarted. Requests for the predecessor are refused with 421 by whoever is at the address, which starts a probe; if that names the upstream that was succeeded last, and it has not left, it is current again.

test_late_announcement_of_a_predecessor_does_not_replace_an_upstream_for_good failed before and passes; a leaving still holds (three cases).

--- a/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
@@ -72,6 +72,10 @@
             self._by_upstream.popitem(last=False)
         return True
 
+    def remove(self, upstream: str) -> None:
+        """Forget an ID that was retired by mistake."""
+        self._by_upstream.pop(upstream, None)
+
     def includes(self, upstream: str) -> bool:
         """Return whether an incarnation of this ID has been retired."""
         return upstream in self._by_upstream
--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -49,6 +49,8 @@
     def __init__(self, clock: Clock) -> None:
         self._current: Announcement | None = None
         self._retired = RetiredIncarnations(clock)
+        #: The last upstream that was succeeded without having stated that it leaves.
+        self._succeeded: Announcement | None = None
 
     @property
     def current(self) -> Announcement | None:
@@ -61,6 +63,8 @@
         One that states leaving retires its incarnation in any case.
         """
         name, born = announcement.upstream, announcement.born
+        if announcement.leaving:
+            self._forget_succeeded(name)
         if self._retired.rejects(name, born):
             return False
         if announcement.leaving:
@@ -74,10 +78,32 @@
                 # It may be a late one of a predecessor.
                 return False
             else:
-                self._retired.add(current.upstream, current.born)
+                self._succeed(current)
         self._current = announcement
         return True
 
+    def reinstate(self, upstream: str) -> bool:
+        """Make the upstream that was succeeded last the current one again.
+
+        A late announcement of its predecessor looks like one of a successor to a
+        process that has not heard of the predecessor.  Call this when the address of
+        both has shown who is there.
+
+        Returns
+        =======
+
+        bool
+            False if another upstream was succeeded last, or it has left.
+        """
+        succeeded = self._succeeded
+        if succeeded is None or succeeded.upstream != upstream:
+            return False
+        self._retired.remove(upstream)
+        if self._current is not None:
+            self._succeed(self._current)
+        self._current = succeeded
+        return True
+
     def retire(self, upstream: str, born: int | None = None) -> bool:
         """Record that an incarnation has left; return whether it was the current one.
 
@@ -90,6 +116,7 @@
             Start of the incarnation; None for the known one, if the upstream does not
             state it.
         """
+        self._forget_succeeded(upstream)
         current = self._current
         if current is None or current.upstream != upstream:
             self._retired.add(upstream, born or 0)
@@ -114,3 +141,12 @@
     def retired_start(self, upstream: str) -> int:
         """Return the latest retired start of an ID; 0 if unknown."""
         return self._retired.start_of(upstream)
+
+    def _succeed(self, current: Announcement) -> None:
+        left = self.is_retired(current.upstream)
+        self._succeeded = None if left else current
+        self._retired.add(current.upstream, current.born)
+
+    def _forget_succeeded(self, upstream: str) -> None:
+        if self._succeeded is not None and self._succeeded.upstream == upstream:
+            self._succeeded = None
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -286,6 +286,40 @@
     assert harness.serving is None
 
 
+def test_late_announcement_of_a_predecessor_does_not_replace_an_upstream_for_good():
+    """Guards against a running upstream whose announcements are all rejected.
+
+    The process heard of it first; its predecessor had crashed before.  Requests for the
+    predecessor are refused with 421, and a probe of the address shows who is there.
+    """
+    harness = MonitorHarness()
+    harness.announce("i2", 3)
+    harness.announce("i1", 9)
+    harness.gate.misdirected = True
+    harness.probe("i2")
+    assert harness.serving == "i2"
+    harness.announce("i1", 8)
+    harness.announce("i2", 4)
+    assert harness.serving == "i2"
+
+
+@pytest.mark.parametrize("leaves", ["before", "after", "deregisters"])
+def test_upstream_that_left_is_not_attached_because_another_is_gone(leaves):
+    """Guards against a probe that reverts an acknowledged leaving."""
+    harness = MonitorHarness()
+    harness.announce("i2", 3)
+    if leaves == "before":
+        harness.announce("i2", 4, leaving=True)
+    harness.announce("i1", 9)
+    if leaves == "after":
+        harness.announce("i2", 4, leaving=True)
+    elif leaves == "deregisters":
+        harness.monitor.on_leave("i2")
+    harness.gate.misdirected = True
+    harness.probe("i2")
+    assert harness.serving != "i2"
+
+
 def test_log_states_what_attached_an_upstream(monkeypatch):
     """Guards against an attachment whose evidence no log line tells."""
     lines = []
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -174,7 +174,12 @@
         name = await self._prober.ask(path)
         self._probing = False
         self._next_probe = self._clock.now() + _PROBE_INTERVAL_S
-        if name is None or self._tracker.is_retired(name):
+        if name is None:
+            return
+        if self._gate.misdirected and self._tracker.reinstate(name):
+            self._attach_announced(self._tracker.current)
+            return
+        if self._tracker.is_retired(name):
             return
         current = self._tracker.current
         other_announced = current is not None and current.upstream != name
