Let the property of leavings restart the node, and health lie

The property on the order of announcements, leavings and probes had neither a new process nor a health response that is wrong.

--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -342,7 +342,12 @@
 LEAVES_AT = 4
 EVENTS = st.lists(
     st.tuples(
-        st.sampled_from(["announcement", "gone", "probe", "unanswered"]),
+        st.sampled_from(
+            [
+                *("announcement", "gone", "probe", "unanswered", "lying probe"),
+                *("misdirected", "restart", "restart", "learned"),
+            ]
+        ),
         st.sampled_from(["i1", "i2", "i3"]),
         st.integers(1, 6),
     ),
@@ -354,8 +359,9 @@
 def test_upstream_gets_no_requests_after_acknowledged_leaving(events):
     """Announcements are delayed, repeated and reordered, with probes in between.
 
-    After the node has acknowledged that an upstream leaves or is gone, no later event
-    may attach it.
+    The node's process is replaced at any time; a leaving upstream may respond as
+    healthy.  After the node has acknowledged that an upstream leaves or is gone, no
+    later event may attach it.
     """
     harness = MonitorHarness()
     left: set[str] = set()
@@ -368,6 +374,17 @@
         elif kind == "gone":
             harness.monitor.on_leave(name)
             left.add(name)
+        elif kind == "misdirected":
+            harness.gate.misdirected = True
+        elif kind == "restart":
+            harness.retirements.known = False
+            harness = MonitorHarness(harness.retirements)
+            if sequence < LEAVES_AT:
+                harness.retirements.learn()
+        elif kind == "learned":
+            harness.retirements.learn()
+        elif kind == "lying probe":
+            harness.probe(name)
         else:
             # A leaving upstream refuses probes.
             harness.probe(name if kind == "probe" and name not in left else None)
