--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -4,6 +4,7 @@
 from collections import Counter, deque
 from types import SimpleNamespace
 
+import orjson
 from rattanfork_core.membership import Member
 from rattanfork_core.revision import RulesRecord
 from rattanfork_platform import (
@@ -111,6 +112,16 @@
             raise PlatformDownError("store unreachable")
 
 
+def encode_rows(platform: FakePlatform) -> None:
+    """Make the fake store rows as bytes, as the real store does."""
+    put = platform.put
+
+    def put_encoded(table, key, value):
+        put(table, key, value if isinstance(value, bytes) else orjson.dumps(value))
+
+    platform.put = put_encoded
+
+
 class FakePeers:
     """Connection pool in which every address leads to the same peer."""
 
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
@@ -3,10 +3,14 @@
 import asyncio
 from random import Random
 
-import orjson
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Membership
-from rattanfork_node.config.tests.fakes import FakePlatform, member, wait_until
+from rattanfork_node.config.tests.fakes import (
+    FakePlatform,
+    encode_rows,
+    member,
+    wait_until,
+)
 from rattanfork_node.member.join import JoinTask
 
 
@@ -29,16 +33,6 @@
         self.count += 1
 
 
-def encode_rows(platform: FakePlatform) -> None:
-    """Make the fake store rows as bytes, as the real store does."""
-    put = platform.put
-
-    def put_encoded(table, key, value):
-        put(table, key, value if isinstance(value, bytes) else orjson.dumps(value))
-
-    platform.put = put_encoded
-
-
 def test_one_of_two_concurrently_starting_nodes_finds_the_other():
     """Guards against pairs of concurrently starting nodes that miss each other.
 
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -4,12 +4,16 @@
 from random import Random
 from types import SimpleNamespace
 
-import orjson
 import pytest
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Membership, RetirementUpdate
 from rattanfork_core.retirement import Retirement
-from rattanfork_node.config.tests.fakes import FakePlatform, member, wait_until
+from rattanfork_node.config.tests.fakes import (
+    FakePlatform,
+    encode_rows,
+    member,
+    wait_until,
+)
 from rattanfork_node.member.join import JoinTask
 from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.peer import PersistRequest
@@ -47,7 +51,7 @@
         self.fleet = fleet
         self.platform = FakePlatform()
         self.platform.tables = fleet.tables
-        self.encode_rows()
+        encode_rows(self.platform)
         self.membership = Membership(MonotonicClock(), Random(1), member(name))
         self.gossip = FakeGossipTask(self)
         self.level = 2
@@ -69,15 +73,6 @@
             on_joined=self.task.on_joined,
         )
 
-    def encode_rows(self) -> None:
-        """Make the fake store return rows as bytes, as the real one does."""
-        put = self.platform.put
-
-        def put_encoded(table, key, value):
-            put(table, key, value if isinstance(value, bytes) else orjson.dumps(value))
-
-        self.platform.put = put_encoded
-
     def meet(self, *others: "FakeNode") -> None:
         """Make others known to this node; their peer ports number them from 1."""
         for other in others:
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -10,6 +10,15 @@
 import msgpack
 from rattanfork_core.advertised.report import NO_LIMIT
 
+from rattanfork_node.peer.call_messages import (
+    BurnReply,
+    BurnRequest,
+    Call,
+    EpochReply,
+    EpochRequest,
+    FenceKey,
+    Reply,
+)
 from rattanfork_node.peer.errors import FrameError
 from rattanfork_node.peer.retirement_messages import (
     PersistReply,
@@ -56,52 +65,6 @@
     proof: bytes
 
 
-class Call(NamedTuple):
-    """Request of the call path, to be run at the receiver's upstream.
-
-    ``boot`` is the incarnation of the call gate that it is meant for, ``rank``
-    its place in the order of shedding (higher ranks are shed first),
-    ``attempts`` the retries granted to its child calls, and ``key`` its idempotency
-    key or "".
-    """
-
-    number: int
-    boot: str
-    operation: str
-    method: str
-    path: str
-    headers: list
-    body: bytes
-    request_id: str
-    caller: str
-    importance: int
-    rank: float
-    time_left_ms: int
-    attempts: int
-    key: str
-    idempotent: bool
-
-
-class Reply(NamedTuple):
-    """Result of a call, with the state of the call gate.
-
-    ``cut`` is the rank from which the gate sheds, ``epoch`` its key epoch, and
-    ``unused_attempts`` the granted retries that were not used.
-    """
-
-    number: int
-    outcome: int
-    reason: int
-    status: int
-    headers: list
-    body: bytes
-    unused_attempts: int
-    retry_elsewhere: bool
-    retry_after: int
-    cut: float
-    epoch: int
-
-
 class Run(NamedTuple):
     """Request of the route path, to be run at the receiver's upstream.
 
@@ -196,13 +159,6 @@
     calls: list
 
 
-class FenceKey(NamedTuple):
-    """Fences an idempotency key: it is no longer handed to the upstream."""
-
-    number: int
-    key: str
-
-
 class FenceReply(NamedTuple):
     """Verdict on each fenced request, or on the key.
 
@@ -214,19 +170,6 @@
     verdicts: list
 
 
-class EpochRequest(NamedTuple):
-    """Requests the call gate's current key epoch."""
-
-    number: int
-
-
-class EpochReply(NamedTuple):
-    """The call gate's current key epoch."""
-
-    number: int
-    epoch: int
-
-
 class Ping(NamedTuple):
     """Checks that the peer answers; the number is the sender's message level."""
 
@@ -277,19 +220,6 @@
     members: list
 
 
-class BurnRequest(NamedTuple):
-    """Requests a node's totals for the burn report."""
-
-    number: int
-
-
-class BurnReply(NamedTuple):
-    """Service, importance, rule, and good and bad requests for each window."""
-
-    number: int
-    totals: list
-
-
 Message = (
     Challenge
     | Hello
