Do not take an upstream for a predecessor that an earlier process retired

Found on reading the change: a retirement with an unknown start that is learned from the store says nothing of when it was made. An upstream that had come back with its ID, hours ago, could have been retired for good by a restart of its node: the first announcement within 2 s of the start would have made its own start the retired one, and that would have been stored. Learned retirements no longer count as just made, so such an upstream waits 10 s at most, once; when it is accepted, its start bounds the retired one, which is stored.

--- a/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
@@ -37,6 +37,7 @@
     while that still serves, which makes the start known.  Later it may be a late one or
     one of a successor: it is rejected until it is too old to be late, or until two
     different starts have been announced, of which the later one is the successor's.
+    Either makes a bound of the retired start known.
 
     Parameters
     ==========
@@ -61,12 +62,26 @@
         self._clock = clock
         self._by_upstream: OrderedDict[str, _Retired] = OrderedDict()
 
-    def add(self, upstream: str, born: int) -> bool:
-        """Retire an incarnation; return whether that was not known yet."""
+    def add(self, upstream: str, born: int, serves: bool = True) -> bool:
+        """Retire an incarnation; return whether that was not known yet.
+
+        Parameters
+        ==========
+
+        upstream : str
+            ID of the upstream.
+        born : int
+            Its start in Unix milliseconds; 0 if unknown.
+        serves : bool
+            Whether it has stated its leaving just now, so that it still serves.
+        """
         known = self._by_upstream.get(upstream)
         if known is not None and born <= known.born:
             return False
-        self._by_upstream[upstream] = _Retired(born, self._clock.now())
+        now = self._clock.now()
+        self._by_upstream[upstream] = _Retired(
+            born, now if serves else now - _SERVING_S
+        )
         self._by_upstream.move_to_end(upstream)
         if len(self._by_upstream) > _MAX_UPSTREAMS:
             self._by_upstream.popitem(last=False)
@@ -112,4 +127,8 @@
             retired.born = min(born, retired.announced)
             return born == retired.born
         retired.announced = born
-        return age < _MAX_LATENESS_S
+        if age < _MAX_LATENESS_S:
+            return True
+        # The retired one started before this one, whenever that was.
+        retired.born = born - 1
+        return False
--- a/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
@@ -65,6 +65,34 @@
     assert tracker.accept(announce("a", 1, born=2000))
 
 
+def test_running_upstream_is_not_taken_for_a_predecessor_of_an_earlier_process():
+    """Guards against an upstream that is retired for good after a restart of its node.
+
+    It has the ID of one that had left before, whose start was not known.
+    """
+    clock = ManualClock()
+    tracker = AnnouncementTracker(clock)
+    tracker.accept(announce("a", 5, born=2000))
+    tracker.restore("a", 0)
+    assert not tracker.accept(announce("a", 6, born=2000))
+    clock.advance(11.0)
+    assert tracker.accept(announce("a", 7, born=2000))
+    tracker.restore("a", 0)
+    assert tracker.accept(announce("a", 8, born=2000))
+    restarted = AnnouncementTracker(clock)
+    restarted.restore("a", tracker.retired_start("a"))
+    assert restarted.accept(announce("a", 9, born=2000))
+
+
+def test_restored_retirement_applies_to_what_was_announced_before_it():
+    """Guards against a late announcement that comes before the store has answered."""
+    tracker = AnnouncementTracker(ManualClock())
+    tracker.accept(announce("a", 5, born=1000))
+    tracker.restore("a", 1000)
+    assert tracker.current is None
+    assert not tracker.accept(announce("a", 6, born=1000))
+
+
 def test_successor_of_an_upstream_with_unknown_start_is_accepted():
     """Guards against an upstream that is taken for its predecessor for good."""
     clock = ManualClock()
--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -129,6 +129,27 @@
         self._current = None
         return True
 
+    def restore(self, upstream: str, born: int) -> None:
+        """Record a retirement that an earlier process or another node has recorded.
+
+        Parameters
+        ==========
+
+        upstream : str
+            ID of the upstream.
+        born : int
+            Start of the incarnation; 0 if unknown.
+        """
+        if self._retired.includes(upstream) and born <= self.retired_start(upstream):
+            return
+        self._forget_succeeded(upstream)
+        self._retired.add(upstream, born, serves=False)
+        current = self._current
+        if current is None or current.upstream != upstream:
+            return
+        if self._retired.rejects(upstream, current.born):
+            self._current = None
+
     def is_retired(self, upstream: str) -> bool:
         """Return whether the newest known incarnation of an ID has been retired."""
         if not self._retired.includes(upstream):
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -218,7 +218,7 @@
 
     def _on_retirements_learned(self) -> None:
         for retired in self._retirements.own:
-            self._tracker.retire(retired.upstream, retired.born or None)
+            self._tracker.restore(retired.upstream, retired.born)
         attached = self._gate.upstream
         if attached is not None and self._tracker.is_retired(attached.name):
             self._detach("retired", attached.name)
