Use the field's terms in the code on retirements; dispatch peer requests by table

Nodes receive updates and request tables. PeerLink chose the handler of a request by a chain of eleven type checks; it looks it up.

--- a/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
@@ -45,7 +45,7 @@
 def test_late_leaving_of_a_predecessor_does_not_retire_its_successor():
     """Guards against a running upstream that gets no requests.
 
-    The process heard of the successor first, as it started after the predecessor ended.
+    The process started after the predecessor had ended, so the successor is first.
     """
     tracker = AnnouncementTracker(ManualClock())
     tracker.accept(announce("new", 4))
--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -86,8 +86,8 @@
         """Make the upstream that was succeeded last the current one again.
 
         A late announcement of its predecessor looks like one of a successor to a
-        process that has not heard of the predecessor.  Call this when the address of
-        both has shown who is there.
+        process that started after the predecessor ended.  Call this when a probe has
+        identified the upstream at the address of both.
 
         Returns
         =======
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -270,7 +270,7 @@
 
 
 def test_retirement_that_is_learned_late_detaches_its_upstream():
-    """Guards against a process that heard of other nodes before the store answered."""
+    """Guards against a store that answers after the upstream was attached."""
     harness = MonitorHarness()
     harness.announce("i1", 1, born=1000)
     harness.retirements.retire("i1", 1000)
@@ -289,8 +289,8 @@
 def test_late_announcement_of_a_predecessor_does_not_replace_an_upstream_for_good():
     """Guards against a running upstream whose announcements are all rejected.
 
-    The process heard of it first; its predecessor had crashed before.  Requests for the
-    predecessor are refused with 421, and a probe of the address shows who is there.
+    Its announcement arrived first; its predecessor had crashed before.  Requests for
+    the predecessor are refused with 421, and a probe identifies the upstream there.
     """
     harness = MonitorHarness()
     harness.announce("i2", 3)
--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -24,14 +24,14 @@
 from rattanfork_node.telemetry import Counters, log_change
 
 #: Members to which each retirement is sent by the node beside the upstream, and by
-#: each node that hears of it for the first time.
+#: each node that receives it for the first time.
 _FIRST_FANOUT = 8
 _FANOUT = 4
 #: Members whose complete tables stand for the store while it does not answer, as one
-#: may have missed a datagram.  It is also the number asked at once.
+#: may have missed a datagram.  It is also the number requested in one round.
 _COMPLETE_REPLIES = 3
 #: Seconds after which a node that has read a store which can be restored from an older
-#: copy waits no longer for the table of one other node.
+#: copy attaches its upstream without the table of another node.
 _CONFIRM_WITHIN_S = 0.3
 #: Seconds for a request to a peer, connecting included.
 _PEER_TIMEOUT_S = 0.6
@@ -55,7 +55,7 @@
 
     A node that the store does not answer lets a peer write for it.  A store that can be
     restored from an older copy may have lost a row, so that a node which has read it
-    also asks for the table of one other node, for a short time.
+    also requests the table of one other node, for a short time.
 
     Parameters
     ==========
@@ -94,17 +94,17 @@
         self._pool = pool
         self._counters = counters
         self._table = RetirementTable()
-        self._writer = RetirementWriter(random, platform, self._ask_to_write, counters)
+        self._writer = RetirementWriter(random, platform, self._request_write, counters)
         self._started_at = clock.now()
         self._known = False
         #: When the store had been read; None before.
         self._read_at: float | None = None
         #: Members that have replied with a complete table.
         self._replied: set[str] = set()
-        #: Whether a few members have been asked, whatever they replied.
+        #: Whether a round of requests has ended, whatever the replies.
         self._confirmed = False
         self._background: set[asyncio.Task] = set()
-        self._asking = False
+        self._requesting = False
         #: Called when retirements of this instance have been learned from others, and
         #: when all of them are known.
         self.on_learned: Callable[[], None] = _ignore
@@ -165,15 +165,15 @@
             self._send(retirement, _FANOUT)
 
     def tick(self) -> None:
-        """Ask a peer for its table until all is known; call ten times a second."""
+        """Request tables of peers until all is known; call ten times a second."""
         if self._known:
             return
         self._check_known()
-        if self._known or self._asking:
+        if self._known or self._requesting:
             return
         if self._other_members():
-            self._asking = True
-            self._spawn(self._ask_for_tables())
+            self._requesting = True
+            self._spawn(self._request_tables())
 
     def reply(self, number: int) -> RetirementsReply:
         """Return the reply to a peer that has just started."""
@@ -254,22 +254,22 @@
         me = self._membership.me.name
         return [m for m in self._membership.present() if m.name != me]
 
-    async def _ask_for_tables(self) -> None:
-        """Ask members, in random order, until enough of them have replied."""
+    async def _request_tables(self) -> None:
+        """Request the tables of members, in random order, until enough have replied."""
         others = [m for m in self._other_members() if m.name not in self._replied]
         self._random.shuffle(others)
         try:
             for member in others[:_COMPLETE_REPLIES]:
-                await self._ask_for_table(member)
+                await self._request_table(member)
                 self._check_known()
                 if self._known:
                     return
             self._confirmed |= bool(others)
         finally:
-            self._asking = False
+            self._requesting = False
         self._check_known()
 
-    async def _ask_for_table(self, member: Member) -> None:
+    async def _request_table(self, member: Member) -> None:
         try:
             link = await self._link_to(member)
             if link is None:
@@ -284,7 +284,7 @@
         if reply.complete:
             self._replied.add(member.name)
 
-    async def _ask_to_write(self, retirement: Retirement) -> bool:
+    async def _request_write(self, retirement: Retirement) -> bool:
         """Let a random peer write a retirement; return whether the store holds it."""
         others = self._other_members()
         if not others:
--- a/packages/rattanfork-node/rattanfork_node/member/retirement_writer.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_writer.py
@@ -28,7 +28,7 @@
         Source of jitter.
     platform : WatchedPlatform
         The store.
-    ask_peer : callable
+    request_peer_write : callable
         Coroutine function that lets a peer write a retirement; returns whether the
         store holds it.
     counters : Counters
@@ -39,12 +39,12 @@
         self,
         random: Random,
         platform: WatchedPlatform,
-        ask_peer: Callable[[Retirement], Awaitable[bool]],
+        request_peer_write: Callable[[Retirement], Awaitable[bool]],
         counters: Counters,
     ) -> None:
         self._random = random
         self._platform = platform
-        self._ask_peer = ask_peer
+        self._request_peer_write = request_peer_write
         self._counters = counters
         self._stored = RetirementTable()
         self._tasks: dict[Retirement, asyncio.Task] = {}
@@ -123,7 +123,7 @@
         if own.done() and own.result():
             self._counters.events["retirement.stored"] += 1
             return True
-        attempts = (own, asyncio.ensure_future(self._ask_peer(retirement)))
+        attempts = (own, asyncio.ensure_future(self._request_peer_write(retirement)))
         try:
             for attempt in asyncio.as_completed(attempts):
                 if await attempt:
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -40,6 +40,20 @@
     RetirementsRequest,
 )
 
+#: Methods of :class:`PeerHandler`, by the type of the request that they handle.
+_HANDLER_METHODS: dict[type, str] = {
+    Run: "on_run",
+    Call: "on_call",
+    Fence: "on_fence",
+    FenceKey: "on_fence",
+    RulesRequest: "on_rules",
+    SyncRequest: "on_sync",
+    BurnRequest: "on_burn",
+    EpochRequest: "on_epoch",
+    ConfigurationRequest: "on_configuration",
+    RetirementsRequest: "on_retirements",
+    PersistRequest: "on_persist",
+}
 #: Receive buffer until the peer has proved that it has the shared key.
 _HANDSHAKE_BUFFER_BYTES = 2048
 #: Maximum bytes of a frame besides the body, such as headers.
@@ -334,31 +348,13 @@
             self._dispatch_request(message)
 
     def _dispatch_request(self, message: Message) -> None:
-        handler = self._handler
-        if isinstance(message, Run):
-            handler.on_run(self, message)
-        elif isinstance(message, Call):
-            handler.on_call(self, message)
-        elif isinstance(message, Cancel):
-            handler.on_cancel(self, message.number)
-        elif isinstance(message, Fence | FenceKey):
-            handler.on_fence(self, message)
-        elif isinstance(message, RulesRequest):
-            handler.on_rules(self, message)
-        elif isinstance(message, SyncRequest):
-            handler.on_sync(self, message)
-        elif isinstance(message, BurnRequest):
-            handler.on_burn(self, message)
-        elif isinstance(message, EpochRequest):
-            handler.on_epoch(self, message)
-        elif isinstance(message, ConfigurationRequest):
-            handler.on_configuration(self, message)
-        elif isinstance(message, RetirementsRequest):
-            handler.on_retirements(self, message)
-        elif isinstance(message, PersistRequest):
-            handler.on_persist(self, message)
-        else:
+        if isinstance(message, Cancel):
+            self._handler.on_cancel(self, message.number)
+            return
+        method = _HANDLER_METHODS.get(type(message))
+        if method is None:
             raise FrameError(f"{type(message).__name__}: not a request")
+        getattr(self._handler, method)(self, message)
 
     def _advance_handshake(self, message: Message) -> None:
         if self._is_client and isinstance(message, Challenge):
