--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -28,8 +28,10 @@
 _FIRST_FANOUT = 8
 _FANOUT = 4
 #: Members whose complete tables stand for the store while it does not answer, as one
-#: may have missed a datagram.  It is also the number requested in one round.
+#: may have missed a datagram.
 _COMPLETE_REPLIES = 3
+#: Members whose tables are requested at once, as some of them may have failed.
+_REQUESTS_IN_ROUND = 5
 #: Seconds after which a node that has read a store which can be restored from an older
 #: copy attaches its upstream without the table of another node.
 _CONFIRM_WITHIN_S = 0.3
@@ -99,8 +101,9 @@
         self._known = False
         #: When the store had been read; None before.
         self._read_at: float | None = None
-        #: Members that have replied with a complete table.
+        #: Members that have replied with a complete table, and those that have not.
         self._replied: set[str] = set()
+        self._requested: set[str] = set()
         #: Whether a round of requests has ended, whatever the replies.
         self._confirmed = False
         self._background: set[asyncio.Task] = set()
@@ -229,13 +232,16 @@
         self._gossip_task.send_to_random(RetirementUpdate((retirement,)), fanout)
 
     def _check_known(self) -> None:
-        others = len(self._other_members())
+        others = {member.name for member in self._other_members()}
         if self._read_at is not None:
             waited = self._clock.now() - self._read_at
             confirmed = self._confirmed or self._replied or not others
             if confirmed or not self._platform.era or waited >= _CONFIRM_WITHIN_S:
                 self._set_known("store")
-        elif others and len(self._replied) >= min(_COMPLETE_REPLIES, others):
+        elif self._replied and (
+            len(self._replied) >= _COMPLETE_REPLIES
+            or others <= self._requested | self._replied
+        ):
             self._set_known("peers")
 
     def _set_known(self, source: str) -> None:
@@ -255,17 +261,23 @@
         return [m for m in self._membership.present() if m.name != me]
 
     async def _request_tables(self) -> None:
-        """Request the tables of members, in random order, until enough have replied."""
+        """Request the tables of a few random members until enough have replied."""
         others = [m for m in self._other_members() if m.name not in self._replied]
         self._random.shuffle(others)
+        others.sort(key=lambda member: member.name in self._requested)
+        chosen = others[:_REQUESTS_IN_ROUND]
+        requests = [asyncio.ensure_future(self._request_table(m)) for m in chosen]
         try:
-            for member in others[:_COMPLETE_REPLIES]:
-                await self._request_table(member)
+            for reply in asyncio.as_completed(requests):
+                await reply
                 self._check_known()
                 if self._known:
                     return
-            self._confirmed |= bool(others)
+            self._confirmed |= bool(requests)
+            self._requested.update(member.name for member in chosen)
         finally:
+            for request in requests:
+                request.cancel()
             self._requesting = False
         self._check_known()
 
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -55,6 +55,8 @@
         self.membership = Membership(MonotonicClock(), Random(1), member(name))
         self.gossip = FakeGossipTask(self)
         self.level = 2
+        #: Whether it accepts requests without a response.
+        self.hangs = False
         self.task = RetirementTask(
             MonotonicClock(),
             Random(1),
@@ -88,6 +90,8 @@
 
     async def answer(self, request):
         """Reply as the peer handler does."""
+        if self.hangs:
+            await asyncio.sleep(60)
         if isinstance(request, PersistRequest):
             stored = await self.task.write_for_peer(request)
             return SimpleNamespace(stored=stored)
@@ -177,6 +181,31 @@
     assert node.task.own == [Retirement("n0", "u1", 1000)]
 
 
+@on_loop
+async def test_unreachable_peers_do_not_delay_the_start():
+    """Guards against a healthy upstream that waits for one time-out after the other."""
+    fleet = FakeFleet(6)
+    for node in fleet.nodes:
+        node.task.on_joined()
+    fleet.nodes[1].hangs = fleet.nodes[2].hangs = True
+    fleet.nodes[0].platform.down = True
+    node = fleet.restart(0)
+    node.meet(*fleet.nodes[1:])
+    await asyncio.wait_for(node.learn(), 0.5)
+
+
+@on_loop
+async def test_one_complete_table_is_enough_if_no_other_node_has_one():
+    """Guards against upstreams that stay unused as most nodes have just restarted."""
+    fleet = FakeFleet(8)
+    fleet.nodes[4].task.on_joined()
+    for node in fleet.nodes:
+        node.platform.down = True
+    node = fleet.nodes[0]
+    node.meet(*fleet.nodes[1:])
+    await asyncio.wait_for(node.learn(), 5.0)
+
+
 @on_loop
 async def test_peer_that_knows_nothing_itself_does_not_stand_for_the_store():
     """Guards against nodes that restart together and take silence for an answer."""
