Keep a learned retirement of an upstream that was succeeded by mistake

Found in the last reading: a retirement that was learned from the store for an upstream which a late announcement had just replaced was taken for known, and a probe could have made that upstream current again. test_restored_retirement_of_a_succeeded_upstream_holds failed before and passes.

--- a/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
@@ -84,6 +84,15 @@
     assert restarted.accept(announce("a", 9, born=2000))
 
 
+def test_restored_retirement_of_a_succeeded_upstream_holds():
+    """Guards against a leaving that a probe reverts after a late announcement."""
+    tracker = AnnouncementTracker(ManualClock())
+    tracker.accept(announce("new", 3, born=2000))
+    tracker.accept(announce("old", 9, born=1000))
+    tracker.restore("new", 2000)
+    assert not tracker.reinstate("new")
+
+
 def test_restored_retirement_applies_to_what_was_announced_before_it():
     """Guards against a late announcement that comes before the store has answered."""
     tracker = AnnouncementTracker(ManualClock())
--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -140,9 +140,9 @@
         born : int
             Start of the incarnation; 0 if unknown.
         """
+        self._forget_succeeded(upstream)
         if self._retired.includes(upstream) and born <= self.retired_start(upstream):
             return
-        self._forget_succeeded(upstream)
         self._retired.add(upstream, born, serves=False)
         current = self._current
         if current is None or current.upstream != upstream:
