--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,6 +23,8 @@
 #: The call of each run at its end; a call carries no key.
 FETCH = Kind("declaration-fetch", "GET", "declarations.example", "/fetch/", 0.0, 2.0)
 KILLS = 3
+#: The short delay after which the platform starts a killed process again.
+RESTART_S = 0.3
 
 
 async def play(trouble: bool) -> int:
@@ -60,6 +62,7 @@
             if trouble:
                 deployment.note("n1 is killed and started again")
                 await claims.node.kill()
+                await asyncio.sleep(RESTART_S)
                 await claims.node.start()
             await asyncio.sleep(6.0)
         await asyncio.gather(*sending)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -91,6 +91,7 @@
             Path(self._folder.name),
             self._bounds,
         )
+        worker.zone = node.zone
         site = Site(node, worker, Clients(node.name, node.outbound, self.random))
         self.sites.append(site)
         return site
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from base64 import b64encode
+from time import monotonic
 from urllib.parse import parse_qs, urlsplit
 
 from standins.http import read_message, render_response
@@ -58,7 +59,7 @@
             while (request := await read_message(reader, response=False)) is not None:
                 await asyncio.sleep(_ANSWER_S)
                 status, body = await self._handle(request.second, request.body)
-                data = {**body, "rowVersion": self.version, "nowS": 1.0}
+                data = {**body, "rowVersion": self.version, "nowS": monotonic()}
                 head = {"Content-Type": "application/json"}
                 writer.write(render_response(status, head, json.dumps(data).encode()))
                 await writer.drain()
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -79,6 +79,8 @@
         #: Address of its node for heartbeats.
         self.control: tuple[str, int] | None = None
         self.state = "ready"
+        #: Zone of its machine.
+        self.zone = "z1"
         #: Whether requests are read and never answered, while health probes are.
         self.hangs = False
         #: Makes the call of a run, given its ID and the time left; returns whether it
@@ -133,7 +135,7 @@
         body = {
             "service": self.service,
             "address": f"{self.address[0]}:{self.address[1]}",
-            "zone": "z1",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
@@ -181,11 +183,23 @@
             self._writers.discard(writer)
             writer.transport.abort()
 
+    async def _respond_health(self) -> tuple[int, dict[str, str], bytes]:
+        """Answer a probe, which waits for a slot or is rejected like any request."""
+        if self._free.locked() and self._waiting >= self._queue:
+            return 503, {NOT_RUN: "1"}, b""
+        self._waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self._waiting -= 1
+        self._free.release()
+        status = 200 if self.state == "ready" else 503
+        return status, {INSTANCE: self.name}, b""
+
     async def _respond(self, request: Message) -> tuple[int, dict[str, str], bytes]:
         headers = request.headers
         if request.second.startswith("/health"):
-            status = 200 if self.state == "ready" else 503
-            return status, {INSTANCE: self.name}, b""
+            return await self._respond_health()
         if headers.get(EXPECTED, self.name) != self.name:
             return 421, {INSTANCE: self.name}, b""
         if self.hangs:
