Log the response and the connection behind each result of a run

Cause: the record of a refusal that had run shows status 0 and 0.2 ms, and nothing of the upstream's answer, so the hypotheses on the incident could not be told apart: which status it had, whether it echoed an ID, and whether the connection had carried the request before.

Change: a run line has the number and the use count of its connection, the response's status and whether it echoed an ID, and how many responses were dropped while the request was pending; dropped responses are counted by cause. No decision changes.

Tests of relay and http1 pass; the new one failed before (no such field).

--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -251,6 +251,7 @@
                         self._captured,
                         self._on_idle,
                         self._on_closed,
+                        self._events,
                     ),
                     *self._address,
                 )
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -1,7 +1,9 @@
 """Client side of one HTTP/1.1 connection to an upstream."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
+from itertools import count
 from typing import NamedTuple
 
 import httptools
@@ -36,6 +38,8 @@
         are joined with commas.
     received_at : float
         When its head was received, in seconds of the clock.
+    echoes_id : bool
+        Whether it echoes the ID of its request.
     """
 
     status: int
@@ -43,6 +47,7 @@
     body: bytes
     headers: dict[bytes, bytes]
     received_at: float = 0.0
+    echoes_id: bool = False
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -70,8 +75,12 @@
         Called when the connection can be reused.
     on_closed : callable
         Called once, when the connection is aborted or closed.
+    events : collections.Counter, optional
+        Counts dropped responses as ``upstream.dropped.<cause>``.
     """
 
+    _numbers = count(1)
+
     def __init__(
         self,
         clock: Clock,
@@ -79,8 +88,10 @@
         captured: frozenset[bytes],
         on_idle: Callable[["UpstreamConnection"], None],
         on_closed: Callable[["UpstreamConnection"], None],
+        events: Counter[str] | None = None,
     ) -> None:
         self._clock = clock
+        self._events = Counter() if events is None else events
         self._id_name = id_name
         self._captured = captured
         self._on_idle = on_idle
@@ -98,6 +109,12 @@
         #: connection may be used again after it.
         self._completed = False
         self._reusable = False
+        #: Number of the connection, unique in this process.
+        self.number = next(self._numbers)
+        #: Requests sent on it, including the pending one.
+        self.uses = 0
+        #: Responses dropped while the last request was pending.
+        self.dropped = 0
         self.closed = False
         #: When the connection was opened, in seconds of the clock.
         self.opened_at = clock.now()
@@ -143,6 +160,8 @@
         self._request_id = request_id
         self._is_head = is_head
         self._received_data = False
+        self.uses += 1
+        self.dropped = 0
         self.sent_at = self._clock.now()
         self.idle_before = self.sent_at - self.idle_since
         self._transport.write(data)
@@ -187,6 +206,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; abort if none are expected or they are malformed."""
         if self._on_response is None:
+            self._events["upstream.dropped.not-awaited"] += 1
             self._transport.abort()
             return
         self._received_data = True
@@ -203,6 +223,7 @@
     def on_message_begin(self) -> None:
         """Start a new response."""
         if self._on_response is None:
+            self._events["upstream.dropped.not-awaited"] += 1
             self._unexpected = True
         self._reset()
 
@@ -268,8 +289,13 @@
     def _complete(self, reusable: bool) -> None:
         self._in_body = False
         mismatched = self._response_id and self._response_id != self._request_id
-        if self._on_response is None or (mismatched and reusable):
+        if self._on_response is None:
             return
+        if mismatched:
+            self._events["upstream.dropped.other-id"] += 1
+            self.dropped += 1
+            if reusable:
+                return
         on_response, self._on_response = self._on_response, None
         response = UpstreamResponse(
             self._status,
@@ -277,6 +303,7 @@
             b"".join(self._body),
             self._headers,
             self._received_at,
+            bool(self._response_id),
         )
         if mismatched:
             self._transport.abort()
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -206,9 +206,7 @@
         if job.retry is not None:
             fields["retry"] = job.retry.as_log_field()
         if job.connection is not None:
-            # How long it had been idle before the run; 0 for a new connection.
-            idle_ms = _milliseconds(job.connection.idle_before)
-            fields["connection_idle_ms"] = idle_ms
+            fields |= _exchange_with_upstream(job)
         if admission.rate_limit.value is not None:
             fields["rate_limit"] = admission.rate_limit.value
         self._log.write("run", job.request_id, fields)
@@ -220,6 +218,26 @@
         }
 
 
+def _exchange_with_upstream(job: Job) -> dict[str, object]:
+    """Return the fields on the connection and the response of an attempt.
+
+    The outcome alone does not show which response it was derived from.
+    """
+    connection, response = job.connection, job.response
+    fields: dict[str, object] = {
+        "connection": connection.number,
+        "connection_uses": connection.uses,
+        # How long it had been idle before the run; 0 for a new connection.
+        "connection_idle_ms": _milliseconds(connection.idle_before),
+    }
+    if connection.dropped:
+        fields["dropped_responses"] = connection.dropped
+    if response is not None:
+        fields["response_status"] = response.status
+        fields["response_echoes_id"] = response.echoes_id
+    return fields
+
+
 def _fair_share(exchange: Exchange) -> dict[str, object]:
     """Return the field about a fair rank; none if the rank is that of the hash."""
     fair = exchange.fair_share
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -449,6 +449,7 @@
             self.advertised.on_response(response)
         if job.ended:
             return
+        job.response = response
         result = result_from_response(job, response, self._not_run_name)
         self.misdirected |= result.reason is Reason.STALE_INSTANCE
         self._finish_run(job, result, result.outcome is Outcome.ANSWERED)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -7,7 +7,11 @@
 from rattanfork_core.budgets import RetryCharge, RetryDecision
 from rattanfork_core.request import CallResult
 
-from rattanfork_node.http1 import UpstreamConnection, fingerprint_of
+from rattanfork_node.http1 import (
+    UpstreamConnection,
+    UpstreamResponse,
+    fingerprint_of,
+)
 
 
 def _always_allowed() -> bool:
@@ -73,6 +77,9 @@
     body_bytes_held: int = 0
     waiter: Waiter | None = None
     connection: UpstreamConnection | None = None
+    #: The upstream's response, also if the result is that it did not run; None before
+    #: it arrived, and if the connection was lost.
+    response: UpstreamResponse | None = None
     #: Incarnation of the upstream that it was sent to, as the gate numbers them.
     incarnation: int = 0
     handed_over: bool = False
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -52,6 +52,8 @@
 
     def __init__(self) -> None:
         self.sent = b""
+        self.number = self.uses = 1
+        self.dropped = 0
         self.idle_before = 0.0
         self.done = None
         self.aborted = False
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
@@ -160,6 +160,23 @@
     assert "connection_idle_ms" not in refused
 
 
+@on_loop
+async def test_run_line_of_refusal_has_the_response_it_was_derived_from():
+    """Guards against refusals whose lines don't show which response was the proof.
+
+    A lost connection has no response.
+    """
+    harness = GateHarness(slots=2)
+    harness.submit("shed")
+    harness.submit("lost")
+    harness.answer(0, 503, rattanfork_not_run=b"1")
+    harness.pool.connections[1].done(None)
+    shed, lost = harness.log.lines
+    assert (shed["status"], shed["response_status"]) == (0, 503)
+    assert (shed["connection_uses"], shed["response_echoes_id"]) == (1, False)
+    assert "response_status" not in lost
+
+
 def test_run_line_of_retry_has_budget_before_the_decision():
     """A retry is granted, a second one denied, and a call of a retried run charged.
 
