--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -317,7 +317,7 @@
         self._leaving = True
 
     def tick(self) -> None:
-        """Update admission control; call every ``AdmissionController.TICK``."""
+        """Update admission control; call every ``AdmissionController.TICK_SECONDS``."""
         self._tracker.record_pending()
         self._apply_decisions(self._admission.tick())
 
