Take a rejection as proof only if it is the response to the attempt itself

Cause: a response was matched with the pending request by the ID that it echoes, and one without an ID with whatever was pending. All attempts at a request carry the caller's ID, so a second copy of the rejection of an earlier attempt, a few milliseconds late on the same connection, counted as the rejection of the attempt that was running.

Class: evidence that is not tied to the attempt that it is used for.

Change: a connection carries no second attempt at a request that it answered with an error; a response without an ID is dropped where responses on the connection have echoed IDs, and proves nothing elsewhere; trailer fields and several IDs identify nothing; a not-run header counts only with 400, 421, 429 and 503. An attempt that can't be proved is unknown: 502, or another attempt if it is idempotent.

--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -35,12 +35,15 @@
         Called with its connection.
     retryable : bool
         Whether the request may be sent again after a reset.
+    request_id : bytes
+        ID of the request; empty without one.
     timer : asyncio.TimerHandle, optional
         Opens a connection for it.
     """
 
     on_acquired: Callable[["UpstreamConnection | None"], None]
     retryable: bool
+    request_id: bytes
     timer: asyncio.TimerHandle | None = None
 
 
@@ -117,15 +120,17 @@
         self,
         on_acquired: Callable[[UpstreamConnection | None], None],
         retryable: bool = True,
+        request_id: bytes = b"",
     ) -> None:
         """Pass an idle or new connection to ``on_acquired``, or None if there is none.
 
         ``on_acquired`` is called before this method returns if a connection is idle.  A
         request that is not ``retryable`` gets a connection that was idle only
         briefly, or a new one: after a reset of a stale connection it would be
-        unknown whether the request was executed.
+        unknown whether the request was executed.  No connection carries two attempts
+        at a request with an ID, as their responses could not be told apart.
         """
-        connection = self._take_idle(retryable)
+        connection = self._take_idle(retryable, request_id)
         if connection is not None:
             on_acquired(connection)
             return
@@ -136,7 +141,7 @@
         if not delay:
             self._start_connecting(on_acquired, retryable)
             return
-        waiter = _Waiter(on_acquired, retryable)
+        waiter = _Waiter(on_acquired, retryable, request_id)
         loop = asyncio.get_running_loop()
         waiter.timer = loop.call_later(delay, self._stop_waiting, waiter)
         self._waiting.append(waiter)
@@ -180,17 +185,28 @@
         for connection in list(self._open):
             connection.abort()
 
-    def _take_idle(self, retryable: bool) -> UpstreamConnection | None:
+    def _take_idle(
+        self, retryable: bool, request_id: bytes
+    ) -> UpstreamConnection | None:
         now = self._clock.now()
         while self._idle and self._is_expired(self._idle[0], now):
             self._idle[0].abort(NewConnectionCause.IDLE_TOO_LONG)
-        index = choose_idle(self._idle, now, retryable, self._idle_limit)
+        candidates = self._idle
+        index = choose_idle(candidates, now, retryable, self._idle_limit)
+        if index is not None and not self._may_use(candidates[index], request_id):
+            candidates = [c for c in self._idle if self._may_use(c, request_id)]
+            index = choose_idle(candidates, now, retryable, self._idle_limit)
         if index is not None:
-            return self._idle.pop(index)
+            connection = candidates[index]
+            self._idle.remove(connection)
+            return connection
         if self._idle:
             self._evict_if_full()
         return None
 
+    def _may_use(self, connection: UpstreamConnection, request_id: bytes) -> bool:
+        return connection.usable and connection.may_carry(request_id)
+
     def _evict_if_full(self) -> None:
         """Close the longest idle connection if the pool is full."""
         if self._size >= self._max_connections:
@@ -213,7 +229,8 @@
     def _serve_waiting(self) -> None:
         """Pass idle connections to the requests that wait for one."""
         while self._waiting:
-            connection = self._take_idle(self._waiting[0].retryable)
+            first = self._waiting[0]
+            connection = self._take_idle(first.retryable, first.request_id)
             if connection is None:
                 return
             waiter = self._waiting.popleft()
@@ -258,7 +275,7 @@
         except (OSError, TimeoutError):
             self._events["connections.failed"] += 1
             return None
-        if connection.closed:
+        if not connection.usable:
             # Reset before it was returned: the pool has been notified already.
             self._events["connections.failed"] += 1
             return None
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import pytest
 from rattanfork_core.clock import ManualClock
 
 from rattanfork_node.http1 import UpstreamConnection, UpstreamPool
@@ -40,9 +41,11 @@
         self._on_idle(connection)
         return connection
 
-    def take(self, retryable: bool) -> UpstreamConnection | None:
+    def take(
+        self, retryable: bool, request_id: bytes = b""
+    ) -> UpstreamConnection | None:
         acquired: list = []
-        self.acquire(acquired.append, retryable)
+        self.acquire(acquired.append, retryable, request_id)
         return acquired[0] if acquired else None
 
 
@@ -139,3 +142,42 @@
     probe._reusable = True
     probe._release_or_close()
     assert pool.take(retryable=True) is kept[1]
+
+
+def answer_with_error(connection: UpstreamConnection, request_id: bytes) -> None:
+    connection.send(b"...", request_id, lambda _: None)
+    failed = response(request_id.decode()).replace(b"200 OK", b"503 Busy")
+    connection.data_received(failed)
+
+
+@pytest.mark.parametrize("retryable", [False, True])
+@on_loop
+def test_next_attempt_at_a_request_gets_a_connection_that_has_not_carried_it(retryable):
+    """Guards against a second copy of a rejection as the response to the next attempt.
+
+    Where each idle connection has carried the request, a new one is opened.
+    """
+    pool = FakePool()
+    pool.add_idle()
+    other = pool.add_idle()
+    used = pool.take(retryable)
+    answer_with_error(used, b"r1")
+    assert other is not used
+    assert pool.take(retryable, b"r2") is not None
+    assert pool.take(retryable, b"r1") is None
+    assert len(pool._connecting) == 1
+
+
+@on_loop
+def test_closing_connection_is_not_used():
+    """Guards against a request that is written to a connection that is being closed.
+
+    The transport is closed as soon as a reset is read; the connection learns of it in
+    the next iteration of the event loop.
+    """
+    pool = FakePool()
+    usable = pool.add_idle()
+    closing = pool.add_idle()
+    closing._transport.closed = True
+    assert pool.take(retryable=False) is usable
+    assert pool.take(retryable=False) is None
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
@@ -72,6 +72,95 @@
     assert [a.body for a in upstream.responses] == [b"ok", b"new"]
 
 
+def anonymous(body: str = "ok") -> bytes:
+    """Return a response that echoes no ID."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}"
+    return f"{head}\r\n\r\n{body}".encode()
+
+
+@on_loop
+def test_response_without_id_is_dropped_where_responses_echo_ids():
+    """Guards against a second response without an ID in place of the next response."""
+    upstream = Upstream()
+    upstream.send_request(b"r1")
+    upstream.receive(response("r1"))
+    upstream.send_request(b"r2")
+    upstream.receive(anonymous("extra") + response("r2", "new"))
+    assert [a.body for a in upstream.responses] == [b"ok", b"new"]
+    assert upstream.connection.dropped == 1
+
+
+@on_loop
+def test_response_without_id_is_delivered_unidentified_where_none_echoes_one():
+    """Guards against callers without responses where an upstream echoes no IDs."""
+    upstream = Upstream()
+    for request_id in (b"r1", b"r2"):
+        upstream.send_request(request_id)
+        upstream.receive(anonymous())
+    assert [a.is_identified for a in upstream.responses] == [False, False]
+
+
+@on_loop
+def test_response_to_request_without_id_is_identified_on_first_use_only():
+    upstream = Upstream()
+    for _ in range(2):
+        upstream.send_request(b"")
+        upstream.receive(anonymous())
+    assert [a.is_identified for a in upstream.responses] == [True, False]
+
+
+@on_loop
+def test_response_with_two_ids_belongs_to_no_request():
+    """Guards against a spoiled head that adds the ID of the pending request."""
+    upstream = Upstream()
+    upstream.send_request(b"r1")
+    upstream.receive(response("r2\r\nId: r1") + response("r1", "new"))
+    assert [a.body for a in upstream.responses] == [b"new"]
+
+
+@on_loop
+def test_trailer_fields_are_not_headers():
+    """Guards against a trailer that turns a response into another request's.
+
+    The same holds for one that states that a request has not been run.
+    """
+    upstream = Upstream()
+    upstream.connection._captured = frozenset((b"not-run",))
+    upstream.send_request(b"r1")
+    upstream.receive(
+        b"HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\nok\r\n0\r\nId: r2\r\nNot-Run: 1\r\n\r\n"
+    )
+    [received] = upstream.responses
+    assert received.is_identified
+    assert received.headers == {}
+    assert b"Not-Run" not in received.header_block
+
+
+@on_loop
+def test_connection_carries_no_second_attempt_at_a_request_answered_with_an_error():
+    """Guards against a copy of a rejection that is taken for the next attempt's."""
+    upstream = Upstream()
+    for request_id, status in (("served", 200), ("failed", 500)):
+        upstream.send_request(request_id.encode())
+        upstream.receive(response(request_id).replace(b"200", b"%d" % status))
+    assert upstream.connection.may_carry(b"served")
+    assert not upstream.connection.may_carry(b"failed")
+
+
+@on_loop
+def test_connection_is_closed_when_it_remembers_too_many_requests():
+    """Guards against memory that grows with the errors of an upstream."""
+    upstream = Upstream()
+    while not upstream.transport.closed:
+        upstream.idle.clear()
+        request_id = f"r{len(upstream.responses)}"
+        upstream.send_request(request_id.encode())
+        upstream.receive(response(request_id).replace(b"200", b"503"))
+    assert len(upstream.responses) == 128
+    assert upstream.idle == []
+
+
 @on_loop
 def test_unexpected_bytes_abort_the_connection():
     """An upstream sends more bytes after a complete response.
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -19,6 +19,11 @@
 _MIN_STALE_IDLE_S = 0.1
 #: Maximum size of a response body in bytes.
 _MAX_BODY_BYTES = 64 << 20
+#: Status from which a response may lead to another attempt at the same request.
+_MIN_ERROR_STATUS = 400
+#: Number of requests answered with an error after which a connection is closed.  It
+#: bounds the memory for their IDs.
+_MAX_ERROR_IDS = 128
 
 
 class UpstreamResponse(NamedTuple):
@@ -38,8 +43,9 @@
         are joined with commas.
     received_at : float
         When its head was received, in seconds of the clock.
-    echoes_id : bool
-        Whether it echoes the ID of its request.
+    is_identified : bool
+        Whether it is certainly the response to its request, and not one to another
+        request or to an earlier attempt.
     """
 
     status: int
@@ -47,7 +53,7 @@
     body: bytes
     headers: dict[bytes, bytes]
     received_at: float = 0.0
-    echoes_id: bool = False
+    is_identified: bool = True
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -57,9 +63,16 @@
     ===========
 
     An upstream may send a response twice, or so late that it arrives in place of the
-    next one.  A response that echoes another ID than that of the pending request is
-    dropped, and bytes that arrive without a pending request close the connection.
-    Otherwise a caller could receive the response to another caller's request.
+    next one.  Only the ID that a response echoes shows which request it belongs to:
+
+    - A response that echoes another ID than that of the pending request is dropped, and
+      so is one without an ID on a connection whose responses have echoed IDs before.
+    - Bytes that arrive without a pending request close the connection.
+    - All attempts at a request have one ID, so a connection carries only one of them,
+      see :meth:`may_carry`.
+
+    Otherwise a caller could receive the response to another caller's request, or a
+    second copy of a rejection could be taken for a statement on an attempt that runs.
 
     Parameters
     ==========
@@ -103,6 +116,10 @@
         self._on_response: Callable[[UpstreamResponse | None], None] | None = None
         self._request_id = b""
         self._is_head = False
+        #: Whether a response on this connection has echoed the ID of its request.
+        self._echoes_ids = False
+        #: IDs of requests that were answered with an error.
+        self._error_ids: set[bytes] = set()
         #: Whether a response began while none was awaited.
         self._unexpected = False
         #: Whether a response was completed by the data being parsed, and whether the
@@ -136,6 +153,19 @@
         self._unused = True
         self._reset()
 
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        return not self.closed and not self._transport.is_closing()
+
+    def may_carry(self, request_id: bytes) -> bool:
+        """Return whether a request with this ID may be sent on the connection.
+
+        A second copy of the response to an earlier attempt could not be told from the
+        response to the next one.
+        """
+        return request_id not in self._error_ids
+
     def send(
         self,
         data: bytes,
@@ -207,7 +237,7 @@
         """Parse received bytes; abort if none are expected or they are malformed."""
         if self._on_response is None:
             self._events["upstream.dropped.not-awaited"] += 1
-            self._transport.abort()
+            self.abort(NewConnectionCause.CLOSED_BY_UPSTREAM)
             return
         self._received_data = True
         self._unused = False
@@ -228,12 +258,15 @@
         self._reset()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Process a header."""
+        """Process a header; trailer fields are ignored."""
+        if self._in_body:
+            return
         lower = name.lower()
         if lower not in NOT_FORWARDED:
             self._block += b"%b: %b\r\n" % (name, value)
-            if lower == self._id_name:
-                self._response_id = value
+            if lower == self._id_name and value != self._response_id:
+                # Several different IDs match no request.
+                self._response_id += value
             if lower in self._captured:
                 known = self._headers.get(lower)
                 self._headers[lower] = value if known is None else known + b", " + value
@@ -288,30 +321,46 @@
 
     def _complete(self, reusable: bool) -> None:
         self._in_body = False
-        mismatched = self._response_id and self._response_id != self._request_id
         if self._on_response is None:
             return
-        if mismatched:
-            self._events["upstream.dropped.other-id"] += 1
+        foreign_cause = self._foreign_cause()
+        if foreign_cause:
+            self._events[f"upstream.dropped.{foreign_cause}"] += 1
             self.dropped += 1
-            if reusable:
-                return
-        on_response, self._on_response = self._on_response, None
-        response = UpstreamResponse(
-            self._status,
-            bytes(self._block),
-            b"".join(self._body),
-            self._headers,
-            self._received_at,
-            bool(self._response_id),
-        )
-        if mismatched:
-            self._transport.abort()
-            on_response(None)
+            if not reusable:
+                self._transport.abort()
+                on_response, self._on_response = self._on_response, None
+                on_response(None)
             return
+        on_response, self._on_response = self._on_response, None
+        is_identified = self._is_identified()
+        self._echoes_ids |= bool(self._response_id)
+        if self._request_id and self._status >= _MIN_ERROR_STATUS:
+            self._error_ids.add(self._request_id)
+            reusable = reusable and len(self._error_ids) < _MAX_ERROR_IDS
         self._completed = True
         self._reusable = reusable
-        on_response(response)
+        on_response(
+            UpstreamResponse(
+                self._status,
+                bytes(self._block),
+                b"".join(self._body),
+                self._headers,
+                self._received_at,
+                is_identified,
+            )
+        )
+
+    def _foreign_cause(self) -> str:
+        """Return why a response belongs to no pending request; "" if it may."""
+        if self._response_id:
+            return "" if self._response_id == self._request_id else "other-id"
+        return "without-id" if self._request_id and self._echoes_ids else ""
+
+    def _is_identified(self) -> bool:
+        if self._request_id:
+            return self._response_id == self._request_id
+        return self.uses == 1
 
     def _release_or_close(self) -> None:
         self._completed = False
--- a/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/decision_log.py
@@ -234,7 +234,7 @@
         fields["dropped_responses"] = connection.dropped
     if response is not None:
         fields["response_status"] = response.status
-        fields["response_echoes_id"] = response.echoes_id
+        fields["response_identified"] = response.is_identified
     return fields
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -85,7 +85,8 @@
     rank, so that an important request does not wait inside the upstream behind
     less important ones, and refuses requests that can't complete by their deadlines.
     "Not run" is reported only for requests that were not written to the upstream
-    or that the upstream itself refused.
+    or that the upstream itself refused, in a response that is certainly the one to
+    this attempt.
 
     Each request names the incarnation of the upstream that it is meant for.
     Addresses are reused: another incarnation at the address refuses the request
@@ -400,7 +401,7 @@
     def _start(self, job: Job) -> None:
         job.handed_over = True
         self._running[job.request_id] = job
-        self._pool.acquire(partial(self._send, job), job.idempotent)
+        self._pool.acquire(partial(self._send, job), job.idempotent, job.request_id)
 
     def _send(self, job: Job, connection: UpstreamConnection | None) -> None:
         if connection is None:
@@ -452,6 +453,8 @@
         job.response = response
         result = result_from_response(job, response, self._not_run_name)
         self.misdirected |= result.reason is Reason.STALE_INSTANCE
+        if response is not None and result.outcome is Outcome.UNKNOWN:
+            self._counters.events["upstream.unproved-refusal"] += 1
         self._finish_run(job, result, result.outcome is Outcome.ANSWERED)
         if response is None and self._accepting:
             self._crash_detector.on_lost(job.fingerprint)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
@@ -22,6 +22,9 @@
 
 #: 421 Misdirected Request: another incarnation listens at the address.
 MISDIRECTED_STATUS = 421
+#: Statuses with which an upstream rejects a request that it does not run.  With any
+#: other status, a statement that it did not run the request contradicts the status.
+_REJECTION_STATUSES = frozenset((400, MISDIRECTED_STATUS, 429, 503))
 
 
 def result_from_response(
@@ -42,11 +45,22 @@
     """
     if response is None:
         return connection_lost()
+    if not is_rejection(response, not_run_name):
+        return answered(job, response)
+    if not response.is_identified:
+        return CallResult(
+            Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, retry_elsewhere=job.idempotent
+        )
     if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.STALE_INSTANCE)
-    if not_run_name in response.headers:
-        return not_run(Reason.UPSTREAM_SHED)
-    return answered(job, response)
+    return not_run(Reason.UPSTREAM_SHED)
+
+
+def is_rejection(response: UpstreamResponse, not_run_name: bytes) -> bool:
+    """Return whether a response states that its request was not run."""
+    if response.status == MISDIRECTED_STATUS:
+        return True
+    return not_run_name in response.headers and response.status in _REJECTION_STATUSES
 
 
 def connection_lost() -> CallResult:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -80,7 +80,7 @@
     async def can_connect(self) -> bool:
         return self.accepting
 
-    def acquire(self, on_connection, retryable=True) -> None:
+    def acquire(self, on_connection, retryable=True, request_id=b"") -> None:
         if self.hold_connects:
             self.pending.append(on_connection)
         elif self.broken:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_decision_log.py
@@ -173,7 +173,7 @@
     harness.pool.connections[1].done(None)
     shed, lost = harness.log.lines
     assert (shed["status"], shed["response_status"]) == (0, 503)
-    assert (shed["connection_uses"], shed["response_echoes_id"]) == (1, False)
+    assert (shed["connection_uses"], shed["response_identified"]) == (1, True)
     assert "response_status" not in lost
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -4,6 +4,7 @@
 from rattanfork_core.budgets import RetryCharge
 from rattanfork_core.request import Outcome, Reason
 
+from rattanfork_node.http1 import UpstreamResponse
 from rattanfork_node.relay.tests.fakes import (
     EXTRA_RETRIES,
     FakeConnection,
@@ -51,6 +52,35 @@
     assert harness.gate.misdirected
 
 
+def reject_unidentified(harness: GateHarness, status: int) -> None:
+    headers = {b"rattanfork-not-run": b"1"}
+    done = harness.pool.connections[0].done
+    done(UpstreamResponse(status, b"", b"", headers, is_identified=False))
+
+
+@pytest.mark.parametrize("status", [421, 503])
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_rejection_that_may_be_that_of_another_request_proves_nothing(
+    idempotent, status
+):
+    """Guards against a promise that rests on a response without the request's ID."""
+    harness = GateHarness()
+    _, results = harness.submit(idempotent=idempotent)
+    reject_unidentified(harness, status)
+    assert results[0].outcome is Outcome.UNKNOWN
+    assert results[0].retry_elsewhere == idempotent
+    assert not harness.gate.misdirected
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 504])
+def test_response_whose_status_contradicts_its_rejection_proves_nothing(status):
+    """Guards against a promise from a response of a request that the upstream ran."""
+    harness = GateHarness()
+    _, results = harness.submit(idempotent=False)
+    harness.answer(0, status, rattanfork_not_run=b"1")
+    assert results[0].outcome is Outcome.ANSWERED
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 @on_loop
 async def test_lost_connection_has_unknown_outcome(idempotent):
