Bound heads, framing and bodies of responses, over all that a node receives

Upstreams in trouble may send a head or a body without end. A head had no bound at all and a body 64 MiB each, whatever the memory of the node.

Cause: the parser buffers a header line until it ends, and copies it with each piece, so the node spent its processor on one head; bodies were bounded one by one.

Change: a connection is aborted after 64 KiB of heads, trailers and framing (and eight bytes of framing for each byte of a body) or 16 dropped responses; bodies above 64 KiB share a budget of an eighth of the node's memory, of which the largest response is evicted if it is exhausted, so that ordinary ones complete beside it. An idle connection no longer keeps its last body.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -8,6 +8,7 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
+from rattanfork_core.connections import ResponseBudget, response_budget_bytes
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
@@ -215,6 +216,7 @@
             ),
             self._quarantine,
             self._body_budget.capacity,
+            ResponseBudget(response_budget_bytes(settings.memory_bytes)),
         )
         self._handler = RelayPeerHandler(
             self._clock,
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -13,6 +13,7 @@
     NewConnectionCause,
     OpenDelay,
     ReplacementCauses,
+    ResponseBudget,
     choose_idle,
 )
 
@@ -68,6 +69,8 @@
         :attr:`UpstreamResponse.headers`.
     events : collections.Counter, optional
         Event counters; new connections are counted as ``connections.new.<cause>``.
+    budget : ResponseBudget, optional
+        Budget for the bodies of the responses that the node is receiving.
     """
 
     def __init__(
@@ -79,8 +82,10 @@
         id_name: bytes,
         captured: frozenset[bytes],
         events: Counter[str] | None = None,
+        budget: ResponseBudget | None = None,
     ) -> None:
         self._clock = clock
+        self._budget = ResponseBudget() if budget is None else budget
         self._address = (host, port)
         self._max_connections = max_connections
         self._id_name = id_name.lower()
@@ -269,6 +274,7 @@
                         self._on_idle,
                         self._on_closed,
                         self._events,
+                        self._budget,
                     ),
                     *self._address,
                 )
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -8,7 +8,11 @@
 
 import httptools
 from rattanfork_core.clock import Clock
-from rattanfork_core.connections import NewConnectionCause
+from rattanfork_core.connections import (
+    NewConnectionCause,
+    ResponseBudget,
+    ResponseHolder,
+)
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
 
@@ -17,8 +21,15 @@
 _STALE_RESET_WINDOW_S = 0.1
 #: Idle seconds up to which a reset is not attributed to the connection being stale.
 _MIN_STALE_IDLE_S = 0.1
-#: Maximum size of a response body in bytes.
-_MAX_BODY_BYTES = 64 << 20
+#: Size of a response body, in bytes, from which it counts against the node's budget.
+_MIN_COUNTED_BYTES = 64 << 10
+#: Maximum bytes that are received for a request besides bodies: heads, trailers and
+#: the framing of chunks.  For each byte of a body, that many bytes of framing may come
+#: on top; a chunk of one byte has five.
+_MAX_OVERHEAD_BYTES = 64 << 10
+_MAX_FRAMING_FACTOR = 8
+#: Maximum number of responses dropped before the one to the pending request.
+_MAX_DROPPED = 16
 #: Status from which a response may lead to another attempt at the same request.
 _MIN_ERROR_STATUS = 400
 #: Number of requests answered with an error after which a connection is closed.  It
@@ -56,7 +67,7 @@
     is_identified: bool = True
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.Protocol, ResponseHolder):
     """Connection to an upstream that carries one request at a time.
 
     Explanation
@@ -71,8 +82,11 @@
     - All attempts at a request have one ID, so a connection carries only one of them,
       see :meth:`may_carry`.
 
-    Otherwise a caller could receive the response to another caller's request, or a
-    second copy of a rejection could be taken for a statement on an attempt that runs.
+    What an upstream sends may have no end.  Heads, framing and dropped responses are
+    bounded for each request, bodies by the budget that all connections share.
+
+    Without the IDs a caller could receive the response to another caller's request, or
+    a second copy of a rejection could be taken for a statement on an attempt that runs.
 
     Parameters
     ==========
@@ -89,7 +103,10 @@
     on_closed : callable
         Called once, when the connection is aborted or closed.
     events : collections.Counter, optional
-        Counts dropped responses as ``upstream.dropped.<cause>``.
+        Counts dropped responses as ``upstream.dropped.<cause>``, and those that exceed
+        a bound as ``upstream.exceeded.<bound>``.
+    budget : ResponseBudget, optional
+        Budget for the bodies of the responses that the node is receiving.
     """
 
     _numbers = count(1)
@@ -102,9 +119,11 @@
         on_idle: Callable[["UpstreamConnection"], None],
         on_closed: Callable[["UpstreamConnection"], None],
         events: Counter[str] | None = None,
+        budget: ResponseBudget | None = None,
     ) -> None:
         self._clock = clock
         self._events = Counter() if events is None else events
+        self._budget = ResponseBudget() if budget is None else budget
         self._id_name = id_name
         self._captured = captured
         self._on_idle = on_idle
@@ -147,7 +166,10 @@
         self.close_cause: NewConnectionCause | None = None
         #: Seconds for which it had been idle when the last request was sent.
         self.idle_before = 0.0
-        self._received_data = False
+        #: Bytes received since the last request was sent, and those of them that were
+        #: in bodies.
+        self._received_bytes = 0
+        self._body_bytes = 0
         #: Whether it was reset before the first data from the upstream.
         self.refused = False
         self._unused = True
@@ -189,7 +211,7 @@
         self._on_response = on_response
         self._request_id = request_id
         self._is_head = is_head
-        self._received_data = False
+        self._received_bytes = self._body_bytes = 0
         self.uses += 1
         self.dropped = 0
         self.sent_at = self._clock.now()
@@ -214,7 +236,7 @@
         if self._on_response is None:
             self._close(NewConnectionCause.CLOSED_BY_UPSTREAM)
         else:
-            if not self._received_data:
+            if not self._received_bytes:
                 self._detect_stale()
             stale = self.stale_idle_time is not None
             self._close(NewConnectionCause.STALE if stale else NewConnectionCause.LOST)
@@ -239,7 +261,9 @@
             self._events["upstream.dropped.not-awaited"] += 1
             self.abort(NewConnectionCause.CLOSED_BY_UPSTREAM)
             return
-        self._received_data = True
+        if self._transport.is_closing():
+            return
+        self._received_bytes += len(data)
         self._unused = False
         try:
             self._parser.feed_data(data)
@@ -249,6 +273,9 @@
         # Released only now, as the parser has seen any bytes after the response.
         if self._completed:
             self._release_or_close()
+        elif self._exceeds_overhead():
+            self._events["upstream.exceeded.overhead"] += 1
+            self._transport.abort()
 
     def on_message_begin(self) -> None:
         """Start a new response."""
@@ -285,22 +312,37 @@
             self._complete(reusable=False)
 
     def on_body(self, body: bytes) -> None:
-        """Append to the body, up to the maximum size."""
+        """Append to the body, within the budget of the node."""
         self._size += len(body)
-        if self._size > _MAX_BODY_BYTES:
-            raise ValueError("response body exceeds the maximum size")
+        self._body_bytes += len(body)
         self._body.append(body)
+        if self._size > _MIN_COUNTED_BYTES:
+            self._budget.hold(self, self._size)
+            if self._transport.is_closing():
+                raise ValueError("response exceeds the budget of the node")
 
     def on_message_complete(self) -> None:
         """Complete a final response; interim (1xx) ones are ignored."""
         if self._status >= 200:
             self._complete(self._parser.should_keep_alive())
 
+    def evict(self) -> None:
+        """Abort the connection, whose response exceeds the budget of the node."""
+        self._events["upstream.exceeded.budget"] += 1
+        self._body.clear()
+        self._transport.abort()
+
+    def _exceeds_overhead(self) -> bool:
+        overhead = self._received_bytes - self._body_bytes
+        allowed = _MAX_OVERHEAD_BYTES + _MAX_FRAMING_FACTOR * self._body_bytes
+        return overhead > allowed or self.dropped > _MAX_DROPPED
+
     def _close(self, cause: NewConnectionCause) -> None:
         """Mark the connection as closed and notify the pool, the first time."""
         if not self.closed:
             self.closed = True
             self.close_cause = cause
+            self._budget.release(self)
             self._on_closed(self)
 
     def _detect_stale(self) -> None:
@@ -309,6 +351,7 @@
             self.stale_idle_time = self.idle_before
 
     def _reset(self) -> None:
+        self._budget.release(self)
         self._response_id = b""
         self._headers: dict[bytes, bytes] = {}
         self._block = bytearray()
@@ -340,11 +383,15 @@
             reusable = reusable and len(self._error_ids) < _MAX_ERROR_IDS
         self._completed = True
         self._reusable = reusable
+        body = b"".join(self._body)
+        # An idle connection must not keep its last response in memory.
+        self._body = []
+        self._budget.release(self)
         on_response(
             UpstreamResponse(
                 self._status,
                 bytes(self._block),
-                b"".join(self._body),
+                body,
                 self._headers,
                 self._received_at,
                 is_identified,
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -12,6 +12,7 @@
 )
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import ResponseBudget
 from rattanfork_core.gate_status import (
     OperationDependencies,
     ThresholdCache,
@@ -111,6 +112,8 @@
         Fingerprints of requests that no upstream may run.
     upload_bytes : int
         Maximum bytes of the bodies of uploads that wait or run here.
+    responses : ResponseBudget, optional
+        Budget for the bodies of the responses that the node is receiving.
     """
 
     def __init__(
@@ -123,8 +126,10 @@
         grants: GateRetryBudget,
         quarantine: Quarantine,
         upload_bytes: int = MAX_BUDGET_BYTES,
+        responses: ResponseBudget | None = None,
     ) -> None:
         self._clock = clock
+        self._responses = ResponseBudget() if responses is None else responses
         self._upload_bodies = BodyBound(upload_bytes)
         self.grants = grants
         self._quarantine = quarantine
@@ -377,6 +382,7 @@
             self._names.request_id,
             self.advertised.header_names | {self._not_run_name},
             self._counters.events,
+            self._responses,
         )
 
     def _abort_predecessor_runs(self) -> None:
