Reject requests whose trailer or chunk extension does not end

Requests may now have twice the maximum size of a head besides their body, and eight bytes of framing for each byte of it; beyond that they are answered 431.

--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -25,6 +25,9 @@
 _SLOW_READER_TIMEOUT_S = 20.0
 #: Longest timeout of a client in milliseconds; a longer one is ignored.
 _MAX_TIMEOUT_MS = 86_400_000
+#: Bytes of trailers and of the framing of chunks that a request may have for each byte
+#: of its body, besides twice the maximum size of a head.
+_MAX_FRAMING_FACTOR = 8
 #: Bytes of unsent responses to one client at which reading of requests pauses.
 _WRITE_BUFFER_BYTES = 256 << 10
 
@@ -125,7 +128,12 @@
         else:
             # Bytes are counted from the second read of a head on: an unknown part
             # of the first read belongs to the previous request.
-            if self._reading_head and self._head_bytes > self._limits.max_head_bytes:
+            if (
+                self._reading_head
+                and self._head_bytes > self._limits.max_head_bytes
+                or self._receiving
+                and self._exceeds_overhead()
+            ):
                 self._reject(431)
         if self._uploads is not None:
             self._uploads.deliver()
@@ -185,6 +193,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to its maximum size."""
+        self._body_bytes += len(body)
         if self._uploads is not None and self._uploads.current is not None:
             self._uploads.current.on_bytes(body)
             return
@@ -302,6 +311,8 @@
         self._client_timeout: float | None = None
         self._body: list[bytes] = []
         self._body_size = 0
+        #: Bytes of the body, also of one that is passed on as it is received.
+        self._body_bytes = 0
         self._head_size = 0
         self._head_bytes = 0
         self._expects_continue = False
@@ -336,6 +347,12 @@
             self._expects_continue and self._parser.get_http_version() != "1.0",
         )
 
+    def _exceeds_overhead(self) -> bool:
+        """Return whether trailers or framing of a request exceed their bound."""
+        allowed = 2 * self._limits.max_head_bytes
+        allowed += _MAX_FRAMING_FACTOR * self._body_bytes
+        return self._head_bytes - self._body_bytes > allowed
+
     def _fail_parsing(self, status: int) -> None:
         self._error_status = status
         raise ValueError(f"request rejected with status {status}")
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_rejections.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_rejections.py
@@ -7,6 +7,7 @@
 
 LIMITS = RequestLimits(max_head_bytes=200, max_body_bytes=3, head_timeout=3.0)
 COMPLETE = b"POST /a/ HTTP/1.1\r\nHost: h\r\nRattanfork-Request-Id: r1\r\n\r\n"
+CHUNKED = b"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 #: Bytes that the server rejects, and its status.
 REJECTED = {
     "slow head": (b"POST /a/ HTTP/1.1\r\nHost: h\r\n", 408),
@@ -55,6 +56,17 @@
     assert client.handled == []
 
 
+@pytest.mark.parametrize("begin", [b"0\r\nX: ", b"1;"])
+def test_endless_trailer_or_chunk_extension_is_rejected(begin):
+    """Guards against memory and time spent on a request that does not end."""
+    client = Client(LIMITS)
+    client.send(CHUNKED + begin)
+    for _ in range(5):
+        client.send(b"x" * 100)
+    assert client.statuses == [431]
+    assert client.handled == []
+
+
 def test_request_whose_body_is_incomplete_never_reaches_the_handler():
     """A truncated body ends with its connection; nothing of it may run."""
     client = Client()
