Report a connection that was closed before it was used as a connection error

Cause: between the opening of a connection and the sending of a request another callback may close it; the write then raised RuntimeError.

Change: a connection is checked right before the request is written.

--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -6,6 +6,7 @@
 never reach the handler.
 """
 
+from rattanfork_node.http1.awaitable import acquire_connection, send_request
 from rattanfork_node.http1.client import HttpClient
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.fingerprints import fingerprint_of
@@ -32,6 +33,8 @@
     "UpstreamResponse",
     "UpstreamConnection",
     "UpstreamPool",
+    "acquire_connection",
+    "send_request",
     "fingerprint_of",
     "render_response",
     "render_head",
--- a/packages/rattanfork-node/rattanfork_node/http1/client.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/client.py
@@ -8,9 +8,10 @@
 
 from rattanfork_core.clock import Clock
 
+from rattanfork_node.http1.awaitable import acquire_connection, send_request
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_head
-from rattanfork_node.http1.upstream import UpstreamConnection, UpstreamResponse
+from rattanfork_node.http1.upstream import UpstreamResponse
 
 _MAX_CONNECTIONS = 8
 
@@ -127,35 +128,8 @@
         block: bytes,
         pending: PendingRequest,
     ) -> UpstreamResponse | None:
-        connection = await self._acquire_connection()
+        connection = await acquire_connection(self._pool)
         pending.connection_idle = self._clock.now() - connection.idle_since
-        response_future = asyncio.get_running_loop().create_future()
-
-        def on_response(response: UpstreamResponse | None) -> None:
-            if not response_future.done():
-                response_future.set_result(response)
-
         block = self._host_line + block
         head = render_head(method, target, block, len(body), b"")
-        connection.send(head + body, b"", on_response)
-        try:
-            return await response_future
-        except asyncio.CancelledError:
-            # A late response would be taken for that of the next request.
-            connection.abort()
-            raise
-
-    async def _acquire_connection(self) -> UpstreamConnection:
-        connection_future = asyncio.get_running_loop().create_future()
-
-        def on_connection(connection: UpstreamConnection | None) -> None:
-            if not connection_future.done():
-                connection_future.set_result(connection)
-            elif connection is not None:
-                self._pool.release(connection)
-
-        self._pool.acquire(on_connection)
-        connection = await connection_future
-        if connection is None:
-            raise ConnectionError("no connection to the server available")
-        return connection
+        return await send_request(connection, head + body)
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -164,6 +164,8 @@
         self.stale_idle_time: float | None = None
         #: Why it was closed; None while it is open.
         self.close_cause: NewConnectionCause | None = None
+        #: Whether its response exceeded the budget of the node.
+        self.evicted = False
         #: Seconds for which it had been idle when the last request was sent.
         self.idle_before = 0.0
         #: Bytes received since the last request was sent, and those of them that were
@@ -329,6 +331,7 @@
     def evict(self) -> None:
         """Abort the connection, whose response exceeds the budget of the node."""
         self._events["upstream.exceeded.budget"] += 1
+        self.evicted = True
         self._body.clear()
         self._transport.abort()
 
