Tie rejections of the call path to their requests, too

Four requests to an upstream that sends a rejection 2 ms after each response: two were reported as shed, which the caller may send again. With 5 ms and no pause between the requests, those two had run.

Change: the client uses the connection pool of the route path instead of aiohttp's, which closes idle connections that receive bytes and matches responses by the ID that they echo. An upstream that echoes none is believed on the first response of a connection only.

make demo: all checks passed. Tests of testkit, cli and node pass; three of the new ones failed with the client before.

--- a/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
@@ -53,7 +53,9 @@
     ==========
 
     capacity : int
-        Size of the budget, in bytes.  It bounds each response, too.
+        Size of the budget, in bytes.
+    max_response : int, optional
+        Maximum size of one response, in bytes; the whole budget by default.
 
     Examples
     ========
@@ -69,8 +71,11 @@
     40
     """
 
-    def __init__(self, capacity: int = MAX_RESPONSE_BYTES) -> None:
+    def __init__(
+        self, capacity: int = MAX_RESPONSE_BYTES, max_response: int | None = None
+    ) -> None:
         self._capacity = capacity
+        self._max_response = capacity if max_response is None else max_response
         self._sizes: dict[ResponseHolder, int] = {}
         self._held = 0
 
@@ -91,6 +96,9 @@
         """
         self._held += size - self._sizes.get(holder, 0)
         self._sizes[holder] = size
+        if size > self._max_response:
+            self.release(holder)
+            holder.evict()
         while self._held > self._capacity:
             largest = max(self._sizes, key=self._sizes.__getitem__)
             self.release(largest)
--- a/packages/rattanfork-node/rattanfork_node/app/node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/node.py
@@ -323,7 +323,10 @@
     def _replace_upstream(self, announcement: Announcement) -> None:
         old, self._upstream_url = self._upstream, announcement.url
         self._upstream = UpstreamClient(
-            announcement.url, announcement.connections, self._settings.limits.body
+            self._clock,
+            announcement.url,
+            announcement.connections,
+            self._settings.limits.body,
         )
         self._call_gate.attach(self._upstream)
         self._call_gate.admission.limit.restart_warmup()
--- a/packages/rattanfork-node/rattanfork_node/call_gate/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/call_gate/gate.py
@@ -5,7 +5,6 @@
 from dataclasses import replace
 from random import Random
 
-import aiohttp
 from rattanfork_core.admission import (
     AdmissionController,
     AdmissionSettings,
@@ -360,7 +359,7 @@
             return CallResult(Outcome.UNKNOWN, Reason.DEADLINE)
         if isinstance(error, ResponseTooLargeError):
             return CallResult(Outcome.UNKNOWN, Reason.TOO_LARGE)
-        if isinstance(error, aiohttp.ClientError | OSError):
+        if isinstance(error, OSError):
             return CallResult(
                 Outcome.UNKNOWN,
                 Reason.UPSTREAM_DOWN,
--- a/packages/rattanfork-node/rattanfork_node/call_gate/upstream_client.py
+++ b/packages/rattanfork-node/rattanfork_node/call_gate/upstream_client.py
@@ -1,16 +1,30 @@
 """Call path: HTTP client of this node's upstream."""
 
+import asyncio
 from dataclasses import dataclass
+from urllib.parse import urlsplit
 
-import aiohttp
-from yarl import URL
+from rattanfork_core.clock import Clock
+from rattanfork_core.connections import ResponseBudget
 
 from rattanfork_node.hop_by_hop import HOP_BY_HOP
-
+from rattanfork_node.http1 import (
+    UpstreamPool,
+    acquire_connection,
+    render_head,
+    send_request,
+)
+
+#: Header with the ID of a request, which an upstream may echo in its response.
+REQUEST_ID_HEADER = "Rattanfork-Request-Id"
 #: Response header by which an upstream reports that it shed a request unrun.
 NOT_RUN_HEADER = "Rattanfork-Not-Run"
+_NOT_RUN_NAME = NOT_RUN_HEADER.lower().encode()
+_SHED_STATUS = 503
 #: Response headers that are not forwarded: the node's HTTP server sets its own.
 _DROPPED_RESPONSE_HEADERS = HOP_BY_HOP | {"date", "server"}
+#: Methods whose requests may be sent again after a reset.
+_RETRYABLE_METHODS = frozenset(("GET", "HEAD", "OPTIONS", "PUT", "DELETE"))
 
 
 class UpstreamConnectError(ConnectionError):
@@ -37,9 +51,18 @@
 class UpstreamClient:
     """Sends requests to the upstream beside this node.
 
+    Explanation
+    ===========
+
+    An upstream that echoes the request ID is believed when it reports that it shed a
+    request.  One that doesn't is believed on the first response of a connection only:
+    later ones may be second copies of earlier responses.
+
     Parameters
     ==========
 
+    clock : Clock
+        Source of the current time.
     url : str
         Base URL of the upstream.
     connections : int
@@ -48,21 +71,22 @@
         Maximum size of a response body.
     """
 
-    def __init__(self, url: str, connections: int, max_body_bytes: int) -> None:
-        self._base_url = url
+    def __init__(
+        self, clock: Clock, url: str, connections: int, max_body_bytes: int
+    ) -> None:
+        parts = urlsplit(url)
+        self._base_path = parts.path.rstrip("/")
+        self._host_line = f"Host: {parts.netloc}\r\n".encode()
         self._max_body_bytes = max_body_bytes
-        # Shorter than typical keep-alive timeouts of servers.  If the upstream
-        # closed an idle connection just as a POST is sent on it, the outcome of
-        # the request would be unknown.
-        connector = aiohttp.TCPConnector(
-            limit=connections, keepalive_timeout=10, use_dns_cache=False
-        )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(total=None, connect=2),
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            cookie_jar=aiohttp.DummyCookieJar(),
+        self._free = asyncio.Semaphore(connections)
+        self._pool = UpstreamPool(
+            clock,
+            parts.hostname or "",
+            parts.port or 80,
+            connections,
+            REQUEST_ID_HEADER.encode(),
+            frozenset((_NOT_RUN_NAME,)),
+            budget=ResponseBudget(connections * max_body_bytes, max_body_bytes),
         )
 
     async def run(
@@ -79,46 +103,58 @@
             If the upstream reports that it did not run the request.
         ResponseTooLargeError
             If the response body exceeds the limit.
-        aiohttp.ClientError
-            If the connection was lost: the request may have run.
+        ConnectionError
+            If the connection was lost, or the response may be that to another
+            request: the request may have run.
         """
-        url = URL(self._base_url + path, encoded=True)
-        try:
-            async with self._session.request(
-                method, url, headers=headers, data=body or None, allow_redirects=False
-            ) as response:
-                return await self._read_response(response)
-        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise UpstreamConnectError(str(error)) from error
+        request_id = dict(headers).get(REQUEST_ID_HEADER, "").encode("latin-1")
+        async with self._free:
+            try:
+                connection = await acquire_connection(
+                    self._pool, method in _RETRYABLE_METHODS, request_id
+                )
+            except ConnectionError as error:
+                raise UpstreamConnectError(str(error)) from error
+            data = self._render_request(method, path, headers, body)
+            response = await send_request(
+                connection, data, request_id, method == "HEAD"
+            )
+        if response is None:
+            if connection.evicted:
+                raise ResponseTooLargeError
+            raise ConnectionError("connection closed before the response was complete")
+        if response.status == _SHED_STATUS and _NOT_RUN_NAME in response.headers:
+            if response.is_identified or connection.uses == 1:
+                raise UpstreamShedError
+            raise ConnectionError("the rejection may be that of another request")
+        if len(response.body) > self._max_body_bytes:
+            raise ResponseTooLargeError
+        block = response.header_block.decode("latin-1")
+        return UpstreamResponse(response.status, _parse_block(block), response.body)
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._session.close()
+        self._pool.close()
 
-    async def _read_response(
-        self, response: aiohttp.ClientResponse
-    ) -> UpstreamResponse:
-        if response.status == 503 and response.headers.get(NOT_RUN_HEADER):
-            raise UpstreamShedError
-        length = response.content_length
-        if length is not None and length > self._max_body_bytes:
-            raise ResponseTooLargeError
-        body = await self._read_body(response, length)
-        headers = [
-            (name, value)
-            for name, value in response.headers.items()
-            if name.lower() not in _DROPPED_RESPONSE_HEADERS
-        ]
-        return UpstreamResponse(response.status, headers, body)
-
-    async def _read_body(
-        self, response: aiohttp.ClientResponse, length: int | None
+    def _render_request(
+        self, method: str, path: str, headers: list[tuple[str, str]], body: bytes
     ) -> bytes:
-        if length is not None:
-            return await response.read()
-        body = b""
-        async for chunk in response.content.iter_any():
-            body += chunk
-            if len(body) > self._max_body_bytes:
-                raise ResponseTooLargeError
-        return body
+        block = "".join(f"{name}: {value}\r\n" for name, value in headers)
+        head = render_head(
+            method.encode("latin-1"),
+            (self._base_path + path).encode("latin-1"),
+            self._host_line + block.encode("latin-1"),
+            len(body),
+            b"",
+        )
+        return head + body
+
+
+def _parse_block(block: str) -> list[tuple[str, str]]:
+    """Return the headers of a block that are forwarded."""
+    lines = (line.partition(": ") for line in block.split("\r\n") if line)
+    return [
+        (name, value)
+        for name, _, value in lines
+        if name.lower() not in _DROPPED_RESPONSE_HEADERS
+    ]
--- a/packages/rattanfork-testkit/rattanfork_testkit/upstream.py
+++ b/packages/rattanfork-testkit/rattanfork_testkit/upstream.py
@@ -10,9 +10,11 @@
 from aiohttp import web
 
 _NOT_RUN_HEADERS = {"Rattanfork-Not-Run": "1"}
+#: Echoed in all responses, so that nodes can tell which request a response is for.
+_REQUEST_ID_HEADER = "Rattanfork-Request-Id"
 _CONTEXT_HEADERS = ("Rattanfork-Context",)
 #: Headers passed on to child calls if the request came without a node in between.
-_DIRECT_HEADERS = ("Rattanfork-Request-Id", "Rattanfork-Importance")
+_DIRECT_HEADERS = (_REQUEST_ID_HEADER, "Rattanfork-Importance")
 
 
 @dataclass(slots=True)
@@ -128,6 +130,12 @@
             self._announced = False
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
+        response = await self._respond(request)
+        if _REQUEST_ID_HEADER in request.headers:
+            response.headers[_REQUEST_ID_HEADER] = request.headers[_REQUEST_ID_HEADER]
+        return response
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         if request.path.startswith("/-/"):
             return await self._control(request)
         self._counts["arrived"] += 1
@@ -153,7 +161,7 @@
     async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
         operation = request.path.split("/")[1]
         entry = {
-            "request_id": request.headers.get("Rattanfork-Request-Id", ""),
+            "request_id": request.headers.get(_REQUEST_ID_HEADER, ""),
             "caller": request.headers.get("Rattanfork-Caller", ""),
             "method": request.method,
             "path": request.path_qs,
