Keep the body of requests that offer to upgrade their connection

Callers saw a claim confirmed that had been filed empty: each POST whose headers offer an upgrade (as some clients send with the first request of a connection) ran without its body and was answered 200; further requests on the connection were read and never answered.

Cause: the parser ends a request with such an offer at its head, as if the rest were another protocol, and the server handled the request with the body read so far.

Change: the offer is ignored, as HTTP/1.1 allows: another parser continues with the body that the head declares, and with the next requests.

--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -11,6 +11,7 @@
 from rattanfork_core.uploads import is_large_body
 
 from rattanfork_node.http1.exchange import Exchange
+from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.render import render_response
 from rattanfork_node.http1.upload_receiver import UploadReceiver
@@ -115,13 +116,7 @@
         self._last_active = self._server.clock.now()
         self._head_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The upgrade request itself was handled; the bytes after it belong to
-            # another protocol, which is not supported.
-            self._drop_requests = True
-            if self.pending:
-                self.pending[-1].keep_alive = False
+            self._feed_parser(data)
         except httptools.HttpParserError:
             # The start of the next request is unknown after a parse error.
             self._reject(self._error_status or 400)
@@ -139,6 +134,19 @@
             self._uploads.deliver()
         self.update_reading()
 
+    def _feed_parser(self, data: bytes) -> None:
+        """Parse received bytes, and ignore offers to upgrade the connection."""
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                [parsed] = offer.args
+                self._parser, head = make_parser_without_upgrade(
+                    self._parser, self, bytes(self._framing)
+                )
+                data = head + data[parsed:]
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self._reset_request()
@@ -170,10 +178,12 @@
         if lower not in server.stripped:
             self._block += name + b": " + value + b"\r\n"
         elif lower == b"content-length":
+            self._framing += name + b": " + value + b"\r\n"
             if is_large_body(value):
                 self._has_large_body = True
                 self._declared_length = int(value)
         elif lower == b"transfer-encoding":
+            self._framing += name + b": " + value + b"\r\n"
             self._has_large_body = True
             self._declared_length = None
 
@@ -204,6 +214,9 @@
 
     def on_message_complete(self) -> None:
         """Pass the completed request to the handler."""
+        if self._parser.should_upgrade():
+            # Its body has not been parsed, see _feed_parser.
+            return
         self._receiving = False
         if self._uploads is not None and self._uploads.current is not None:
             upload = self._uploads.end()
@@ -305,6 +318,8 @@
     def _reset_request(self) -> None:
         self._target = b""
         self._block = bytearray()
+        #: Header lines that declare the body.
+        self._framing = bytearray()
         self._hosts: list[bytes] = []
         self._keys: list[bytes] = []
         self._request_id = b""
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -48,6 +48,45 @@
     assert client.transport.closed
 
 
+OFFER = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+BODIES = {
+    "none": b"\r\n",
+    "length": b"Content-Length: 5\r\n\r\nhello",
+    "chunks": b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("piece", [1, 7, 10_000])
+@pytest.mark.parametrize("name", BODIES)
+def test_request_that_offers_an_upgrade_keeps_its_body(name, piece):
+    """Guards against a request that runs without the body that its client sent.
+
+    The offer is ignored, and the next request of the connection is served, too.
+    """
+    client = Client()
+    head = f"POST /a/ HTTP/1.1\r\nHost: h\r\n{OFFER}".encode()
+    data = head + BODIES[name] + request(request_id="r2")
+    for start in range(0, len(data), piece):
+        client.send(data[start : start + piece])
+    first, second = client.handled
+    assert (first.method, first.target) == (b"POST", b"/a/")
+    assert first.body == (b"" if name == "none" else b"hello")
+    assert first.keep_alive
+    assert b"pgrade" not in first.header_block
+    assert (second.method, second.request_id) == (b"GET", b"r2")
+    first.respond(200)
+    second.respond(200)
+    assert client.statuses == [200, 200]
+
+
+def test_last_request_that_offers_an_upgrade_closes_the_connection():
+    client = Client()
+    offer = OFFER.replace("Upgrade,", "close, Upgrade,")
+    client.send(request(more=offer) + request(request_id="r2"))
+    [exchange] = client.handled
+    assert not exchange.keep_alive
+
+
 def test_draining_server_handles_first_request_of_a_new_connection():
     """Guards against a run that fails in a drain, as its calls find no listener."""
     client = Client()
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -31,6 +31,19 @@
         assert client.budget.held == 0
 
 
+@on_loop
+async def test_upload_that_offers_an_upgrade_keeps_its_body():
+    """Guards against an upload that runs without its body, as no length is declared."""
+    offer = b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    for length, data in ((len(BODY), BODY), (None, chunked(BODY))):
+        client = UploadClient()
+        client.send(head(length).removesuffix(b"\r\n\r\n") + offer + data)
+        assert [e.body for e in client.handler.complete] == [BODY]
+        client.handler.complete[0].respond(200)
+        client.send(request())
+        assert len(client.handler.requests) == 1
+
+
 @on_loop
 async def test_small_body_and_unclaimed_route_are_read_before_they_are_handled():
     client = UploadClient()
