End runs whose response is lost, and free their slots

Callers saw all requests to a service refused that must not run twice, beside idle upstreams and ready nodes, until the nodes were restarted: connections had gone silent while such requests ran on them.

Cause: a run that is not idempotent continues when its sender gives up, and nothing but its response or the loss of its connection ended it, so each lost response took a slot for good.

Change: an upstream stops work at the deadline that it receives; a run whose response has not come a second after it is ended, with its connection, as one of unknown outcome.

--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -12,7 +12,7 @@
 )
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import Clock
-from rattanfork_core.connections import ResponseBudget
+from rattanfork_core.connections import NewConnectionCause, ResponseBudget
 from rattanfork_core.gate_status import (
     OperationDependencies,
     ThresholdCache,
@@ -71,6 +71,9 @@
 #: Size of a request body up to which the fingerprint of a successful run is computed
 #: later.  Until then the request is kept in memory.
 _MAX_DEFERRED_BODY_BYTES = 4096
+#: Seconds after the deadline of a request at which its response counts as lost.  An
+#: upstream stops work at the deadline that it receives.
+_LOST_AFTER_S = 1.0
 #: Key of the gate's own upstream, the only instance in its table of downstream
 #: thresholds.
 _OWN_UPSTREAM = ""
@@ -328,7 +331,8 @@
         self._apply_decisions(self._admission.tick())
 
     def sweep(self) -> None:
-        """Close idle connections; call about once a second."""
+        """End runs without a response, close idle connections; call once a second."""
+        self._end_overdue_runs()
         if self._pool is not None:
             self._pool.sweep()
 
@@ -395,6 +399,19 @@
             job.connection.abort()
             self._finish_run(job, connection_lost(), False)
 
+    def _end_overdue_runs(self) -> None:
+        """End the runs whose response should have come by now.
+
+        A run that is not idempotent continues when its sender has given up, so nothing
+        else would free its slot if its connection is silent.
+        """
+        ended_by = self._clock.now() - _LOST_AFTER_S
+        for job in [j for j in self._jobs.values() if j.deadline < ended_by]:
+            if job.connection is not None:
+                self._counters.events["gate.response-lost"] += 1
+                job.connection.abort(NewConnectionCause.LOST)
+                self._finish_run(job, connection_lost(), False)
+
     def _apply_decisions(self, decisions: Iterable[Decision]) -> None:
         for decision in decisions:
             job = self._jobs[decision.waiter.key]
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -61,7 +61,7 @@
     def send(self, data, request_id, done, is_head=False) -> None:
         self.sent, self.done = data, done
 
-    def abort(self) -> None:
+    def abort(self, cause=None) -> None:
         self.aborted = True
 
 
@@ -95,6 +95,9 @@
     def retire(self) -> None:
         pass
 
+    def sweep(self) -> None:
+        pass
+
 
 class FakeLog(RequestLog):
     """Keeps log lines instead of writing them."""
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -119,6 +119,26 @@
     assert harness.gate.outstanding == 0
 
 
+def test_slot_of_a_lost_response_is_freed_after_the_deadline():
+    """Guards against gates that pass nothing more to an upstream that is idle.
+
+    Connections go silent while requests that must not run twice are pending on them.
+    A response that comes up to a second late still ends its run.
+    """
+    harness = GateHarness()
+    job, results = harness.submit(idempotent=False)
+    harness.gate.cancel(job)
+    harness.clock.advance(2.9)
+    harness.gate.sweep()
+    assert results == []
+    harness.clock.advance(0.2)
+    harness.gate.sweep()
+    assert harness.pool.connections[0].aborted
+    assert [r.outcome for r in results] == [Outcome.UNKNOWN]
+    harness.submit("next", idempotent=False)
+    assert len(harness.pool.connections) == 2
+
+
 def test_request_cancelled_during_connect_is_not_sent():
     harness = GateHarness()
     harness.pool.hold_connects = True
