Answer calls of runs that a gate has lost with 503 in place of 401

Upstreams saw calls of claims under way denied as unauthenticated beside a node that was killed and started again, which also tells them that trying again is of no use.

Cause: a call carries no key, and is recognized by its parent among the runs that this process has started; a process that was just started knows none. The same holds for a run that was ended, as with a lost connection, while its upstream goes on.

Change: until such a run's deadline has passed, a request without a key whose ID has the form of a call's is answered 503, unconfirmed. It isn't served: any client could choose such an ID.

--- a/packages/rattanfork-core/rattanfork_core/routes/configuration.py
+++ b/packages/rattanfork-core/rattanfork_core/routes/configuration.py
@@ -65,3 +65,8 @@
         object.__setattr__(self, "table", RouteTable(self.routes))
         uploads = frozenset(route.name for route in self.routes if route.upload)
         object.__setattr__(self, "upload_routes", uploads)
+
+    @property
+    def longest_timeout(self) -> float:
+        """Longest time-out of a route, in seconds; 0 without routes."""
+        return max((route.timeout for route in self.routes), default=0.0)
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -427,6 +427,7 @@
     def _sweep(self) -> None:
         self._objectives.flush()
         self._gate.sweep()
+        self._relay.orphaned_calls.sweep()
         for _, server in self._servers:
             server.sweep()
         self._metrics.sweep()
--- a/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
@@ -132,6 +132,8 @@
         self._request_confirmation = request_confirmation
         self._waiting: list[_WaitingRequest] = []
         self._last_quota_refusal: dict[str, float] = {}
+        #: Whether a request with this ID may be a call of a run that was lost.
+        self.may_be_call: Callable[[bytes], bool] = _never
         #: Called with each accepted and each refused request.
         self.accept: AcceptCallback = _ignore
         self.refuse: RefuseCallback = _ignore
@@ -149,7 +151,7 @@
             self._take_quota(exchange, route, account)
         elif route.anonymous:
             self.accept(exchange, route)
-        elif account is not None:
+        elif account is not None or not keys and self.may_be_call(exchange.request_id):
             self.refuse(exchange, route, _UNCONFIRMED)
         elif len(keys) != 1 or len(self._waiting) >= _MAX_WAITING_REQUESTS:
             self._refuse_unknown(exchange, route, confirmed=len(keys) != 1)
@@ -254,5 +256,9 @@
             self._last_quota_refusal[name] = now
 
 
+def _never(request_id: bytes) -> bool:
+    return False
+
+
 def _ignore(*request: object) -> None:
     pass
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -1,6 +1,6 @@
 """Route path, last stage: admission gate of this node's upstream."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 
 from rattanfork_core.admission import (
@@ -79,6 +79,10 @@
 _OWN_UPSTREAM = ""
 
 
+def _ignore(job: Job) -> None:
+    """Do nothing."""
+
+
 class Gate:
     """Admits requests to this node's upstream and reports which did not run.
 
@@ -175,6 +179,8 @@
         self._next_key = 0
         self._accepting = False
         self._leaving = False
+        #: Called with each run that the upstream may go on with after it was ended.
+        self.on_run_lost: Callable[[Job], None] = _ignore
         #: Whether a response showed that another incarnation has the address.
         self.misdirected = False
         self._tracker = SuspectTracker(clock)
@@ -498,6 +504,8 @@
             self.health.on_ended(
                 job.waiter.key, failed, counts=result.reason is not Reason.CANCELLED
             )
+            if result.outcome is Outcome.UNKNOWN:
+                self.on_run_lost(job)
         if succeeded:
             self._record_dependencies(job, result)
         if job.lowest_called_threshold != float("inf"):
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -44,6 +44,7 @@
 from rattanfork_node.relay.forwarding import Forwarding
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
+from rattanfork_node.relay.orphaned_calls import OrphanedCalls
 from rattanfork_node.relay.refusals import RefusalResponder
 from rattanfork_node.relay.request_rank import RequestRanker
 from rattanfork_node.relay.settings import RelaySettings
@@ -165,6 +166,10 @@
             decision_log,
             self._refusals,
         )
+        #: Calls of runs that the gate does not know, or no longer.
+        self.orphaned_calls = OrphanedCalls(clock, configuration)
+        gate.on_run_lost = self.orphaned_calls.on_run_lost
+        accounts.may_be_call = self.orphaned_calls.may_include
         accounts.accept = self._route_request
         accounts.refuse = self._refusals.refuse_account
         self._uploads = UploadReader(
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
@@ -55,6 +55,34 @@
     assert harness.runs == []
 
 
+@on_loop
+async def test_call_of_a_predecessors_run_is_not_answered_401():
+    """Guards against 401 for calls of runs that outlive the process that sent them.
+
+    The node was started again; a run lasts no longer than the time-out of a route.
+    """
+    harness = make_harness(timeout=2.0)
+    assert status_of(harness.send_request(request_id="run.1")) == 503
+    assert status_of(harness.send_request(request_id="caller")) == 401
+    harness.clock.advance(2.1)
+    assert status_of(harness.send_request(request_id="run.2")) == 401
+    assert harness.runs == []
+
+
+@on_loop
+async def test_call_of_a_run_that_the_gate_has_ended_is_not_answered_401():
+    """Guards against 401 where an upstream goes on though its connection was lost."""
+    harness = make_harness(timeout=2.0)
+    harness.clock.advance(2.1)
+    gate = harness.gate_harness
+    gate.submit("run", deadline=harness.clock.now() + 1.0)
+    gate.pool.connections[0].done(None)
+    assert status_of(harness.send_request(request_id="run.1")) == 503
+    harness.clock.advance(1.1)
+    harness.relay.orphaned_calls.sweep()
+    assert status_of(harness.send_request(request_id="run.1")) == 401
+
+
 @on_loop
 async def test_anonymous_route_accepts_missing_and_unknown_keys():
     harness = make_harness(anonymous=True)
