Let the soak's workers send second responses, and heads and bodies without end

They now send a rejection with the ID of the response, with another or with none, at once or up to 4 ms later, while they shed half of the requests; all workers do so together for a while in each soak. Others never end a head or a body. A new check compares each node's peak memory with its limit.

--- a/packages/rattanfork-soak/rattanfork_soak/checks.py
+++ b/packages/rattanfork-soak/rattanfork_soak/checks.py
@@ -21,6 +21,7 @@
 - ``time`` and ``recovery``: responses come in time, and service recovers after
   faults.
 - ``process``: no node exits unless it is stopped.
+- ``memory``: no node uses more memory than its settings allow.
 """
 
 from collections.abc import Callable, Iterable
--- a/packages/rattanfork-soak/rattanfork_soak/faults.py
+++ b/packages/rattanfork-soak/rattanfork_soak/faults.py
@@ -92,7 +92,7 @@
 
 
 class WorkerMalfunction(Fault):
-    """A worker is slow, sheds, fails, truncates responses or hangs."""
+    """A worker is slow, sheds, fails, hangs, or sends bytes that are no response."""
 
     async def inject(self) -> None:
         """Make the worker malfunction for the duration."""
@@ -223,6 +223,30 @@
             worker.fault = WorkerFault.NONE
 
 
+class SecondResponses(Fault):
+    """All workers shed many requests and send second responses.
+
+    Guards against proofs of "not run" that rest on the response to another attempt.
+    """
+
+    def __init__(self, environment: Environment, random: Random) -> None:
+        super().__init__(environment, random)
+        self.begins_after = random.uniform(0.0, _MAX_FAILURE_DELAY_S)
+
+    def __str__(self) -> str:
+        return f"{type(self).__name__}: all workers, from {self.begins_after:.2f} s"
+
+    async def inject(self) -> None:
+        """Let the workers repeat responses for the duration."""
+        await asyncio.sleep(self.begins_after)
+        workers = [site.worker for site in self.environment.sites]
+        for worker in workers:
+            worker.fault = WorkerFault.REPEATS
+        await self.wait()
+        for worker in workers:
+            worker.fault = WorkerFault.NONE
+
+
 #: Relative frequency of each kind of fault.
 FAULT_WEIGHTS: dict[type[Fault], int] = {
     StoreUnavailable: 3,
--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -18,6 +18,8 @@
 _STOP_TIMEOUT_S = 6.5
 #: Time without start, stop, pause or fault after which a node counts as stable.
 _STABLE_AFTER_S = 3.0
+#: Memory that a node may use, in MB, as its settings say.
+MEMORY_LIMIT_MB = 200
 #: Exceeds the number of requests that clients send to a worker at once.
 _ANNOUNCED_SLOTS = 20
 
@@ -72,7 +74,13 @@
             f"budgetWindowS={RETRY_WINDOW_S:g}",
         )
         self._node = NodeProcess(
-            self.name, proxied_worker, self.store_link, folder, ports, bounds
+            self.name,
+            proxied_worker,
+            self.store_link,
+            folder,
+            ports,
+            bounds,
+            MEMORY_LIMIT_MB,
         )
         self.worker.announce = self._announce
         self.worker.deregister = self._deregister
@@ -98,6 +106,16 @@
         """Exit status of a node that exited without being stopped; None otherwise."""
         return None if self._exit_expected else self._node.process.returncode
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """Largest resident memory of the node's process so far; 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        sizes = [s.split()[1] for s in status.splitlines() if s.startswith("VmHWM:")]
+        return int(sizes[0]) / 1000 if sizes else 0.0
+
     @property
     def started_at(self) -> float:
         """When the node's process was started again; minus infinity before."""
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -13,10 +13,11 @@
 from rattanfork_soak.faults import (
     Fault,
     RestartsUnderFailure,
+    SecondResponses,
     StoreDropsWatches,
     draw_fault,
 )
-from rattanfork_soak.site import Site
+from rattanfork_soak.site import MEMORY_LIMIT_MB, Site
 from rattanfork_soak.violation import Violation
 
 #: Interval between checks of what arrived at workers and whether nodes exited.
@@ -143,10 +144,13 @@
 
     async def _inject_faults(self, environment: Environment) -> None:
         fault_interval = self._settings.fault_interval
-        # A separate generator, so that these faults do not change the plan of others.
-        restarts = RestartsUnderFailure(environment, Random(self._seed + 5))
-        self.plan.append(f"{environment.now():7.2f} s  {restarts}")
-        self._start_fault(restarts)
+        # Separate generators, so that these faults do not change the plan of others.
+        for fault in (
+            RestartsUnderFailure(environment, Random(self._seed + 5)),
+            SecondResponses(environment, Random(self._seed + 7)),
+        ):
+            self.plan.append(f"{environment.now():7.2f} s  {fault}")
+            self._start_fault(fault)
         while environment.now() < self._settings.seconds:
             await asyncio.sleep(
                 self._random.uniform(0.2 * fault_interval, 1.8 * fault_interval)
@@ -208,16 +212,22 @@
             checks.add_violation("configuration", environment.now(), text)
 
     async def _review_forever(self, environment: Environment, checks: Checks) -> None:
-        exited: set[int] = set()
+        #: Processes with a violation that is reported once.
+        reported: set[int] = set()
         while True:
             await asyncio.sleep(_REVIEW_INTERVAL_S)
             checks.review()
             for site in environment.sites:
                 status = site.unexpected_exit_status
-                if status is not None and site.pid not in exited:
-                    exited.add(site.pid)
+                if status is not None and site.pid not in reported:
+                    reported.add(site.pid)
                     text = f"{site.name} exited unexpectedly with status {status}"
                     checks.add_violation("process", environment.now(), text)
+                peak = site.peak_memory_mb
+                if peak > MEMORY_LIMIT_MB and site.pid not in reported:
+                    reported.add(site.pid)
+                    text = f"{site.name} used {peak:.0f} MB of {MEMORY_LIMIT_MB}"
+                    checks.add_violation("memory", environment.now(), text)
 
 
 async def _is_in_force(site: Site, version: int) -> bool:
--- a/packages/rattanfork-soak/rattanfork_soak/worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/worker.py
@@ -19,6 +19,7 @@
 
 from rattanfork_soak.advertising import Advertisement
 from rattanfork_soak.keys import ACCOUNT_NAME
+from rattanfork_soak.spoiled_responses import send_second_response, send_without_end
 
 #: Interval of announcements.  The platform's workers use 1.5 s; a shorter one only
 #: lets a restarted node learn of its worker sooner.
@@ -56,6 +57,11 @@
     FAILS = "fails half of the requests"
     TRUNCATES = "truncates half of the responses"
     HANGS = "does not respond"
+    REPEATS = "sheds half of the requests, and sends second responses"
+    NEVER_ENDS = "sends half of the responses without an end"
+
+
+_SHEDDING_FAULTS = frozenset((WorkerFault.SHEDS, WorkerFault.REPEATS))
 
 
 @dataclass(frozen=True, slots=True)
@@ -179,6 +185,9 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         name = self.name
         response = await self._respond(request)
+        if self.fault is WorkerFault.REPEATS and request.transport is not None:
+            request_id = request.headers.get(REQUEST_ID, "")
+            send_second_response(request.transport, self._random, request_id)
         advertised = self.advertised
         if advertised is not None and advertised.incarnation == name:
             response.headers.update(advertised.headers())
@@ -203,7 +212,7 @@
             return web.Response(status=421, headers=identity)
         echo = {REQUEST_ID: request_id}
         selected = self._random.random() < 0.5
-        if self.fault is WorkerFault.SHEDS and selected:
+        if self.fault in _SHEDDING_FAULTS and selected:
             return web.Response(status=503, headers={**echo, NOT_RUN: "1"})
         body = await request.read()
         text = f"{request.method} {request.path} {body.decode()}"
@@ -224,6 +233,8 @@
         elif self.fault is WorkerFault.FAILS and selected:
             stamp = {STAMP: f"{self.name}.500"}
             return web.Response(status=500, headers={**echo, **stamp})
+        elif self.fault is WorkerFault.NEVER_ENDS and selected and request.transport:
+            await send_without_end(request.transport, self._random, request_id)
         elif self.fault is WorkerFault.TRUNCATES and selected and request.transport:
             request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\nda")
             request.transport.abort()
