--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections.abc import Callable
+from itertools import count
 from random import Random
 
 from rattanfork_core.budgets import GateRetryBudget
@@ -26,6 +27,7 @@
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
 from rattanfork_node.app.metrics_handler import MetricsHandler
+from rattanfork_node.app.periodic_steps import PeriodicSteps
 from rattanfork_node.app.prober import UpstreamProber
 from rattanfork_node.app.readiness import ReadinessHandler
 from rattanfork_node.app.relay_settings import RelayNodeSettings
@@ -405,23 +407,28 @@
             log_change("metrics_not_served", error=str(error))
 
     async def _tick_forever(self) -> None:
-        ticks = 0
-        while True:
-            ticks += 1
-            self._gate.tick()
-            self._gossip_task.tick()
-            self._gate_report_task.tick()
-            self._quarantine_task.tick()
-            self._dependency_task.tick()
-            self._retirements.tick()
-            self._account_tasks.tick()
-            self._pool.heartbeat()
-            self._upstream_monitor.tick()
-            self._log.flush()
-            if ticks % _SWEEP_TICKS == 0:
-                self._sweep()
-            if ticks % _SUMMARY_TICKS == 0:
-                self._state_reporter.log_summary()
+        events = self._counters.events
+        steps = (
+            self._gate.tick,
+            self._gossip_task.tick,
+            self._gate_report_task.tick,
+            self._quarantine_task.tick,
+            self._dependency_task.tick,
+            self._retirements.tick,
+            self._account_tasks.tick,
+            self._pool.heartbeat,
+            self._upstream_monitor.tick,
+            self._log.flush,
+        )
+        each_tick = PeriodicSteps(self._clock, steps, events)
+        sweep = PeriodicSteps(self._clock, [self._sweep], events)
+        summary = PeriodicSteps(self._clock, [self._state_reporter.log_summary], events)
+        for tick in count(1):
+            each_tick.run()
+            if tick % _SWEEP_TICKS == 0:
+                sweep.run()
+            if tick % _SUMMARY_TICKS == 0:
+                summary.run()
             await sleep_ticks(1)
 
     def _sweep(self) -> None:
