Believe a rejection without an ID if it is the first response of its connection

An upstream that rejects with 421 without an ID (as the tests' workers do) could not be believed at all, so requests for an incarnation that is gone ended as unknown. Nothing but the first request on a connection can have caused its first response, so that one is a proof; one after a dropped response isn't. Interim responses no longer end HEAD requests.

--- a/packages/rattanfork-node/rattanfork_node/call_gate/upstream_client.py
+++ b/packages/rattanfork-node/rattanfork_node/call_gate/upstream_client.py
@@ -124,7 +124,7 @@
                 raise ResponseTooLargeError
             raise ConnectionError("connection closed before the response was complete")
         if response.status == _SHED_STATUS and _NOT_RUN_NAME in response.headers:
-            if response.is_identified or connection.uses == 1:
+            if response.is_identified:
                 raise UpstreamShedError
             raise ConnectionError("the rejection may be that of another request")
         if len(response.body) > self._max_body_bytes:
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -310,7 +310,7 @@
         self._in_body = True
         self._received_at = self._clock.now()
         self._status = self._parser.get_status_code()
-        if self._is_head:
+        if self._is_head and self._status >= 200:
             self._complete(reusable=False)
 
     def on_body(self, body: bytes) -> None:
@@ -408,9 +408,10 @@
         return "without-id" if self._request_id and self._echoes_ids else ""
 
     def _is_identified(self) -> bool:
-        if self._request_id:
-            return self._response_id == self._request_id
-        return self.uses == 1
+        if self._response_id:
+            return True
+        # Nothing but the first request can have caused the first response.
+        return self.uses == 1 and not self.dropped
 
     def _release_or_close(self) -> None:
         self._completed = False
