Spend less time on responses that echo the ID

The common case is decided by one comparison, and the budget is asked only for bodies that count against it.

--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -175,6 +175,7 @@
         #: Whether it was reset before the first data from the upstream.
         self.refused = False
         self._unused = True
+        self._size = 0
         self._reset()
 
     @property
@@ -354,7 +355,8 @@
             self.stale_idle_time = self.idle_before
 
     def _reset(self) -> None:
-        self._budget.release(self)
+        if self._size > _MIN_COUNTED_BYTES:
+            self._budget.release(self)
         self._response_id = b""
         self._headers: dict[bytes, bytes] = {}
         self._block = bytearray()
@@ -369,18 +371,16 @@
         self._in_body = False
         if self._on_response is None:
             return
-        foreign_cause = self._foreign_cause()
-        if foreign_cause:
-            self._events[f"upstream.dropped.{foreign_cause}"] += 1
-            self.dropped += 1
-            if not reusable:
-                self._transport.abort()
-                on_response, self._on_response = self._on_response, None
-                on_response(None)
-            return
+        is_identified = True
+        if not self._response_id or self._response_id != self._request_id:
+            if self._is_foreign():
+                self._drop_foreign(reusable)
+                return
+            # Nothing but the first request can have caused the first response.
+            is_identified = self.uses == 1 and not self.dropped
+        else:
+            self._echoes_ids = True
         on_response, self._on_response = self._on_response, None
-        is_identified = self._is_identified()
-        self._echoes_ids |= bool(self._response_id)
         if self._request_id and self._status >= _MIN_ERROR_STATUS:
             self._error_ids.add(self._request_id)
             reusable = reusable and len(self._error_ids) < _MAX_ERROR_IDS
@@ -389,7 +389,8 @@
         body = b"".join(self._body)
         # An idle connection must not keep its last response in memory.
         self._body = []
-        self._budget.release(self)
+        if self._size > _MIN_COUNTED_BYTES:
+            self._budget.release(self)
         on_response(
             UpstreamResponse(
                 self._status,
@@ -401,17 +402,19 @@
             )
         )
 
-    def _foreign_cause(self) -> str:
-        """Return why a response belongs to no pending request; "" if it may."""
-        if self._response_id:
-            return "" if self._response_id == self._request_id else "other-id"
-        return "without-id" if self._request_id and self._echoes_ids else ""
-
-    def _is_identified(self) -> bool:
-        if self._response_id:
-            return True
-        # Nothing but the first request can have caused the first response.
-        return self.uses == 1 and not self.dropped
+    def _is_foreign(self) -> bool:
+        """Return whether a response without the request's ID belongs to another one."""
+        return bool(self._response_id or (self._request_id and self._echoes_ids))
+
+    def _drop_foreign(self, reusable: bool) -> None:
+        """Drop a response; close the connection if it ends with the response."""
+        cause = "other-id" if self._response_id else "without-id"
+        self._events[f"upstream.dropped.{cause}"] += 1
+        self.dropped += 1
+        if not reusable:
+            self._transport.abort()
+            on_response, self._on_response = self._on_response, None
+            on_response(None)
 
     def _release_or_close(self) -> None:
         self._completed = False
