--- a/packages/rattanfork-node/rattanfork_node/app/prober.py
+++ b/packages/rattanfork-node/rattanfork_node/app/prober.py
@@ -7,6 +7,8 @@
 #: Time-out of a probe in seconds.  A probe waits for a slot like any request, so a busy
 #: upstream may not answer in time; its next announcement then identifies it.
 _PROBE_TIMEOUT_S = 1.0
+#: A probe has no ID that its response could echo, so a connection carries only one.
+_CLOSE_LINE = b"Connection: close\r\n"
 
 
 class UpstreamProber:
@@ -42,7 +44,7 @@
         """Return the ID of a healthy upstream; None if there is none or it leaves."""
         try:
             response = await self._client.request(
-                b"GET", path.encode(), timeout=_PROBE_TIMEOUT_S
+                b"GET", path.encode(), timeout=_PROBE_TIMEOUT_S, block=_CLOSE_LINE
             )
         except (ConnectionError, TimeoutError, OSError):
             return None
