Let two IDs match no request whatever they are; split the connection's module

Two ID fields were joined without a separator, so that parts of the pending request's ID could have matched it; seen on reading, the new cases of the test failed before for 'r' and '1'. UpstreamResponse has a module of its own. Tests of the node pass.

--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -18,7 +18,8 @@
 from rattanfork_node.http1.server import HttpServer
 from rattanfork_node.http1.server_connection import ServerConnection
 from rattanfork_node.http1.upload import Upload, UploadResources
-from rattanfork_node.http1.upstream import UpstreamConnection, UpstreamResponse
+from rattanfork_node.http1.upstream import UpstreamConnection
+from rattanfork_node.http1.upstream_response import UpstreamResponse
 
 __all__ = [
     "Exchange",
--- a/packages/rattanfork-node/rattanfork_node/http1/awaitable.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/awaitable.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from rattanfork_node.http1.pool import UpstreamPool
-from rattanfork_node.http1.upstream import UpstreamConnection, UpstreamResponse
+from rattanfork_node.http1.upstream import UpstreamConnection
+from rattanfork_node.http1.upstream_response import UpstreamResponse
 
 
 async def acquire_connection(
--- a/packages/rattanfork-node/rattanfork_node/http1/client.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/client.py
@@ -11,7 +11,7 @@
 from rattanfork_node.http1.awaitable import acquire_connection, send_request
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_head
-from rattanfork_node.http1.upstream import UpstreamResponse
+from rattanfork_node.http1.upstream_response import UpstreamResponse
 
 _MAX_CONNECTIONS = 8
 
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -121,14 +121,13 @@
             # The start of the next request is unknown after a parse error.
             self._reject(self._error_status or 400)
         else:
-            # Bytes are counted from the second read of a head on: an unknown part
-            # of the first read belongs to the previous request.
-            if (
-                self._reading_head
-                and self._head_bytes > self._limits.max_head_bytes
-                or self._receiving
-                and self._exceeds_overhead()
-            ):
+            if self._reading_head:
+                # Bytes are counted from the second read of a head on: an unknown part
+                # of the first read belongs to the previous request.
+                is_too_large = self._head_bytes > self._limits.max_head_bytes
+            else:
+                is_too_large = self._receiving and self._exceeds_overhead()
+            if is_too_large:
                 self._reject(431)
         if self._uploads is not None:
             self._uploads.deliver()
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_upstream.py
@@ -115,10 +115,11 @@
 @on_loop
 def test_response_with_two_ids_belongs_to_no_request():
     """Guards against a spoiled head that adds the ID of the pending request."""
-    upstream = Upstream()
-    upstream.send_request(b"r1")
-    upstream.receive(response("r2\r\nId: r1") + response("r1", "new"))
-    assert [a.body for a in upstream.responses] == [b"new"]
+    for ids in ("r2\r\nId: r1", "r1\r\nId: r2", "r\r\nId: 1"):
+        upstream = Upstream()
+        upstream.send_request(b"r1")
+        upstream.receive(response(ids) + response("r1", "new"))
+        assert [a.body for a in upstream.responses] == [b"new"]
 
 
 @on_loop
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable
 from itertools import count
-from typing import NamedTuple
 
 import httptools
 from rattanfork_core.clock import Clock
@@ -15,6 +14,10 @@
 )
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
+from rattanfork_node.http1.upstream_response import (
+    UpstreamResponse,
+    keep_alive_timeout,
+)
 
 #: Seconds after sending within which a reset means that the upstream had already
 #: dropped the connection.  It is on the same instance, so such a reset comes at once.
@@ -37,36 +40,6 @@
 _MAX_ERROR_IDS = 128
 
 
-class UpstreamResponse(NamedTuple):
-    """A complete response of an upstream.
-
-    Parameters
-    ==========
-
-    status : int
-        HTTP status code.
-    header_block : bytes
-        Header lines to forward, each ending in CRLF.
-    body : bytes
-        Response body.
-    headers : dict
-        Values of the captured headers by lower-case name; several headers of one name
-        are joined with commas.
-    received_at : float
-        When its head was received, in seconds of the clock.
-    is_identified : bool
-        Whether it is certainly the response to its request, and not one to another
-        request or to an earlier attempt.
-    """
-
-    status: int
-    header_block: bytes
-    body: bytes
-    headers: dict[bytes, bytes]
-    received_at: float = 0.0
-    is_identified: bool = True
-
-
 class UpstreamConnection(asyncio.Protocol, ResponseHolder):
     """Connection to an upstream that carries one request at a time.
 
@@ -294,9 +267,8 @@
         lower = name.lower()
         if lower not in NOT_FORWARDED:
             self._block += b"%b: %b\r\n" % (name, value)
-            if lower == self._id_name and value != self._response_id:
-                # Several different IDs match no request.
-                self._response_id += value
+            if lower == self._id_name:
+                self._add_response_id(value)
             if lower in self._captured:
                 known = self._headers.get(lower)
                 self._headers[lower] = value if known is None else known + b", " + value
@@ -304,7 +276,7 @@
             self._until_close = False
         elif lower == b"keep-alive" and value != self._keep_alive_value:
             self._keep_alive_value = value
-            self.keep_alive_timeout = _keep_alive_timeout(value)
+            self.keep_alive_timeout = keep_alive_timeout(value)
 
     def on_headers_complete(self) -> None:
         """Record the status; complete the response if it answers a HEAD request."""
@@ -336,6 +308,13 @@
         self._body.clear()
         self._transport.abort()
 
+    def _add_response_id(self, value: bytes) -> None:
+        if not self._response_id:
+            self._response_id = value
+        elif value != self._response_id:
+            # Several different IDs match no request.
+            self._response_id += b", " + value
+
     def _exceeds_overhead(self) -> bool:
         overhead = self._received_bytes - self._body_bytes
         allowed = _MAX_OVERHEAD_BYTES + _MAX_FRAMING_FACTOR * self._body_bytes
@@ -433,11 +412,3 @@
             return
         self.idle_since = self._clock.now()
         self._on_idle(self)
-
-
-def _keep_alive_timeout(value: bytes) -> float | None:
-    for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and number.strip().isdigit():
-            return float(number)
-    return None
