Pass on successes only with the stamp that their upstream gives each of them

Change: where a deployment names the header of the stamp, a success without it is unknown: 502, or another attempt if the request is idempotent, counted as upstream.without-stamp. The gate's test failed before: the response was passed on.

--- a/packages/rattanfork-node/rattanfork_node/http1/headers.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/headers.py
@@ -55,6 +55,8 @@
         responses while it advertises a limit.
     leaving : bytes
         Set to 1 by an upstream in its responses once it leaves.
+    stamp : bytes
+        Set by an upstream in each successful response; empty if upstreams set none.
     """
 
     request_id: bytes = b"Rattanfork-Request-Id"
@@ -67,6 +69,7 @@
     upstream: bytes = b"Rattanfork-Upstream"
     rate_limit: bytes = b"Rattanfork-Rate-Limit"
     leaving: bytes = b"Rattanfork-Leaving"
+    stamp: bytes = b""
 
     def stripped_from_requests(self) -> frozenset[bytes]:
         """Return the lower-case names of request headers that are not forwarded."""
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -145,6 +145,7 @@
         self._names = names
         self._counters = counters
         self._not_run_name = names.not_run.lower()
+        self._stamp_name = names.stamp.lower()
         self._upstream: Upstream | None = None
         #: Header line that names the incarnation which may run a request.
         self._upstream_header = b""
@@ -390,7 +391,7 @@
             upstream.port,
             connections,
             self._names.request_id,
-            self.advertised.header_names | {self._not_run_name},
+            self.advertised.header_names | {self._not_run_name, self._stamp_name},
             self._counters.events,
             self._responses,
         )
@@ -480,10 +481,14 @@
         if job.ended:
             return
         job.response = response
-        result = result_from_response(job, response, self._not_run_name)
+        result = result_from_response(
+            job, response, self._not_run_name, self._stamp_name
+        )
         self.misdirected |= result.reason is Reason.STALE_INSTANCE
         if response is not None and result.outcome is Outcome.UNKNOWN:
-            self._counters.events["upstream.unproved-refusal"] += 1
+            is_success = response.status < 300
+            cause = "without-stamp" if is_success else "unproved-refusal"
+            self._counters.events[f"upstream.{cause}"] += 1
         self._finish_run(job, result, result.outcome is Outcome.ANSWERED)
         if response is None and self._accepting:
             self._crash_detector.on_lost(job.fingerprint)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
@@ -28,7 +28,10 @@
 
 
 def result_from_response(
-    job: Job, response: UpstreamResponse | None, not_run_name: bytes
+    job: Job,
+    response: UpstreamResponse | None,
+    not_run_name: bytes,
+    stamp_name: bytes = b"",
 ) -> CallResult:
     """Return the result of a request that was written to the upstream.
 
@@ -42,15 +45,18 @@
     not_run_name : bytes
         Lower-case name of the response header by which an upstream states that it
         did not run the request.
+    stamp_name : bytes
+        Lower-case name of the header that a successful response must have; empty if
+        there is none.
     """
     if response is None:
         return connection_lost()
     if not is_rejection(response, not_run_name):
+        if lacks_stamp(response, stamp_name):
+            return _unusable(job)
         return answered(job, response)
     if not response.is_identified:
-        return CallResult(
-            Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, retry_elsewhere=job.idempotent
-        )
+        return _unusable(job)
     if response.status == MISDIRECTED_STATUS:
         return not_run(Reason.STALE_INSTANCE)
     return not_run(Reason.UPSTREAM_SHED)
@@ -63,6 +69,23 @@
     return not_run_name in response.headers and response.status in _REJECTION_STATUSES
 
 
+def lacks_stamp(response: UpstreamResponse, stamp_name: bytes) -> bool:
+    """Return whether a success lacks the stamp that each of its upstream's has.
+
+    It may be the beginning of a body without a length, whose end was the end of the
+    upstream.
+    """
+    is_success = 200 <= response.status < 300
+    return bool(stamp_name) and is_success and stamp_name not in response.headers
+
+
+def _unusable(job: Job) -> CallResult:
+    """Return the result of a request whose response shows nothing about it."""
+    return CallResult(
+        Outcome.UNKNOWN, Reason.UPSTREAM_FAILED, retry_elsewhere=job.idempotent
+    )
+
+
 def connection_lost() -> CallResult:
     """Return the result of a request whose upstream connection was lost."""
     return CallResult(Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_gate.py
@@ -81,6 +81,24 @@
     assert results[0].outcome is Outcome.ANSWERED
 
 
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_success_without_the_stamp_of_its_upstream_is_not_passed_on(idempotent):
+    """Guards against the beginning of an endless body as a whole response.
+
+    Its upstream crashed and closed the connection in order.
+    """
+    harness = GateHarness()
+    harness.gate._stamp_name = b"stamp"
+    for number, headers in enumerate(({}, {"stamp": b"s1"})):
+        _, results = harness.submit(f"r{number}", idempotent=idempotent)
+        harness.answer(number, 200, **headers)
+        if headers:
+            assert results[0].outcome is Outcome.ANSWERED
+        else:
+            assert results[0].outcome is Outcome.UNKNOWN
+            assert results[0].retry_elsewhere == idempotent
+
+
 @pytest.mark.parametrize("idempotent", [True, False])
 @on_loop
 async def test_lost_connection_has_unknown_outcome(idempotent):
