--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -26,6 +27,7 @@
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
+from rattanfork_node.app.memory_gauges import memory_gauges
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.app.periodic_steps import PeriodicSteps
 from rattanfork_node.app.prober import UpstreamProber
@@ -338,6 +340,12 @@
             lambda: self.ready,
             self._body_budget,
             self._account_tasks.demand.gauges,
+            partial(
+                memory_gauges,
+                lambda: self._callers.unsent_bytes,
+                lambda: self._pool.unsent_bytes + self._handler.unsent_bytes,
+                lambda: self._gate.unsent_bytes,
+            ),
         )
         self._upstream_monitor = UpstreamMonitor(
             self._clock,
@@ -470,7 +478,7 @@
             self._gate,
             self._callers,
             lambda: self._relay.give_up(self._callers.pending),
-            lambda: sum(link.unsent_bytes for link in self._handler.links),
+            lambda: self._handler.unsent_bytes,
         )
         self._upstream_monitor.close()
         ends_at = shutdown.begin()
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -49,6 +49,8 @@
         Budget for the bodies of uploads.
     fair_share_gauges : callable
         Returns the gauges of fair shares; none without client accounts.
+    memory_gauges : callable
+        Returns the gauges of the memory of the process.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         is_ready: Callable[[], bool],
         body_budget: BodyBudget,
         fair_share_gauges: Callable[[], dict[str, float]],
+        memory_gauges: Callable[[], dict[str, int]],
     ) -> None:
         self._clock = clock
         self._log = log
@@ -80,6 +83,7 @@
         self._is_ready = is_ready
         self._body_budget = body_budget
         self._fair_share_gauges = fair_share_gauges
+        self._memory_gauges = memory_gauges
         self._configuration_since = clock.now()
 
     def on_configuration(self) -> None:
@@ -118,6 +122,7 @@
             cut=round(self._gate.own_threshold, 3),
             upstream_limit=self._gate.rate_limit,
             upload=self._upload_fields(),
+            memory=self._memory_gauges(),
             retries=self._retry_fields(),
             members=len(self._membership.present()),
             lines_left_out=self._log.take_left_out(),
@@ -192,6 +197,7 @@
             "rules_revision": self._rules.revision,
             "store_silence_seconds": self._platform.seconds_since_answer,
             "store_calls_pending": len(self._platform.pending),
+            **self._memory_gauges(),
             **self._fair_share_gauges(),
         }
 
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -116,6 +116,11 @@
         opened_before = self._clock.now() - _SETTLE_S
         return sum(c.opened_at <= opened_before for c in self._open)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that the upstream has not read yet."""
+        return sum(connection.unsent_bytes for connection in self._open)
+
     @property
     def _size(self) -> int:
         """Connections that are open, being opened, or will be unless one is idle."""
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -156,6 +156,11 @@
         """Whether a request may be sent on it."""
         return not self.closed and not self._transport.is_closing()
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of the request that the upstream has not read yet."""
+        return 0 if self.closed else self._transport.get_write_buffer_size()
+
     def may_carry(self, request_id: bytes) -> bool:
         """Return whether a request with this ID may be sent on the connection.
 
--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -64,6 +64,11 @@
         """Accepted connections that are open."""
         return self._links
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peers of accepted connections have not read yet."""
+        return sum(link.unsent_bytes for link in self._links)
+
     def on_open(self, link: PeerLink) -> None:
         """Register an authenticated connection and create its call log."""
         if link.connection_id in self._call_logs:
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -69,6 +69,11 @@
         """Number of connections closed by the silence timeout or by the peer."""
         return self._silent_closed
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peers have not read yet."""
+        return sum(link.unsent_bytes for link in self._links.values())
+
     def ready_link(self, member: Member) -> PeerLink | None:
         """Return the open connection to a member, or None."""
         link = self._links.get((member.host, member.peer_port))
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -231,6 +231,11 @@
         """Bytes of the bodies of uploads that wait or run."""
         return self._upload_bodies.held
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that the upstream has not read yet."""
+        return 0 if self._pool is None else self._pool.unsent_bytes
+
     @property
     def waiting(self) -> int:
         """Number of requests in the queue."""
