--- a/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
+++ b/packages/rattanfork-core/rattanfork_core/request/fingerprint.py
@@ -1,12 +1,14 @@
 """Fingerprints that identify a request sent again under another request ID."""
 
-from xxhash import xxh3_64_intdigest
+from collections.abc import Sequence
+
+from xxhash import xxh3_64, xxh3_64_intdigest
 
 #: Size of the length field that is hashed in front of each part.
 _LENGTH_BYTES = 8
 
 
-def request_fingerprint(*parts: bytes) -> int:
+def request_fingerprint(*parts: bytes | Sequence[bytes]) -> int:
     """Return a 64-bit hash of the content of a request.
 
     Explanation
@@ -19,9 +21,10 @@
     Parameters
     ==========
 
-    parts : bytes
+    parts : bytes or sequence of bytes
         Everything that has to be equal for two requests to be the same, in a fixed
-        order, such as method, host, path and body.
+        order, such as method, host, path and body.  A sequence counts as one part, and
+        is not joined in memory.
 
     Examples
     ========
@@ -31,13 +34,24 @@
     True
     >>> first == request_fingerprint(b"GET", b"shop.example", b"/receipts", b"/7")
     False
+    >>> host = [b"shop", b".example"]
+    >>> first == request_fingerprint(b"GET", host, b"/receipts/7", b"")
+    True
     """
-    chunks = [
-        chunk
-        for part in parts
-        for chunk in (len(part).to_bytes(_LENGTH_BYTES, "big"), part)
-    ]
-    return xxh3_64_intdigest(b"".join(chunks))
+    if all(isinstance(part, bytes) for part in parts):
+        chunks = [
+            chunk
+            for part in parts
+            for chunk in (len(part).to_bytes(_LENGTH_BYTES, "big"), part)
+        ]
+        return xxh3_64_intdigest(b"".join(chunks))
+    digest = xxh3_64()
+    for part in parts:
+        pieces = (part,) if isinstance(part, bytes) else part
+        digest.update(sum(map(len, pieces)).to_bytes(_LENGTH_BYTES, "big"))
+        for piece in pieces:
+            digest.update(piece)
+    return digest.intdigest()
 
 
 def format_fingerprint(fingerprint: int) -> str:
--- a/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
@@ -1,12 +1,14 @@
-"""Uploads: when the body of a large request may be read, and when it is refused."""
+"""Large request bodies: when one may be read, and when its request is refused."""
 
 from rattanfork_core.uploads.body_budget import (
     BodyBudget,
     Reservation,
     body_budget_bytes,
+    large_room_bytes,
 )
 from rattanfork_core.uploads.body_intake import (
     LARGE_BODY_BYTES,
+    MAX_UNCOUNTED_BODY_BYTES,
     BodyIntake,
     IntakeState,
     is_large_body,
@@ -15,6 +17,7 @@
 
 __all__ = [
     "LARGE_BODY_BYTES",
+    "MAX_UNCOUNTED_BODY_BYTES",
     "BodyBudget",
     "BodyIntake",
     "DrainBound",
@@ -22,4 +25,5 @@
     "Reservation",
     "body_budget_bytes",
     "is_large_body",
+    "large_room_bytes",
 ]
--- a/packages/rattanfork-core/rattanfork_core/uploads/body_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/body_budget.py
@@ -1,4 +1,4 @@
-"""Budget of memory for the bodies of uploads at one node."""
+"""Budget of memory for large request bodies at one node."""
 
 from collections import deque
 from collections.abc import Callable
@@ -11,9 +11,16 @@
 #: holds the bytes that arrive together with the heads of uploads that still wait; they
 #: have left the socket before reading can be paused.
 _SHARE_DIVISOR = 4
-#: Part of the budget that a body over the share may take: 1 / ``_MAX_BODY_DIVISOR``.
-#: One such body is read at a time, beside the others.
-_MAX_BODY_DIVISOR = 2
+#: Part of the budget that a body of unknown length may take before it needs room among
+#: the largest bodies, 1 / ``_MAX_GROWN_DIVISOR``, and the most that it may, in bytes.
+_MAX_GROWN_DIVISOR = 2
+_MAX_GROWN_BYTES = 2 << 20
+#: Size in bytes from which a body takes room among the largest ones.
+_MIN_LARGE_BYTES = 1 << 20
+#: Room for the largest bodies without a memory limit, in bytes, and the share of a
+#: memory limit.
+_UNLIMITED_LARGE_BYTES = 128 << 20
+_LARGE_MEMORY_SHARE = 0.4
 
 
 def body_budget_bytes(memory_bytes: int | None) -> int:
@@ -38,8 +45,28 @@
     return min(MAX_BUDGET_BYTES, memory_bytes // _MEMORY_DIVISOR)
 
 
+def large_room_bytes(memory_bytes: int | None) -> int:
+    """Return the room of a node for its largest bodies, in bytes.
+
+    Parameters
+    ==========
+
+    memory_bytes : int or None
+        Memory limit of the node, in bytes; None if it is unknown.
+
+    Examples
+    ========
+
+    >>> large_room_bytes(200_000_000)
+    80000000
+    """
+    if memory_bytes is None:
+        return _UNLIMITED_LARGE_BYTES
+    return int(memory_bytes * _LARGE_MEMORY_SHARE)
+
+
 class Reservation:
-    """Bytes of a budget that belong to one upload.
+    """Bytes of a budget that belong to one body.
 
     Parameters
     ==========
@@ -66,19 +93,21 @@
         self.early = 0
         #: Reserved bytes, or those requested while not granted.
         self.size = 0
-        #: Bytes that count against the share of the bodies that are read; 0 for a
-        #: body that is larger than the share.
+        #: Bytes that count against the share of the bodies that are read; 0 for one of
+        #: the largest.
         self.share = 0
-        #: Whether the body is larger than the share.
+        #: Whether the body takes room among the largest ones.
         self.is_large = False
         self.granted = False
         self.released = False
 
     def charge_early(self, count: int) -> bool:
         """Charge bytes received before the grant; return whether they fit."""
-        return self._budget._charge_early(self, count)
+        return not self.released and self._budget._charge_early(self, count)
 
-    def request(self, size: int, on_granted: Callable[[], None]) -> None:
+    def request(
+        self, size: int, on_granted: Callable[[], None], is_large: bool = False
+    ) -> None:
         """Request room for a body; granted at once or later, in order of requests.
 
         Parameters
@@ -88,8 +117,11 @@
             Expected size of the body, in bytes.
         on_granted : callable
             Called once there is room, unless the reservation is released before.
+        is_large : bool
+            Whether the body takes room among the largest ones whatever its size.
         """
         self.size = size
+        self.is_large = is_large or size > self._budget.min_large_bytes
         self._on_granted = on_granted
         self._budget._enqueue(self)
 
@@ -116,7 +148,7 @@
 
 
 class BodyBudget:
-    """Bounds the memory that the bodies of uploads take at one node.
+    """Bounds the memory that large request bodies take at one node.
 
     Explanation
     ===========
@@ -126,14 +158,16 @@
     uploads could each hold a part while none of them gets the rest.  Requests for
     room are granted in their order, as a large body would otherwise wait for as long
     as smaller ones arrive.  The bodies that are read share a quarter of the budget.
-    A larger one is read beside them, one at a time, so that a slow one doesn't stop
-    the others.
+    The largest ones are read beside them in a room of their own, so that a slow one
+    doesn't stop the others.
 
     Parameters
     ==========
 
     capacity : int
-        Size of the budget, in bytes.
+        Size of the budget, in bytes, without the room for the largest bodies.
+    large_room : int, optional
+        Room for the largest bodies, in bytes; half of the capacity by default.
 
     Examples
     ========
@@ -149,14 +183,18 @@
     second may be read
     """
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, capacity: int, large_room: int | None = None) -> None:
         self._capacity = capacity
+        half = capacity // _MAX_GROWN_DIVISOR
+        self._max_grown = min(half, _MAX_GROWN_BYTES)
+        self._large_room = half if large_room is None else large_room
+        self._large_reserved = 0
+        self._large_peak = 0
         self._reserved = 0
         self._early = 0
         self._peak = 0
         #: Part of ``_reserved`` that counts against the share.
         self._shared = 0
-        self._reads_large = False
         self._queue: deque[Reservation] = deque()
         self._large_queue: deque[Reservation] = deque()
         self._is_granting = False
@@ -169,7 +207,17 @@
     @property
     def max_body_bytes(self) -> int:
         """Size of the largest body that is ever granted, in bytes."""
-        return self._capacity // _MAX_BODY_DIVISOR
+        return max(self._large_room, self.min_large_bytes)
+
+    @property
+    def max_grown_bytes(self) -> int:
+        """Size to which a reservation may grow outside of the large room, in bytes."""
+        return self._max_grown
+
+    @property
+    def min_large_bytes(self) -> int:
+        """Size above which a body takes room among the largest ones, in bytes."""
+        return min(self.share, _MIN_LARGE_BYTES)
 
     @property
     def share(self) -> int:
@@ -178,9 +226,24 @@
 
     @property
     def held(self) -> int:
-        """Bytes that are reserved or were received before their grant."""
+        """Bytes that are reserved or were received early, without the large room."""
         return self._reserved + self._early
 
+    @property
+    def large_room(self) -> int:
+        """Room for the largest bodies, in bytes."""
+        return self._large_room
+
+    @property
+    def large_held(self) -> int:
+        """Bytes of the large room that are reserved."""
+        return self._large_reserved
+
+    @property
+    def large_peak(self) -> int:
+        """Largest value of :attr:`large_held` so far."""
+        return self._large_peak
+
     @property
     def peak(self) -> int:
         """Largest value of :attr:`held` so far."""
@@ -208,7 +271,6 @@
         return True
 
     def _enqueue(self, reservation: Reservation) -> None:
-        reservation.is_large = reservation.size > self.share
         queue = self._large_queue if reservation.is_large else self._queue
         queue.append(reservation)
         self._grant_next()
@@ -222,7 +284,10 @@
         return True
 
     def _shrink(self, reservation: Reservation, size: int) -> None:
-        self._reserved -= reservation.size - size
+        if reservation.is_large:
+            self._large_reserved -= reservation.size - size
+        else:
+            self._reserved -= reservation.size - size
         reservation.size = size
         if reservation.share > size:
             self._shared -= reservation.share - size
@@ -230,9 +295,9 @@
         self._grant_next()
 
     def _release(self, reservation: Reservation) -> None:
-        if reservation.granted:
-            if reservation.is_large:
-                self._reads_large = False
+        if reservation.granted and reservation.is_large:
+            self._large_reserved -= reservation.size
+        elif reservation.granted:
             self._reserved -= reservation.size
             self._shared -= reservation.share
         self._early -= reservation.early
@@ -249,11 +314,11 @@
         try:
             while (reservation := self._take_next()) is not None:
                 if reservation.is_large:
-                    self._reads_large = True
+                    self._large_reserved += reservation.size
                 else:
                     reservation.share = reservation.size
                     self._shared += reservation.size
-                self._reserved += reservation.size
+                    self._reserved += reservation.size
                 self._early -= reservation.early
                 reservation.early = 0
                 self._record_peak()
@@ -272,11 +337,12 @@
 
     def _has_room(self, reservation: Reservation) -> bool:
         size = reservation.size
+        if reservation.is_large:
+            return self._large_reserved + size <= self._large_room
         if self.held + size - reservation.early > self._capacity:
             return False
-        if reservation.is_large:
-            return not self._reads_large
         return self._shared + size <= self.share
 
     def _record_peak(self) -> None:
         self._peak = max(self._peak, self.held)
+        self._large_peak = max(self._large_peak, self._large_reserved)
--- a/packages/rattanfork-core/rattanfork_core/uploads/body_intake.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/body_intake.py
@@ -1,13 +1,15 @@
-"""State machine of the body of one upload, from its head to its last byte."""
+"""State machine of one large request body, from its head to its last byte."""
 
 from collections.abc import Callable
 from enum import IntEnum
 
 from rattanfork_core.request.outcome import Reason
-from rattanfork_core.uploads.body_budget import BodyBudget
+from rattanfork_core.uploads.body_budget import BodyBudget, Reservation
 
-#: Size above which a body is decided on before it is read, in bytes.
+#: Size above which the body of an upload is decided on before it is read, in bytes.
 LARGE_BODY_BYTES = 16 << 10
+#: Size above which the body of any request is, in bytes.
+MAX_UNCOUNTED_BODY_BYTES = 64 << 10
 #: Bytes reserved at a time for a body of unknown length.  Bodies of the known
 #: deployments have at most 360 KB, so that they fit into one step.
 _STEP_BYTES = 512 << 10
@@ -34,7 +36,7 @@
 
 
 class IntakeState(IntEnum):
-    """State of the body of an upload."""
+    """State of a large request body."""
 
     #: The request is being decided on from its head.
     DECIDING = 0
@@ -48,15 +50,19 @@
 
 
 class BodyIntake:
-    """Decides when the body of one upload may be read, and when it is refused.
+    """Decides when one large body may be read, and when its request is refused.
 
     Explanation
     ===========
 
-    The driver reports what arrives; a method returns the reason for which the upload
+    The driver reports what arrives; a method returns the reason for which the request
     is to be refused, or ``Reason.NONE``.  In each case of a refusal the body has
     reached no upstream.
 
+    A body of unknown length grows in steps.  If there is no room for a step, or the
+    body becomes one of the largest, it waits for as much room as any body may take:
+    two bodies that each hold a part can't wait for the rest of each other then.
+
     Parameters
     ==========
 
@@ -81,9 +87,11 @@
     """
 
     __slots__ = (
+        "_budget",
         "_declared",
         "_max_bytes",
         "_on_readable",
+        "_outgrown",
         "_reservation",
         "has_ended",
         "received",
@@ -95,8 +103,11 @@
         self, budget: BodyBudget, declared: int | None, max_bytes: int
     ) -> None:
         self._declared = declared
-        self._max_bytes = min(max_bytes, budget.max_body_bytes)
+        self._max_bytes = max_bytes
+        self._budget = budget
         self._reservation = budget.open()
+        #: What a body of unknown length holds while it waits for more; None otherwise.
+        self._outgrown: Reservation | None = None
         self._on_readable: Callable[[], None] | None = None
         self.state = IntakeState.DECIDING
         #: Bytes of the body received so far, without discarded ones.
@@ -127,6 +138,8 @@
         """
         if (self._declared or 0) > self._max_bytes:
             return Reason.TOO_LARGE
+        if (self._declared or 0) > self._budget.max_body_bytes:
+            return Reason.NO_BODY_ROOM
         self._on_readable = on_readable
         self.state = IntakeState.WAITING
         size = self.step if self._declared is None else self._declared
@@ -145,9 +158,13 @@
             fits = reservation.charge_early(count)
         elif self.received <= reservation.size:
             return Reason.NONE
+        elif reservation.is_large:
+            fits = False
+        elif self.received > self._max_grown:
+            fits = self._outgrow()
         else:
             size = max(self.received, reservation.size + self.step)
-            fits = reservation.grow(size)
+            fits = reservation.grow(size) or self._outgrow()
         return Reason.NONE if fits else Reason.NO_BODY_ROOM
 
     def on_end(self) -> Reason:
@@ -172,6 +189,7 @@
         self.state = IntakeState.DISCARDED
         self._on_readable = None
         self._reservation.release()
+        self._release_outgrown()
 
     def release(self) -> None:
         """Return the bytes of a body to the budget that is no longer held."""
@@ -179,10 +197,29 @@
 
     def _on_granted(self) -> None:
         self.state = IntakeState.READING
-        on_readable, self._on_readable = self._on_readable, None
+        self._release_outgrown()
         if self.has_ended:
             self._complete()
-        on_readable()
+        self._on_readable()
+
+    @property
+    def _max_grown(self) -> int:
+        return min(self._budget.max_grown_bytes, self._budget.max_body_bytes)
+
+    def _outgrow(self) -> bool:
+        """Wait for room among the largest bodies; return whether there may be any."""
+        size = min(self._max_bytes, self._budget.large_room)
+        if self.received > size or self._declared is not None:
+            return False
+        self._outgrown, self._reservation = self._reservation, self._budget.open()
+        self.state = IntakeState.WAITING
+        self._reservation.request(size, self._on_granted, is_large=True)
+        return True
+
+    def _release_outgrown(self) -> None:
+        if self._outgrown is not None:
+            self._outgrown.release()
+            self._outgrown = None
 
     def _complete(self) -> None:
         self.state = IntakeState.COMPLETE
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -23,7 +23,7 @@
 from rattanfork_core.revision import ConfigurationLease, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LogSampler
-from rattanfork_core.uploads import BodyBudget, body_budget_bytes
+from rattanfork_core.uploads import BodyBudget, body_budget_bytes, large_room_bytes
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
@@ -190,7 +190,10 @@
             me,
             MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=TICK_SECONDS),
         )
-        self._body_budget = BodyBudget(body_budget_bytes(settings.memory_bytes))
+        self._body_budget = BodyBudget(
+            body_budget_bytes(settings.memory_bytes),
+            large_room_bytes(settings.memory_bytes),
+        )
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
         self._dependencies = OperationDependencies()
--- a/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
+++ b/packages/rattanfork-node/rattanfork_node/app/state_reporter.py
@@ -46,7 +46,7 @@
     is_ready : callable
         Returns whether new requests of callers are accepted.
     body_budget : BodyBudget
-        Budget for the bodies of uploads.
+        Budget for large request bodies.
     fair_share_gauges : callable
         Returns the gauges of fair shares; none without client accounts.
     memory_gauges : callable
@@ -136,12 +136,15 @@
         return grants.state.as_log_field() | charged
 
     def _upload_fields(self) -> dict[str, int]:
-        """Return what the bodies of uploads hold at this node, in bytes."""
+        """Return what large bodies hold at this node, in bytes."""
         budget = self._body_budget
         return {
             "held": budget.held,
             "peak": budget.peak,
             "budget": budget.capacity,
+            "large_held": budget.large_held,
+            "large_peak": budget.large_peak,
+            "large_budget": budget.large_room,
             "waiting": budget.waiting,
             "gate_held": self._gate.upload_bytes,
         }
@@ -180,6 +183,8 @@
             **({} if limit is None else {"upstream_rate_limit": limit}),
             "upload_bytes_held": self._body_budget.held,
             "upload_bytes_budget": self._body_budget.capacity,
+            "large_body_bytes_held": self._body_budget.large_held,
+            "large_body_bytes_budget": self._body_budget.large_room,
             "uploads_waiting": self._body_budget.waiting,
             "upload_bytes_at_gate": self._gate.upload_bytes,
             "repeats_granted": self._gate.grants.spent,
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -15,6 +15,11 @@
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_head, render_response
+from rattanfork_node.http1.request_body import (
+    PART_BYTES,
+    BodyReader,
+    HeldBody,
+)
 from rattanfork_node.http1.server import HttpServer
 from rattanfork_node.http1.server_connection import ServerConnection
 from rattanfork_node.http1.upload import Upload, UploadResources
@@ -22,8 +27,11 @@
 from rattanfork_node.http1.upstream_response import UpstreamResponse
 
 __all__ = [
+    "PART_BYTES",
+    "BodyReader",
     "Exchange",
     "HeaderNames",
+    "HeldBody",
     "HttpClient",
     "HttpServer",
     "RequestHandler",
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -9,6 +9,7 @@
 from rattanfork_core.fair_shares import FairRank
 
 from rattanfork_node.http1.fingerprints import fingerprint_of
+from rattanfork_node.http1.request_body import HeldBody
 
 if TYPE_CHECKING:
     from rattanfork_node.http1.upload import Upload
@@ -46,6 +47,7 @@
     """
 
     __slots__ = (
+        "_large_fingerprint",
         "account",
         "account_delay",
         "answered",
@@ -58,6 +60,7 @@
         "host",
         "keep_alive",
         "keys",
+        "large_body",
         "method",
         "on_disconnect",
         "on_give_up",
@@ -100,6 +103,9 @@
         #: The body while it is read after the head was decided on; None if the request
         #: was received whole before, and after the response.
         self.upload: Upload | None = None
+        #: The body if it is held in parts; ``body`` is empty then.
+        self.large_body: HeldBody | None = None
+        self._large_fingerprint = 0
         #: How its rank was computed while the capacity is shared by account.
         self.fair_share: FairRank | None = None
         self.answered = False
@@ -128,10 +134,19 @@
     @property
     def fingerprint(self) -> int:
         """Fingerprint of the request, the same for all attempts at it."""
+        if self.large_body is not None:
+            return self._large_fingerprint
         return fingerprint_of(
             self.method, self.target, self.header_block, self.body, self.account_name
         )
 
+    def hold_large_body(self, body: HeldBody) -> None:
+        """Set a body that is held in parts."""
+        self.large_body = body
+        self._large_fingerprint = fingerprint_of(
+            self.method, self.target, self.header_block, body.parts, self.account_name
+        )
+
     def respond(self, status: int, block: bytes = b"", body: bytes = b"") -> None:
         """Set the final response; later calls have no effect.
 
--- a/packages/rattanfork-node/rattanfork_node/http1/fingerprints.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/fingerprints.py
@@ -1,6 +1,7 @@
 """Computes the fingerprint that identifies a request across nodes and attempts."""
 
 import re
+from collections.abc import Sequence
 
 from rattanfork_core.request import request_fingerprint
 
@@ -12,7 +13,11 @@
 
 
 def fingerprint_of(
-    method: bytes, target: bytes, block: bytes, body: bytes, account: str = ""
+    method: bytes,
+    target: bytes,
+    block: bytes,
+    body: bytes | Sequence[bytes],
+    account: str = "",
 ) -> int:
     r"""Return the fingerprint of a request.
 
@@ -25,8 +30,8 @@
         Path and query.
     block : bytes
         Header lines, each ending in CRLF.
-    body : bytes
-        Request body.
+    body : bytes or sequence of bytes
+        Request body, or its parts in order.
     account : str
         Name of the client account that sent the request; "" without one.
 
--- a/packages/rattanfork-node/rattanfork_node/http1/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/handler.py
@@ -13,14 +13,16 @@
         """Handle a completely received request."""
 
     def on_head(self, exchange: Exchange) -> bool:
-        """Take over a request with a large body from its head, if the route wants it.
+        """Take over a request with a large body before the body is read.
 
         Returns
         =======
 
         bool
             Whether the request was taken over; otherwise :meth:`on_request` gets it
-            with its body.  A handler that takes it over sets ``on_refused`` of
-            ``exchange.upload``, and then responds or calls its ``read``.
+            with its body.  One whose ``upload.is_counted`` is set is offered on all
+            routes; others are, too, if they may be uploads.  A handler that takes a
+            request over sets ``on_refused`` of ``exchange.upload``, and then responds
+            or calls its ``read``.
         """
         return False
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -8,7 +8,7 @@
 
 import httptools
 from rattanfork_core.parsing import parse_whole_number
-from rattanfork_core.uploads import is_large_body
+from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
 
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
@@ -204,12 +204,16 @@
         """Append to the body, up to its maximum size."""
         self._body_bytes += len(body)
         if self._uploads is not None and self._uploads.current is not None:
-            self._uploads.current.on_bytes(body)
+            self._uploads.receive(body)
             return
         self._body_size += len(body)
-        if self._body_size > self._limits.max_body_bytes:
-            self._fail_parsing(413)
         self._body.append(body)
+        if self._body_size > MAX_UNCOUNTED_BODY_BYTES and self._begin_upload():
+            parts, self._body = self._body, []
+            for part in parts:
+                self._uploads.receive(part)
+        elif self._body_size > self._limits.max_body_bytes:
+            self._fail_parsing(413)
 
     def on_message_complete(self) -> None:
         """Pass the completed request to the handler."""
@@ -349,16 +353,18 @@
         )
 
     def _begin_upload(self) -> bool:
-        """Offer the request to the handler from its head; return whether it took it."""
+        """Offer the request to the handler before its body; return if it took it."""
         server = self._server
         if server.uploads is None or self._closing or self._drop_requests:
             return False
+        known_size = max(self._body_size, self._declared_length or 0)
         if self._uploads is None:
             self._uploads = UploadReceiver(self, server, self._transport)
         return self._uploads.begin(
             self._make_exchange(b""),
             self._declared_length,
             self._expects_continue and self._parser.get_http_version() != "1.0",
+            known_size > MAX_UNCOUNTED_BODY_BYTES,
         )
 
     def _exceeds_overhead(self) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 from rattanfork_core.request import Reason
 
+from rattanfork_node.http1 import RequestLimits
 from rattanfork_node.http1.tests.fakes import request
 from rattanfork_node.http1.tests.upload_client import (
     BODY,
@@ -250,13 +251,23 @@
 
 @on_loop
 async def test_chunked_body_over_the_limit_gets_refused():
-    client = UploadClient(capacity=100_000)
+    client = UploadClient()
+    client.server.limits = RequestLimits(max_body_bytes=50_000)
     client.send(head(None))
     client.send(b"ffff\r\n" + b"x" * 0xFFFF)
     assert client.handler.refused == [Reason.TOO_LARGE]
     assert client.budget.held == 0
 
 
+@on_loop
+async def test_chunked_body_over_what_the_node_can_hold_gets_refused():
+    client = UploadClient(capacity=100_000)
+    client.send(head(None))
+    client.send(b"ffff\r\n" + b"x" * 0xFFFF)
+    assert client.handler.refused == [Reason.NO_BODY_ROOM]
+    assert client.budget.held == 0
+
+
 @on_loop
 async def test_pipelined_requests_around_an_upload_keep_their_order():
     client = UploadClient()
--- a/packages/rattanfork-node/rattanfork_node/http1/upload.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload.py
@@ -1,4 +1,4 @@
-"""The body of an upload at the connection of its client."""
+"""A large request body at the connection of its client."""
 
 from __future__ import annotations
 
@@ -12,6 +12,12 @@
 from rattanfork_core.request import Reason
 from rattanfork_core.uploads import BodyBudget, BodyIntake, IntakeState
 
+from rattanfork_node.http1.request_body import (
+    MAX_JOINED_BYTES,
+    BodyBuffer,
+    HeldBody,
+)
+
 if TYPE_CHECKING:
     from rattanfork_node.http1.exchange import Exchange
     from rattanfork_node.http1.upload_receiver import UploadReceiver
@@ -60,20 +66,24 @@
         Maximum size of a body.
     wants_continue : bool
         Whether the client waits for ``100 Continue``.
+    is_counted : bool
+        Whether the body is too large to be read without a reservation, whatever the
+        route.
     """
 
     __slots__ = (
+        "_buffer",
         "_clock",
         "_events",
         "_granted_at",
         "_has_undelivered_end",
         "_intake",
         "_on_complete",
-        "_parts",
         "_receiver",
         "_timer",
         "began_at",
         "exchange",
+        "is_counted",
         "on_refused",
         "wants_continue",
     )
@@ -87,18 +97,20 @@
         declared: int | None,
         max_bytes: int,
         wants_continue: bool,
+        is_counted: bool,
     ) -> None:
         self._receiver = receiver
         self._clock = clock
         self._events = resources.events
         self._intake = BodyIntake(resources.budget, declared, max_bytes)
-        self._parts: list[bytes] = []
+        self._buffer = BodyBuffer()
         self._on_complete: Callable[[], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._granted_at: float | None = None
         self._has_undelivered_end = False
         self.exchange = exchange
         self.wants_continue = wants_continue
+        self.is_counted = is_counted
         #: Time at which the head was complete, in seconds of the clock.
         self.began_at = clock.now()
         #: Called with the reason if the body can't be read; has to respond.
@@ -158,7 +170,7 @@
             return
         reason = self._intake.on_bytes(len(data))
         if reason is Reason.NONE:
-            self._parts.append(data)
+            self._buffer.append(data)
         else:
             self.refuse(reason)
 
@@ -199,8 +211,12 @@
     def _complete(self) -> None:
         self._cancel_timer()
         self._events["upload.read"] += 1
-        self.exchange.body = b"".join(self._parts)
-        self._parts = []
+        is_large = self._buffer.size > MAX_JOINED_BYTES
+        body = HeldBody(self._buffer.take_parts())
+        if is_large:
+            self.exchange.hold_large_body(body)
+        else:
+            self.exchange.body = body.join()
         on_complete, self._on_complete = self._on_complete, None
         on_complete()
 
@@ -211,7 +227,9 @@
     def _discard(self) -> None:
         self._cancel_timer()
         self.wants_continue = False
-        self._parts = []
+        self._buffer.take_parts()
+        if self.exchange.large_body is not None:
+            self.exchange.large_body.discard()
         self._on_complete = None
         self.on_refused = _ignore
         self._intake.discard()
--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -1,4 +1,4 @@
-"""Uploads of one client connection: order, 100-continue, and the rest of a body."""
+"""Large bodies of one client connection: order, 100-continue, the rest of a body."""
 
 from __future__ import annotations
 
@@ -74,9 +74,13 @@
         return current.is_paused or is_answered
 
     def begin(
-        self, exchange: Exchange, declared: int | None, wants_continue: bool
+        self,
+        exchange: Exchange,
+        declared: int | None,
+        wants_continue: bool,
+        is_counted: bool,
     ) -> bool:
-        """Offer a request to the handler from its head; return whether it took it."""
+        """Offer a request to the handler before its body; return whether it took it."""
         exchange.upload = self.current = Upload(
             self,
             exchange,
@@ -85,6 +89,7 @@
             declared,
             self._server.limits.max_body_bytes,
             wants_continue,
+            is_counted,
         )
         pending = self._connection.pending
         pending.append(exchange)
@@ -95,6 +100,10 @@
         self.current = None
         return False
 
+    def receive(self, data: bytes) -> None:
+        """Pass on bytes of the current body."""
+        self.current.on_bytes(data)
+
     def end(self) -> Upload:
         """Handle the end of the current body, which :meth:`deliver` passes on."""
         upload, self.current = self.current, None
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -14,6 +14,7 @@
 )
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
+from rattanfork_node.http1.request_body import PART_BYTES, BodyReader
 from rattanfork_node.http1.upstream_response import (
     UpstreamResponse,
     keep_alive_timeout,
@@ -108,6 +109,9 @@
         self._on_response: Callable[[UpstreamResponse | None], None] | None = None
         self._request_id = b""
         self._is_head = False
+        #: A large body of the pending request until all of it is written.
+        self._request_body: BodyReader | None = None
+        self._writable = True
         #: Whether a response on this connection has echoed the ID of its request.
         self._echoes_ids = False
         #: IDs of requests that were answered with an error.
@@ -175,6 +179,7 @@
         request_id: bytes,
         on_response: Callable[[UpstreamResponse | None], None],
         is_head: bool = False,
+        body: BodyReader | None = None,
     ) -> None:
         """Send a request.
 
@@ -182,12 +187,16 @@
         ==========
 
         data : bytes
-            The complete request, head and body.
+            The complete request, head and body; only its head if there is a ``body``.
         request_id : bytes
             ID that the response must echo if it has the header.
         on_response : callable
             Called once, with the complete response, or None if the connection
             closed before.
+        is_head : bool
+            Whether the method is HEAD.
+        body : BodyReader, optional
+            A large body, of which a few parts at a time are in memory here.
         """
         self._on_response = on_response
         self._request_id = request_id
@@ -198,10 +207,16 @@
         self.sent_at = self._clock.now()
         self.idle_before = self.sent_at - self.idle_since
         self._transport.write(data)
+        if body is not None:
+            self._request_body = body
+            self._transport.set_write_buffer_limits(high=2 * PART_BYTES)
+            body.on_readable = self._send_body
+            self._send_body()
 
     def abort(self, cause: NewConnectionCause = NewConnectionCause.CANCELLED) -> None:
         """Abort the connection, so that the upstream can stop processing."""
         self._on_response = None
+        self._request_body = None
         if self._transport is not None:
             self._transport.abort()
         self._close(cause)
@@ -213,6 +228,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the pool and the sender of the pending request."""
+        self._request_body = None
         self.refused = self._unused and error is not None and not self.closed
         if self._on_response is None:
             self._close(NewConnectionCause.CLOSED_BY_UPSTREAM)
@@ -225,6 +241,15 @@
         if on_response is not None:
             on_response(None)
 
+    def pause_writing(self) -> None:
+        """Pause sending a body: the upstream does not read."""
+        self._writable = False
+
+    def resume_writing(self) -> None:
+        """Go on sending a body."""
+        self._writable = True
+        self._send_body()
+
     def eof_received(self) -> bool:
         """Complete a response without a length, which ends with its connection.
 
@@ -313,6 +338,15 @@
         self._body.clear()
         self._transport.abort()
 
+    def _send_body(self) -> None:
+        body = self._request_body
+        if body is None:
+            return
+        while self._writable and (part := body.read()):
+            self._transport.write(part)
+        if not body.remaining:
+            self._request_body = None
+
     def _add_response_id(self, value: bytes) -> None:
         if not self._response_id:
             self._response_id = value
@@ -369,7 +403,10 @@
             self._error_ids.add(self._request_id)
             reusable = reusable and len(self._error_ids) < _MAX_ERROR_IDS
         self._completed = True
-        self._reusable = reusable
+        # After an early response the upstream would take the next request for the rest
+        # of the body.
+        self._reusable = reusable and self._request_body is None
+        self._request_body = None
         body = b"".join(self._body)
         # An idle connection must not keep its last response in memory.
         self._body = []
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -5,10 +5,12 @@
 """
 
 from rattanfork_node.peer.base_handler import BasePeerHandler
+from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
 from rattanfork_node.peer.link import PeerLink
 from rattanfork_node.peer.messages import (
+    BODY_PARTS_LEVEL,
     BurnReply,
     BurnRequest,
     Call,
@@ -45,6 +47,10 @@
 from rattanfork_node.peer.rules import rules_reply
 
 __all__ = [
+    "BODY_PARTS_LEVEL",
+    "BodyCredit",
+    "BodyPart",
+    "BodyStart",
     "BurnReply",
     "BurnRequest",
     "Call",
--- a/packages/rattanfork-node/rattanfork_node/peer/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/handler.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from rattanfork_node.peer.body_messages import BodyPart, BodyStart
 from rattanfork_node.peer.errors import FrameError
 from rattanfork_node.peer.messages import (
     BurnRequest,
@@ -51,6 +52,14 @@
         """Write a retirement to the store and reply with the result."""
         raise FrameError("this node does not keep retirements")
 
+    def on_body_start(self, link: "PeerLink", start: BodyStart) -> None:
+        """Expect a body in parts."""
+        raise FrameError("this node does not serve runs")
+
+    def on_body_part(self, link: "PeerLink", part: BodyPart) -> None:
+        """Receive a part of a body."""
+        raise FrameError("this node does not serve runs")
+
     @abstractmethod
     def on_cancel(self, link: "PeerLink", number: int) -> None:
         """Cancel the call or run with this number."""
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -8,6 +8,9 @@
 import msgpack
 from rattanfork_core.clock import Clock
 
+from rattanfork_node.http1 import BodyReader
+from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
+from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
 from rattanfork_node.peer.handshake import check_proof, make_proof, make_unpacker
@@ -53,11 +56,15 @@
     ConfigurationRequest: "on_configuration",
     RetirementsRequest: "on_retirements",
     PersistRequest: "on_persist",
+    BodyStart: "on_body_start",
+    BodyPart: "on_body_part",
 }
 #: Receive buffer until the peer has proved that it has the shared key.
 _HANDSHAKE_BUFFER_BYTES = 2048
 #: Maximum bytes of a frame besides the body, such as headers.
 _FRAME_OVERHEAD_BYTES = 256 << 10
+#: Bytes that wait to be written at which no more parts of bodies are sent.
+_WRITE_BUFFER_BYTES = 128 << 10
 
 
 class PeerLink(asyncio.Protocol):
@@ -136,8 +143,11 @@
         self._ping_sent_at = 0.0
         self._late_replies = 0
         self._peer_level = 0
+        self._bodies = BodySender(self.send)
         #: Tasks or jobs of the peer's requests by number, kept by the handler.
         self.calls: dict[int, Any] = {}
+        #: Bodies that arrive in parts, by the number of their run, kept by the handler.
+        self.bodies: dict[int, Any] = {}
 
     @property
     def connection_id(self) -> str:
@@ -238,6 +248,11 @@
         self._run_callbacks[message.number] = done
         self.send_batched(message)
 
+    def send_body(self, number: int, reader: BodyReader, fingerprint: int) -> None:
+        """Send the body of a run in parts; the run itself has to follow."""
+        self._bodies.add(number, reader)
+        self.send_batched(BodyStart(number, reader.size, fingerprint))
+
     def was_written(self, number: int) -> bool:
         """Return whether the message of a number was written to the transport.
 
@@ -250,6 +265,7 @@
         """Remove a pending request; its reply is dropped as late."""
         self._reply_futures.pop(number, None)
         self._run_callbacks.pop(number, None)
+        self._bodies.drop(number)
 
     def heartbeat(self, silence: float, idle: float) -> None:
         """Ping an idle peer and close on timeout; call several times a second.
@@ -289,6 +305,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         if not self._is_client:
             self.send(Challenge(PROTOCOL_VERSION, self._nonce))
 
@@ -296,6 +313,14 @@
         """Fail all pending requests."""
         self._mark_lost("closed by the peer" if error is None else str(error))
 
+    def pause_writing(self) -> None:
+        """Send no more parts of bodies: the peer does not read."""
+        self._bodies.set_writable(False)
+
+    def resume_writing(self) -> None:
+        """Go on sending parts of bodies."""
+        self._bodies.set_writable(True)
+
     def data_received(self, data: bytes) -> None:
         """Decode frames and dispatch their messages."""
         self._last_received = self._clock.now()
@@ -325,6 +350,7 @@
             self._advance_handshake(message)
         elif type(message) is RunReply:
             done = self._run_callbacks.pop(message.number, None)
+            self._bodies.drop(message.number)
             if done is None:
                 self._late_replies += 1
             else:
@@ -335,6 +361,8 @@
                 self._late_replies += 1
             else:
                 future.set_result(message)
+        elif type(message) is BodyCredit:
+            self._bodies.on_credit(message)
         elif isinstance(message, Ping):
             self._peer_level = max(0, message.number)
             self.send(Pong(message.number + MESSAGE_LEVEL))
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -10,6 +10,7 @@
 import msgpack
 from rattanfork_core.advertised.report import NO_LIMIT
 
+from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.call_messages import (
     BurnReply,
     BurnRequest,
@@ -29,12 +30,14 @@
 
 PROTOCOL_VERSION = 4
 #: Optional fields and messages that a node understands: 1 adds the reports on
-#: upstreams to runs and their replies, 2 the messages on retirements.  Nodes exchange
-#: their levels in pings, so that a node of a lower level never gets what it would
-#: reject.
-MESSAGE_LEVEL = 2
+#: upstreams to runs and their replies, 2 the messages on retirements, 3 bodies in
+#: parts.  Nodes exchange their levels in pings, so that a node of a lower level never
+#: gets what it would reject.
+MESSAGE_LEVEL = 3
 #: Lowest level of a node that understands the messages on retirements.
 RETIREMENTS_LEVEL = 2
+#: Lowest level of a node that receives bodies in parts.
+BODY_PARTS_LEVEL = 3
 #: Maximum characters of a header, a path or the ID of an upstream.
 _MAX_TEXT_LENGTH = 16_384
 _MAX_HEADERS = 200
@@ -248,6 +251,9 @@
     | RetirementsReply
     | PersistRequest
     | PersistReply
+    | BodyStart
+    | BodyPart
+    | BodyCredit
 )
 
 #: Messages that reply to a request by its number.
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -45,6 +45,9 @@
     def abort(self):
         self.aborted = True
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def take(self) -> bytes:
         data, self.written = self.written, b""
         return data
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -20,7 +20,14 @@
 )
 from rattanfork_core.request.commands import Command
 
-from rattanfork_node.peer import Cancel, LinkLostError, PeerLink, Run, RunReply
+from rattanfork_node.peer import (
+    BODY_PARTS_LEVEL,
+    Cancel,
+    LinkLostError,
+    PeerLink,
+    Run,
+    RunReply,
+)
 from rattanfork_node.relay.admitted_request import AdmittedRequest, AttemptRecord
 from rattanfork_node.relay.attempt_reasons import (
     INSTANCE_FAILURE_REASONS,
@@ -196,6 +203,7 @@
         admitted = self._admitted
         if (
             self._exchange.upload is not None
+            and admitted.route.upload
             and self._last_reason in _UPSTREAM_REFUSAL_REASONS
         ):
             return False
@@ -302,6 +310,9 @@
             account=exchange.account_name,
             is_upload=exchange.upload is not None,
         )
+        if exchange.large_body is not None:
+            self._job.large_body = exchange.large_body.open()
+            self._job.large_fingerprint = exchange.fingerprint
         self._relay.gate.submit(self._job)
 
     def _send_run(self, link: PeerLink, member: Member) -> None:
@@ -320,7 +331,7 @@
             exchange.method,
             exchange.target,
             exchange.header_block,
-            exchange.body,
+            self._send_large_body(link),
             exchange.request_id,
             float(admitted.rank),
             max(0, int(left * 1000)),
@@ -333,6 +344,17 @@
         )
         link.send_run(run, lambda reply: self._on_reply(attempt, member, reply))
 
+    def _send_large_body(self, link: PeerLink) -> bytes:
+        """Send a body that is held in parts; return what the run itself carries."""
+        exchange = self._exchange
+        body = exchange.large_body
+        if body is None:
+            return exchange.body
+        if link.peer_level < BODY_PARTS_LEVEL:
+            return body.join()
+        link.send_body(self._number, body.open(), exchange.fingerprint)
+        return b""
+
     def _connect_and_send(self, member: Member | None, attempt: int) -> None:
         """Open a link and send the attempt, unless it has ended by then."""
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -324,10 +324,11 @@
             self._withdraw(job, Reason.CANCELLED)
         elif job.connection is None:
             self._finish_run(job, not_run(Reason.CANCELLED), False)
-        elif job.idempotent:
+        elif job.idempotent or job.is_body_incomplete:
             # Closing the connection makes the upstream stop.  A run that is not
             # idempotent continues, and so do its child calls: if it were aborted, it
-            # would be unknown how much of it was done.
+            # would be unknown how much of it was done.  Without the rest of its body it
+            # can't go on.
             job.connection.abort()
             self._tracker.on_lost(job.fingerprint)
             self._cancel_calls(job)
@@ -450,12 +451,13 @@
         job.connection = connection
         job.incarnation = self._incarnation
         self.health.on_started(job.waiter.key, job.operation)
-        connection.send(
-            self._render_request_head(job) + job.body,
-            job.request_id,
-            partial(self._on_response, job),
-            job.method == b"HEAD",
-        )
+        head = self._render_request_head(job)
+        on_response = partial(self._on_response, job)
+        is_head = job.method == b"HEAD"
+        if job.large_body is None:
+            connection.send(head + job.body, job.request_id, on_response, is_head)
+        else:
+            connection.send(head, job.request_id, on_response, is_head, job.large_body)
 
     def _check_hand_over(self, job: Job) -> Reason:
         """Return why a request may not be sent; NONE marks it as handed over."""
@@ -474,7 +476,7 @@
         )
         if job.account:
             headers += b"%b: %b\r\n" % (names.account, job.account.encode())
-        return render_head(job.method, job.target, job.block, len(job.body), headers)
+        return render_head(job.method, job.target, job.block, job.body_size, headers)
 
     def _on_response(self, job: Job, response: UpstreamResponse | None) -> None:
         if (
@@ -534,7 +536,7 @@
         result.services_reached = self.dependencies.services(job.operation)
 
     def _record_success(self, job: Job) -> None:
-        if len(self._quarantine) or len(job.body) > _MAX_DEFERRED_BODY_BYTES:
+        if len(self._quarantine) or job.body_size > _MAX_DEFERRED_BODY_BYTES:
             fingerprint = job.fingerprint
             self._tracker.on_success(fingerprint)
             self._quarantine.on_success(fingerprint)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -8,6 +8,7 @@
 from rattanfork_core.request import CallResult
 
 from rattanfork_node.http1 import (
+    BodyReader,
     UpstreamConnection,
     UpstreamResponse,
     fingerprint_of,
@@ -73,6 +74,10 @@
     account: str = ""
     #: Whether it is an upload, whose body counts against the gate's bound.
     is_upload: bool = False
+    #: The body if it is passed on in parts; ``body`` is empty then.
+    large_body: BodyReader | None = None
+    #: Fingerprint of a request with a large body.
+    large_fingerprint: int = 0
     #: Bytes of the gate's bound on bodies that it holds.
     body_bytes_held: int = 0
     waiter: Waiter | None = None
@@ -99,10 +104,22 @@
     @property
     def fingerprint(self) -> int:
         """Hash of the request's content, equal for all attempts at it."""
+        if self.large_body is not None:
+            return self.large_fingerprint
         return fingerprint_of(
             self.method, self.target, self.block, self.body, self.account
         )
 
+    @property
+    def body_size(self) -> int:
+        """Size of the body, in bytes."""
+        return len(self.body) if self.large_body is None else self.large_body.size
+
+    @property
+    def is_body_incomplete(self) -> bool:
+        """Whether part of the body has not been passed on yet."""
+        return self.large_body is not None and self.large_body.remaining > 0
+
     @property
     def is_denied_retry(self) -> bool:
         """Whether the retry budget denied it."""
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -11,11 +11,13 @@
 from rattanfork_core.request import CallResult, Reason
 from rattanfork_core.request.importance import RANK_LIMIT
 from rattanfork_core.revision import RevisionState
-from rattanfork_core.uploads import LARGE_BODY_BYTES
+from rattanfork_core.uploads import LARGE_BODY_BYTES, MAX_UNCOUNTED_BODY_BYTES
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.peer import (
     BasePeerHandler,
+    BodyPart,
+    BodyStart,
     BurnRequest,
     Call,
     ConfigurationReply,
@@ -34,6 +36,7 @@
 )
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
+from rattanfork_node.relay.remote_body import RemoteBody
 from rattanfork_node.telemetry import Counters
 
 if TYPE_CHECKING:
@@ -84,6 +87,7 @@
             raise FrameError("rank of a run is out of range")
         if not run.account.isprintable():
             raise FrameError("account name is not printable")
+        body = link.bodies.get(run.number)
         job = Job(
             run.boot,
             run.route,
@@ -102,7 +106,9 @@
             partial(call_log.hand_over, run.number),
             link.peer,
             run.account,
-            self._is_upload(run),
+            self._is_counted(run),
+            large_body=body,
+            large_fingerprint=0 if body is None else body.fingerprint,
         )
         link.calls[run.number] = job
         if run.upstream:
@@ -110,15 +116,29 @@
             self._gate.advertised.on_report(report, link.peer)
         self._gate.submit(job)
 
-    def _is_upload(self, run: Run) -> bool:
-        """Return whether a run is one whose body counts against the gate's bound."""
+    def _is_counted(self, run: Run) -> bool:
+        """Return whether the body of a run counts against the gate's bound."""
+        size = len(run.body)
+        if size <= LARGE_BODY_BYTES or size > MAX_UNCOUNTED_BODY_BYTES:
+            return size > LARGE_BODY_BYTES
         configuration = self._configuration.current
         return (
-            len(run.body) > LARGE_BODY_BYTES
-            and configuration is not None
+            configuration is not None
             and run.route.rpartition("/")[0] in configuration.upload_routes
         )
 
+    def on_body_start(self, link: PeerLink, start: BodyStart) -> None:
+        """Expect the body of a run in parts."""
+        if start.number in link.bodies:
+            raise FrameError("a body was announced twice")
+        link.bodies[start.number] = RemoteBody(link, start)
+
+    def on_body_part(self, link: PeerLink, part: BodyPart) -> None:
+        """Receive a part of a body; it is dropped if its run has ended."""
+        body = link.bodies.get(part.number)
+        if body is not None:
+            body.on_part(part)
+
     def on_cancel(self, link: PeerLink, number: int) -> None:
         """Cancel a run."""
         job = link.calls.get(number)
@@ -155,6 +175,7 @@
         super().on_closed(link)
         for job in list(link.calls.values()):
             self._gate.cancel(job)
+        link.bodies.clear()
 
     def on_call(self, link: PeerLink, call: Call) -> None:
         """Reject requests of the call path: only nodes without routes serve them."""
@@ -183,6 +204,7 @@
     ) -> None:
         gate = self._gate
         link.calls.pop(number, None)
+        link.bodies.pop(number, None)
         report = ()
         reason = result.reason
         if link.peer_level:
--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -19,6 +19,9 @@
 _NO_ROUTE_STATUS = 404
 #: Statuses after which a client may send the same request again.
 _RETRYABLE_STATUSES = frozenset((429, NOT_RUN_STATUS))
+#: Retry-After of a node that has no configuration yet; it reads one within about a
+#: second of its start.
+_NOT_READY_RETRY_S = 0.3
 #: In the log, the status of a request whose client got no response.
 _NO_STATUS = 0
 
@@ -83,6 +86,10 @@
             elif not exchange.answered:
                 self.refuse(exchange, Reason.LEAVING, retry_after)
 
+    def refuse_unready(self, exchange: Exchange, is_call: bool) -> None:
+        """Refuse a request, as this node has no configuration yet."""
+        self.refuse(exchange, Reason.NOT_READY, _NOT_READY_RETRY_S, is_call=is_call)
+
     def refuse_without_route(self, exchange: Exchange) -> None:
         """Refuse a request that matches no route."""
         self._counters.events["relay.no-route"] += 1
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -54,9 +54,6 @@
 if TYPE_CHECKING:
     from rattanfork_node.relay.rule_decisions import RuleDecision, RuleEvaluator
 
-#: Retry-After of a node that has no configuration yet; it reads one within about a
-#: second of its start.
-_NOT_READY_RETRY_S = 0.3
 _NO_INSTANCES: frozenset[str] = frozenset()
 
 
@@ -198,9 +195,7 @@
         configuration = self._configuration.current
         if configuration is None or not self._rules.ready:
             is_call = self.gate.parent_of(exchange.request_id) is not None
-            self._refusals.refuse(
-                exchange, Reason.NOT_READY, _NOT_READY_RETRY_S, is_call=is_call
-            )
+            self._refusals.refuse_unready(exchange, is_call)
             return
         route = configuration.table.find(exchange.host, exchange.path)
         if route is None:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/gate_peer.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/gate_peer.py
@@ -21,6 +21,7 @@
         self.connection_id = connection_id
         self.peer = "me@b1"
         self.calls: dict = {}
+        self.bodies: dict = {}
         self._link = link
 
     def send_batched(self, reply: RunReply) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_upstream_reports.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_upstream_reports.py
@@ -110,6 +110,7 @@
     def __init__(self, peer_level: int) -> None:
         self.peer_level = peer_level
         self.calls: dict = {}
+        self.bodies: dict = {}
         self.replies: list[RunReply] = []
 
     def send_batched(self, message: RunReply) -> None:
--- a/packages/rattanfork-node/rattanfork_node/relay/uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/uploads.py
@@ -83,22 +83,29 @@
         self._retry_after = retry_after
 
     def on_head(self, exchange: Exchange) -> bool:
-        """Take over a request with a large body if its route is one of uploads.
+        """Take over a request whose body is counted, or whose route is one of uploads.
 
         Returns
         =======
 
         bool
-            Whether the request was taken over.  It is not before this node has a
-            configuration, as the kind of the route is unknown then.
+            Whether the request was taken over.  One that may be an upload is not before
+            this node has a configuration, as the kind of the route is unknown then.
         """
+        is_counted = exchange.upload.is_counted
         configuration = self._configuration.current
+        is_call = self._gate.parent_of(exchange.request_id) is not None
         if configuration is None or not self._rules.ready:
-            return False
+            if is_counted:
+                self._refusals.refuse_unready(exchange, is_call)
+            return is_counted
         route = configuration.table.find(exchange.host, exchange.path)
-        if route is None or not route.upload:
+        if route is None:
+            if is_counted:
+                self._refusals.refuse_without_route(exchange)
+            return is_counted
+        if not route.upload and not is_counted:
             return False
-        is_call = self._gate.parent_of(exchange.request_id) is not None
         exchange.upload.on_refused = partial(self._refuse, exchange, route, is_call)
         exchange.on_disconnect = partial(
             self._refusals.record_abandoned, exchange, route, is_call
