--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import sys
 import time
 from collections.abc import Callable
 from functools import partial
@@ -62,6 +63,7 @@
 )
 from rattanfork_node.ticks import TICK_SECONDS, sleep_ticks
 
+_PYTHON_VERSION = sys.version.split()[0]
 #: Ticks between two sweeps of idle connections.
 _SWEEP_TICKS = 5
 #: Ticks between two summary lines in the log.
@@ -98,6 +100,8 @@
         Creates the handler for the upstream's announcements.
     writer : LineWriter
         Output for log lines about requests.
+    code : str
+        Digest of the installed code, for the log.
     """
 
     def __init__(
@@ -107,8 +111,10 @@
         decode: Callable[[bytes], Configuration],
         announcement_handler: Callable[["RelayNode"], RequestHandler],
         writer: LineWriter,
+        code: str = "",
     ) -> None:
         self._settings = settings
+        self._code = code
         self._platform = platform
         self._clock = MonotonicClock()
         self._random = Random(int.from_bytes(os.urandom(16), "big"))
@@ -125,7 +131,7 @@
     async def run(self) -> int:
         """Run until drained; return the exit status."""
         await self._start()
-        log_change("started", boot=self._boot)
+        log_change("started", boot=self._boot, code=self._code, python=_PYTHON_VERSION)
         ticker = asyncio.ensure_future(self._tick_forever())
         await self._draining.wait()
         status = await self._drain()
--- a/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
@@ -52,6 +52,18 @@
         for request_id in [i for i, end in self._deadlines.items() if end < now]:
             del self._deadlines[request_id]
 
+    def describe(self, request_id: bytes) -> dict[str, object]:
+        """Return what a request without a key is taken by for a call, for the log."""
+        parent, dot, _ = request_id.rpartition(b".")
+        configuration = self._configuration.current
+        return {
+            "has_parent_id": bool(dot),
+            "is_parent_lost": parent in self._deadlines,
+            "lost_runs": len(self._deadlines),
+            "process_age_s": round(self._clock.now() - self._started_at, 2),
+            "longest_timeout_s": configuration and configuration.longest_timeout,
+        }
+
     def may_include(self, request_id: bytes) -> bool:
         """Return whether a request with this ID may be a call of a lost run."""
         parent, dot, _ = request_id.rpartition(b".")
--- a/packages/rattanfork-node/rattanfork_node/relay/refusals.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/refusals.py
@@ -97,9 +97,22 @@
         exchange.respond(_NO_ROUTE_STATUS, self.request_id_line(exchange))
 
     def refuse_account(
-        self, exchange: Exchange, route: Route, refusal: Refusal
+        self, exchange: Exchange, route: Route, refusal: Refusal, **inputs: object
     ) -> None:
-        """Refuse a request because of its key or the quota of its account."""
+        """Refuse a request because of its key or the quota of its account.
+
+        Parameters
+        ==========
+
+        exchange : Exchange
+            The request.
+        route : Route
+            Its route.
+        refusal : Refusal
+            The response.
+        inputs : object
+            Further fields of the log line.
+        """
         retry_after = refusal.retry_after
         self._decision_log.on_refused(
             exchange,
@@ -108,6 +121,7 @@
             retry_after,
             route=route.name,
             waited_ms=round(exchange.account_delay * 1000, 1),
+            **inputs,
         )
         if retry_after:
             self.respond_not_run(exchange, refusal.reason, retry_after, refusal.status)
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -36,7 +36,7 @@
 from rattanfork_node.member.directory import InstanceDirectory
 from rattanfork_node.peer import PeerPool
 from rattanfork_node.relay.admitted_request import AdmittedRequest
-from rattanfork_node.relay.client_accounts import ClientAccounts
+from rattanfork_node.relay.client_accounts import ClientAccounts, Refusal
 from rattanfork_node.relay.completion import RequestCompletion
 from rattanfork_node.relay.deadlines import deadline_of
 from rattanfork_node.relay.decision_log import DecisionLog
@@ -168,7 +168,7 @@
         gate.on_run_lost = self.orphaned_calls.on_run_lost
         accounts.may_be_call = self.orphaned_calls.may_include
         accounts.accept = self._route_request
-        accounts.refuse = self._refusals.refuse_account
+        accounts.refuse = self._refuse_account
         self._uploads = UploadReader(
             clock,
             configuration,
@@ -211,6 +211,15 @@
         """Take over a request on a route of uploads from its head."""
         return self._uploads.on_head(exchange)
 
+    def _refuse_account(
+        self, exchange: Exchange, route: Route, refusal: Refusal
+    ) -> None:
+        """Refuse a request for its key or quota; log why one without is no call."""
+        inputs = {}
+        if not any(exchange.keys):
+            inputs["keyless"] = self.orphaned_calls.describe(exchange.request_id)
+        self._refusals.refuse_account(exchange, route, refusal, **inputs)
+
     def _route_request(self, exchange: Exchange, route: Route) -> None:
         """Route a request after authentication."""
         parent = self.gate.parent_of(exchange.request_id)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
@@ -83,6 +83,25 @@
     assert status_of(harness.send_request(request_id="run.1")) == 401
 
 
+@on_loop
+async def test_log_tells_why_a_request_without_a_key_is_no_call():
+    """Guards against refused calls of which the log shows no cause."""
+    harness = make_harness(timeout=2.0)
+    harness.clock.advance(2.1)
+    harness.send_request(request_id="run.1")
+    harness.send_request(request_id="caller", keys=[b"key-of-clerks", b"old-key"])
+    lines = harness.log.lines
+    assert lines[0]["reason"] == "unauthenticated"
+    assert lines[0]["keyless"] == {
+        "has_parent_id": True,
+        "is_parent_lost": False,
+        "lost_runs": 0,
+        "process_age_s": 2.1,
+        "longest_timeout_s": 2.0,
+    }
+    assert "keyless" not in lines[1]
+
+
 @on_loop
 async def test_anonymous_route_accepts_missing_and_unknown_keys():
     harness = make_harness(anonymous=True)
