Remember lost runs also while the configuration has no accounts

A call of a run that the gate had lost before accounts were added was answered 401, as lost runs were recorded only under a configuration with accounts. The new test failed before (401 where 503 is expected).

--- a/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
@@ -42,9 +42,7 @@
 
     def on_run_lost(self, job: Job) -> None:
         """Record a run that may go on although the gate has ended it."""
-        configuration = self._configuration.current
-        if configuration is not None and configuration.accounts is not None:
-            self._deadlines[job.request_id] = job.deadline
+        self._deadlines[job.request_id] = job.deadline
 
     def sweep(self) -> None:
         """Forget the runs whose deadlines have passed; call once a second."""
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
@@ -83,6 +83,18 @@
     assert status_of(harness.send_request(request_id="run.1")) == 401
 
 
+@on_loop
+async def test_call_of_a_run_lost_before_accounts_were_added_is_not_answered_401():
+    """Guards against 401 for calls of runs that began while no key was required."""
+    harness = RelayHarness(peers=1, timeout=2.0)
+    harness.clock.advance(2.1)
+    gate = harness.gate_harness
+    gate.submit("run", deadline=harness.clock.now() + 1.0)
+    gate.pool.connections[0].done(None)
+    harness.change_accounts(ACCOUNTS)
+    assert status_of(harness.send_request(request_id="run.1")) == 503
+
+
 @on_loop
 async def test_log_tells_why_a_request_without_a_key_is_no_call():
     """Guards against refused calls of which the log shows no cause."""
