Take a request whose key is empty for one without a key

A call of a lost run that carries the header of the key with an empty value waited for a newer configuration and was answered 401; without the header it is answered 503. The new test failed before (401 where 503 is expected).

--- a/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/client_accounts.py
@@ -145,7 +145,8 @@
 
     def admit(self, exchange: Exchange, route: Route, index: AccountIndex) -> None:
         """Accept or refuse a caller's request, once, now or after a wait."""
-        keys = exchange.keys
+        # An empty value is no key.
+        keys = exchange.keys if any(exchange.keys) else ()
         account = index.find(keys[0]) if len(keys) == 1 else None
         if account is not None and self._is_confirmed():
             self._take_quota(exchange, route, account)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
@@ -95,6 +95,18 @@
     assert status_of(harness.send_request(request_id="run.1")) == 503
 
 
+@on_loop
+async def test_call_with_an_empty_key_is_taken_for_one_without():
+    """Guards against 401 for calls of lost runs that carry the header without a key."""
+    harness = make_harness(timeout=2.0)
+    exchange = harness.send_request(request_id="run.1", keys=[b""])
+    harness.clock.advance(0.1)
+    harness.lease.confirm(harness.clock.now())
+    harness.accounts.recheck_waiting()
+    assert status_of(exchange) == 503
+    assert status_of(harness.send_request(request_id="r2", keys=[b""])) == 401
+
+
 @on_loop
 async def test_log_tells_why_a_request_without_a_key_is_no_call():
     """Guards against refused calls of which the log shows no cause."""
