Expect runs of an earlier process for a minute whatever the time-outs are now

A call of a run that a started process does not know was answered 401 once the process was older than the longest time-out in force. The run may have been sent under a longer one: configurations change time-outs, also while a node is down.

--- a/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/orphaned_calls.py
@@ -11,6 +11,11 @@
     from rattanfork_node.relay.job import Job
 
 
+#: Seconds after a start for which runs of an earlier process may go on.  Time-outs in
+#: force when they were sent may have been longer than those of the configuration now.
+_MAX_PREDECESSOR_RUN_S = 60.0
+
+
 class OrphanedCalls:
     """Recognizes requests that may be calls of a run which the gate has lost.
 
@@ -75,4 +80,4 @@
         if configuration is None:
             return True
         age = self._clock.now() - self._started_at
-        return age <= configuration.longest_timeout
+        return age <= max(configuration.longest_timeout, _MAX_PREDECESSOR_RUN_S)
