Ask all known retirements before an upstream is attached

Cause: the tracker of announcements keeps the last 64 retired IDs. A new process restores all retirements of its machine from the store, in the order of their keys, which are hashes, so any 64 of them remain. The table of retirements knows the others, but was asked only after the upstream was attached. Now an announcement or a probe of an ID that the table knows restores it first. The new tests failed before, but where the last retirement is also the last in the order.

--- a/packages/rattanfork-core/rattanfork_core/retirement/table.py
+++ b/packages/rattanfork-core/rattanfork_core/retirement/table.py
@@ -44,6 +44,10 @@
         known = self._starts.get(retirement[:2])
         return known is not None and known >= retirement.born
 
+    def start_of(self, instance: str, upstream: str) -> int | None:
+        """Return the latest retired start of an upstream; None if none has left."""
+        return self._starts.get((instance, upstream))
+
     def add(self, retirement: Retirement) -> bool:
         """Add a retirement; return whether it was new."""
         if self.covers(retirement):
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_upstream_monitor.py
@@ -43,8 +43,9 @@
     def retire(self, upstream: str, born: int) -> None:
         self.own.append(Retirement("me", upstream, born))
 
-    def has_retired(self, upstream: str) -> bool:
-        return any(entry.upstream == upstream for entry in self.own)
+    def retired_start(self, upstream: str) -> int | None:
+        starts = [entry.born for entry in self.own if entry.upstream == upstream]
+        return max(starts, default=None)
 
     def learn(self) -> None:
         """Complete the start of a process."""
@@ -389,3 +390,23 @@
             # A leaving upstream refuses probes.
             harness.probe(name if kind == "probe" and name not in left else None)
         assert harness.serving not in left
+
+
+@pytest.mark.parametrize("place", [0, 150, 299])
+def test_late_announcement_is_ignored_whatever_else_has_left_before(place):
+    """Guards against an upstream back in service after its leaving, at a new process.
+
+    Its instance has had many upstreams, of which the process reads all retirements, in
+    any order.
+    """
+    retirements = FakeRetirements()
+    for number in range(300):
+        retirements.retire("last" if number == place else f"u{number}", 0)
+    harness = MonitorHarness(retirements)
+    retirements.learn()
+    harness.announce("last", 7)
+    assert harness.serving is None
+    harness.probe("last")
+    assert harness.serving is None
+    harness.announce("next", 1)
+    assert harness.serving == "next"
--- a/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
+++ b/packages/rattanfork-node/rattanfork_node/app/upstream_monitor.py
@@ -113,6 +113,7 @@
         if announcement.service != self._service:
             return False
         upstream = announcement.upstream
+        has_retired = self._restore_retired(upstream)
         if not self._tracker.accept(announcement):
             self._counters.events["announcement.late"] += 1
             if not announcement.leaving:
@@ -123,7 +124,7 @@
             self._detach("leaving", upstream)
         else:
             self._attach_announced(announcement)
-        if announcement.leaving or self._retirements.has_retired(upstream):
+        if announcement.leaving or has_retired:
             # A late announcement may state a start that was unknown.
             self._retire(upstream)
         return True
@@ -179,6 +180,7 @@
         if self._gate.misdirected and self._tracker.reinstate(name):
             self._attach_announced(self._tracker.current)
             return
+        self._restore_retired(name)
         if self._tracker.is_retired(name):
             return
         current = self._tracker.current
@@ -226,6 +228,13 @@
         if announced is not None and not announced.leaving:
             self._attach_announced(announced)
 
+    def _restore_retired(self, upstream: str) -> bool:
+        """Return whether an ID has left here; the tracker keeps the last ones only."""
+        start = self._retirements.retired_start(upstream)
+        if start is not None and not self._tracker.is_retired(upstream):
+            self._tracker.restore(upstream, start)
+        return start is not None
+
     def _attach_announced(self, announcement: Announcement) -> None:
         """Attach an announced upstream, once all retirements are known."""
         if not self._retirements.known:
--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -130,9 +130,12 @@
             self._send(retirement, _FIRST_FANOUT)
         self._writer.start(retirement)
 
-    def has_retired(self, upstream: str) -> bool:
-        """Return whether an incarnation of an ID is known to have left here."""
-        return self._table.covers(Retirement(self._instance, upstream, 0))
+    def retired_start(self, upstream: str) -> int | None:
+        """Return the latest start with which an ID has left here; None if it has not.
+
+        The start is 0 if it is unknown.
+        """
+        return self._table.start_of(self._instance, upstream)
 
     def is_stored(self, upstream: str, born: int) -> bool:
         """Return whether the store holds a retirement of this instance."""
