Merge the rows of the store in the order of their writes

The table of retirements keeps the newest 4,096 of the fleet, and a started process merged them in the order of their keys, which are hashes: of more rows it kept any 4,096. The new test failed before.

--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -133,7 +133,9 @@
     def _apply_rows(self, rows: Rows) -> None:
         me = self._membership.me
         members = []
-        for key, row in rows.rows.items():
+        # What keeps only the newest of the rows has to get them in their order.
+        by_version = sorted(rows.rows.items(), key=lambda item: item[1].version)
+        for key, row in by_version:
             try:
                 if key.startswith(QUARANTINE_PREFIX):
                     self._on_quarantine(orjson.loads(row.value))
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
@@ -1,8 +1,10 @@
 """Tests of discovery through the store."""
 
 import asyncio
+from dataclasses import replace
 from random import Random
 
+import orjson
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_core.membership import Membership
 from rattanfork_node.config.tests.fakes import (
@@ -148,3 +150,39 @@
         assert "n1" in platform.tables["members"]
 
     asyncio.run(run())
+
+
+def test_retirements_are_merged_in_the_order_of_their_writes():
+    """Guards against a bounded table that forgets the last leavings at a start."""
+
+    async def run():
+        platform = FakePlatform()
+        encode_rows(platform)
+        for number in range(40):
+            platform.put("members", f"retired:n1:{number * 7 % 40:04}", [number])
+        scan = platform.scan
+        merged = []
+
+        async def scan_by_key(table, key=""):
+            rows = await scan(table, key)
+            versions = {
+                k: replace(row, version=1 + orjson.loads(row.value)[0])
+                if k.startswith("retired:")
+                else row
+                for k, row in sorted(rows.rows.items())
+            }
+            return replace(rows, rows=versions)
+
+        platform.scan = scan_by_key
+        task = JoinTask(
+            Random(1),
+            platform,
+            Membership(MonotonicClock(), Random(1), member("n1")),
+            FakeGossipTask(),
+            on_retirement=merged.append,
+        )
+        task.start()
+        await wait_until(lambda: task.joined)
+        assert merged == [[number] for number in range(40)]
+
+    asyncio.run(run())
