Drop the tokens that an issuer accrued while another one issued

Cause: a node that becomes the primary issuer of an account again kept the tokens that its bucket held before, and its bucket was refilled for the whole time since, although another node issued meanwhile. It now begins with what any node begins with that takes an account over. The new test failed before.

--- a/packages/rattanfork-core/rattanfork_core/quota/bucket.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/bucket.py
@@ -66,6 +66,11 @@
         self._level -= taken
         return taken
 
+    def restart(self, max_level: float) -> None:
+        """Drop the tokens beyond a level and those accrued since the last refill."""
+        self._level = min(self._level, max_level)
+        self._refilled_at = self._clock.now()
+
     def refund(self, count: int) -> None:
         """Put back tokens that were not used."""
         self._level += count
--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -51,6 +51,7 @@
         "requesters",
         "bucket",
         "counted",
+        "initial_level",
         "last_requested",
         "primary_since",
         "since",
@@ -60,6 +61,7 @@
         self, clock: Clock, window: float, level: float, primary_since: float | None
     ) -> None:
         self.bucket = TokenBucket(clock, level, primary_since)
+        self.initial_level = level
         #: Tokens issued and refused in the sliding window, which is one bucket longer
         #: than the quota's window, as its newest bucket is incomplete.
         self.counted = WindowedCount(
@@ -256,6 +258,8 @@
             state.primary_since = None
         elif state.primary_since is None:
             state.primary_since = state.since = now
+            # Another node has issued tokens meanwhile.
+            state.bucket.restart(state.initial_level)
 
     def _drop_old_requesters(self, state: _AccountState, now: float) -> None:
         oldest = now - _REQUESTER_TIMEOUT_SECONDS
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -169,6 +169,26 @@
     assert issued <= 0.75 * LARGE.rate * 4.0
 
 
+def test_issuer_that_is_primary_again_has_no_tokens_of_the_time_between():
+    """Guards against tokens that accrue while another node issues."""
+    clock = ManualClock(100.0)
+    primary = True
+    issuer = TokenIssuer(
+        clock,
+        BOUND,
+        is_primary=lambda name: primary,
+        predecessor_uncertain=lambda name: False,
+        visible_nodes=lambda: 12,
+        fleet_size=lambda: 12,
+        order_changed_at=lambda: 0.0,
+    )
+    assert issuer.issue(LARGE, 1, "n1").tokens
+    for primary in (False, True):
+        issuer.on_issuers_changed()
+        clock.advance(20.0 * (not primary))
+    assert issuer.issue(LARGE, 1000, "n1").tokens <= BOUND.initial_level(LARGE)
+
+
 def test_bound_holds_with_isolated_nodes():
     """Guards against isolated nodes that issue the whole limit as the only issuer."""
     fleet = Fleet(30, LARGE)
