--- a/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/fleet.py
@@ -26,6 +26,8 @@
 TICK = 0.1
 #: Time until the views of all nodes reflect a failure or partition, in seconds.
 DETECTED_AFTER = 1.5
+#: The same for a node that leaves or joins in an orderly way.
+ANNOUNCED_AFTER = 0.1
 
 
 class Node:
@@ -61,8 +63,8 @@
         mine = hash64(f"{account}|{self.name}")
         return any(hash64(f"{account}|{n}") < mine for n in self.failed)
 
-    def set_view(self, alive: set[int]) -> None:
-        self.failed = (self.failed | (self.alive - alive)) - alive
+    def set_view(self, alive: set[int], failed: bool) -> None:
+        self.failed = (self.failed | (self.alive - alive if failed else set())) - alive
         if alive != self.alive:
             self.order_changed_at = self.fleet.clock.now()
         self.alive = alive | {self.name}
@@ -165,6 +167,19 @@
 
         self.at(back_after, restart)
 
+    def restart(self, name: int, back_after: float) -> None:
+        """Restart a node that announces its leaving, and loses its state."""
+        self.running.discard(name)
+        self._update_views(ANNOUNCED_AFTER, failed=False)
+
+        def start() -> None:
+            self.nodes[name] = Node(self, name)
+            self._tick(self.nodes[name])
+            self.running.add(name)
+            self._update_views(ANNOUNCED_AFTER, failed=False)
+
+        self.at(back_after, start)
+
     def most_in_window(self) -> int:
         """Return the largest number of requests granted within one window."""
         window: deque[float] = deque()
@@ -198,7 +213,7 @@
             return False
         return self.random.random() >= self.loss
 
-    def _update_views(self) -> None:
+    def _update_views(self, after: float = DETECTED_AFTER, failed: bool = True) -> None:
         def set_view() -> None:
             for node in self.nodes:
                 reachable = {
@@ -206,9 +221,9 @@
                     for n in self.running
                     if self.partition[n] == self.partition[node.name]
                 }
-                node.set_view(reachable)
+                node.set_view(reachable, failed)
 
-        self.at(DETECTED_AFTER, set_view)
+        self.at(after, set_view)
 
     def _tick(self, node: Node) -> None:
         if self.nodes[node.name] is node:
--- a/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/tests/test_quota.py
@@ -13,6 +13,7 @@
 SMALL = ClientAccount("small", rate=5, burst=5)
 MIDDLE = ClientAccount("middle", rate=20, burst=20)
 LARGE = ClientAccount("large", rate=90, burst=90)
+BURSTY = ClientAccount("bursty", rate=50, burst=250)
 BOUND = QuotaBound()
 
 
@@ -169,6 +170,24 @@
     assert issued <= 0.75 * LARGE.rate * 4.0
 
 
+@pytest.mark.parametrize("account", [MIDDLE, LARGE, BURSTY], ids=lambda a: a.name)
+@pytest.mark.parametrize("hot_for", [0.3, 0.9, 1.5, 2.5])
+def test_bound_holds_when_the_issuer_restarts_while_its_account_is_hot(
+    account, hot_for
+):
+    """Guards against a successor that issues what its predecessor has issued again."""
+    fleet = Fleet(6, account)
+    fleet.run(6.0)
+    order = fleet.nodes[0].order(account.name)
+    fleet.demand(account.rate / 5, 24.0)
+    fleet.at(1.0, lambda: fleet.restart(order[0], 1.0))
+    fleet.run(24.0)
+    fleet.demand(10 * account.rate, 9.0)
+    fleet.at(hot_for, lambda: fleet.restart(order[0], 1.0))
+    fleet.run(10.0)
+    assert fleet.most_in_window() <= BOUND.max_requests(account)
+
+
 def test_issuer_that_is_primary_again_has_no_tokens_of_the_time_between():
     """Guards against tokens that accrue while another node issues."""
     clock = ManualClock(100.0)
