Bound the responses that clients leave unread, over all that a node holds

Cause: what a client has not read is held without a bound beside the number of clients, and a transport keeps a response whole until its last byte is sent. A response is now passed to the transport a part at a time, as its client reads, and what is unread, responses behind an unanswered request included, counts against a quarter of the memory limit over all clients; beyond it the largest is aborted.

The new tests failed before.

--- a/packages/rattanfork-core/rattanfork_core/connections/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -8,6 +8,7 @@
     ResponseBudget,
     ResponseHolder,
     response_budget_bytes,
+    unsent_budget_bytes,
 )
 
 __all__ = [
@@ -19,4 +20,5 @@
     "ResponseHolder",
     "choose_idle",
     "response_budget_bytes",
+    "unsent_budget_bytes",
 ]
--- a/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
@@ -1,4 +1,4 @@
-"""Budget of memory for the bodies of responses that a node is receiving."""
+"""Budgets of memory for the responses that a node receives or has not sent yet."""
 
 from abc import ABC, abstractmethod
 
@@ -7,6 +7,10 @@
 #: Part of a node's memory limit that the budget may take: 1 / ``_MEMORY_DIVISOR``.  A
 #: received body is copied up to three times on its way to the caller.
 _MEMORY_DIVISOR = 8
+#: Part of a node's memory limit for what callers have not read, 1 / the divisor, and
+#: the budget without a limit, in bytes.
+_UNSENT_DIVISOR = 4
+_UNLIMITED_UNSENT_BYTES = 256 << 20
 
 
 def response_budget_bytes(memory_bytes: int | None) -> int:
@@ -31,16 +35,36 @@
     return min(MAX_RESPONSE_BYTES, memory_bytes // _MEMORY_DIVISOR)
 
 
+def unsent_budget_bytes(memory_bytes: int | None) -> int:
+    """Return the budget of a node for responses that wait for slow readers, in bytes.
+
+    Parameters
+    ==========
+
+    memory_bytes : int or None
+        Memory limit of the node, in bytes; None if it is unknown.
+
+    Examples
+    ========
+
+    >>> unsent_budget_bytes(300_000_000)
+    75000000
+    """
+    if memory_bytes is None:
+        return _UNLIMITED_UNSENT_BYTES
+    return memory_bytes // _UNSENT_DIVISOR
+
+
 class ResponseHolder(ABC):
-    """Holds the part of a response that has been received so far."""
+    """Holds a response, or the part of one that has been received so far."""
 
     @abstractmethod
     def evict(self) -> None:
-        """Free the bytes received so far, and receive no more of the response."""
+        """Free the bytes, and neither receive nor send the rest of the response."""
 
 
 class ResponseBudget:
-    """Bounds the memory that the responses being received take at one node.
+    """Bounds the memory that responses take at one node.
 
     Explanation
     ===========
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -11,7 +11,11 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
-from rattanfork_core.connections import ResponseBudget, response_budget_bytes
+from rattanfork_core.connections import (
+    ResponseBudget,
+    response_budget_bytes,
+    unsent_budget_bytes,
+)
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
@@ -381,6 +385,9 @@
         self._callers.uploads = UploadResources(
             self._body_budget, self._counters.events
         )
+        self._callers.unsent = ResponseBudget(
+            unsent_budget_bytes(settings.memory_bytes)
+        )
         self._metrics = HttpServer(
             self._clock,
             settings.names,
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -4,6 +4,7 @@
 import socket
 
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import ResponseBudget
 
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
@@ -36,6 +37,8 @@
     uploads : UploadResources or None
         Budget for large bodies; None if all bodies are read before their requests
         are handled.
+    unsent : ResponseBudget, optional
+        Budget for the responses that clients have not read yet.
     """
 
     def __init__(
@@ -45,12 +48,14 @@
         limits: RequestLimits,
         handler: RequestHandler,
         uploads: UploadResources | None = None,
+        unsent: ResponseBudget | None = None,
     ) -> None:
         self.clock = clock
         self.names = names
         self.limits = limits
         self.handler = handler
         self.uploads = uploads
+        self.unsent = ResponseBudget() if unsent is None else unsent
         self.stripped = names.stripped_from_requests()
         self.request_id_name = names.request_id.lower()
         self.deadline_name = names.deadline.lower()
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
+from rattanfork_core.connections import ResponseHolder
 from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
 
@@ -14,6 +15,7 @@
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.render import render_response
+from rattanfork_node.http1.request_body import PART_BYTES
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 
 if TYPE_CHECKING:
@@ -29,11 +31,13 @@
 #: Bytes of trailers and of the framing of chunks that a request may have for each byte
 #: of its body, besides twice the maximum size of a head.
 _MAX_FRAMING_FACTOR = 8
+#: Bytes of unsent responses to one client from which they count against the budget.
+_MIN_COUNTED_BYTES = 64 << 10
 #: Bytes of unsent responses to one client at which reading of requests pauses.
 _WRITE_BUFFER_BYTES = 256 << 10
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.Protocol, ResponseHolder):
     """Server side of one HTTP/1.1 connection.
 
     Explanation
@@ -60,6 +64,12 @@
         self._receiving = False
         self._paused = False
         self._writable = True
+        #: What the transport was not given yet.
+        self._output: deque[bytes] = deque()
+        self._output_bytes = 0
+        self._closes_once_sent = False
+        #: Whether unsent responses count against the budget of the server.
+        self._is_counted = False
         #: Receives large bodies; None before the first one.
         self._uploads: UploadReceiver | None = None
         #: Content-Length of the last large body; None if it was chunked.
@@ -78,6 +88,7 @@
         """Notify the handlers of unanswered requests that the client disconnected."""
         self._lost = True
         self._server.connections.discard(self)
+        self._server.unsent.release(self)
         if self._uploads is not None:
             self._uploads.on_lost()
         for exchange in self.pending:
@@ -103,8 +114,10 @@
         self.update_reading()
 
     def resume_writing(self) -> None:
-        """Resume reading unless too many requests are unanswered."""
+        """Send more; resume reading unless too many requests are unanswered."""
         self._writable = True
+        self._send_output()
+        self._count_unsent()
         self.update_reading()
 
     def data_received(self, data: bytes) -> None:
@@ -198,7 +211,7 @@
         if self._has_large_body and self._begin_upload():
             return
         if self._expects_continue and not self.pending:
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to its maximum size."""
@@ -252,14 +265,30 @@
                 break
         if parts:
             self._last_active = self._server.clock.now()
-            self._transport.write(b"".join(parts))
+            self.write(b"".join(parts))
             if self._closing:
-                self._close_after_response()
-                return
+                self._close_once_sent()
+        if not self._writable or len(pending) > 1 or self._is_counted:
+            self._count_unsent()
+        if parts and not self._closing:
             if pending and pending[0].upload is not None:
                 self._uploads.continue_upload(pending[0].upload)
             self.update_reading()
 
+    def write(self, data: bytes) -> None:
+        """Send data behind all that was written before.
+
+        Data is passed to the transport a part at a time, as a transport keeps all that
+        it is given until the last byte of it is sent.
+        """
+        if not self._output and len(data) <= _WRITE_BUFFER_BYTES:
+            self._transport.write(data)
+            return
+        for start in range(0, len(data), PART_BYTES):
+            self._output.append(data[start : start + PART_BYTES])
+        self._output_bytes += len(data)
+        self._send_output()
+
     def drop_requests(self) -> None:
         """Drop further requests, as a response will close the connection."""
         self._drop_requests = True
@@ -292,9 +321,11 @@
             self.close()
 
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connection once all that was written is sent."""
         self._closing = True
-        if self._transport is not None:
+        if self._output:
+            self._closes_once_sent = True
+        elif self._transport is not None:
             self._transport.close()
 
     def check_time(self, now: float) -> None:
@@ -304,15 +335,24 @@
             if now - self._head_since > limits.head_timeout:
                 self._reject(408)
         elif not self._writable:
+            self._count_unsent()
             if now - self._last_active > _SLOW_READER_TIMEOUT_S:
                 self._transport.abort()
         elif not self.pending and now - self._last_active > limits.idle_timeout:
             self.close()
 
+    def evict(self) -> None:
+        """Abort the connection, whose client reads too slowly for the node's budget."""
+        if self._server.uploads is not None:
+            self._server.uploads.events["callers.exceeded.budget"] += 1
+        self._closing = True
+        self._output.clear()
+        self._transport.abort()
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that wait for the client to read."""
-        return self._transport.get_write_buffer_size()
+        return self._transport.get_write_buffer_size() + self._output_bytes
 
     @property
     def _limits(self) -> RequestLimits:
@@ -338,6 +378,16 @@
         self._reading_head = False
         self._error_status = 0
 
+    def _count_unsent(self) -> None:
+        """Count what the client has not read, and what waits for earlier responses."""
+        waiting = sum(len(e.output[2]) for e in self.pending if e.output is not None)
+        size = self.unsent_bytes + waiting
+        self._is_counted = size > _MIN_COUNTED_BYTES
+        if self._is_counted:
+            self._server.unsent.hold(self, size)
+        else:
+            self._server.unsent.release(self)
+
     def _make_exchange(self, body: bytes) -> Exchange:
         return Exchange(
             self,
@@ -396,6 +446,21 @@
             block = names.request_id + b": " + self._request_id + b"\r\n"
         exchange.respond(status, block)
 
+    def _send_output(self) -> None:
+        while self._output and self._writable:
+            part = self._output.popleft()
+            self._output_bytes -= len(part)
+            self._transport.write(part)
+        if self._closes_once_sent and not self._output:
+            self._closes_once_sent = False
+            self._close_after_response()
+
+    def _close_once_sent(self) -> None:
+        if self._output:
+            self._closes_once_sent = True
+        else:
+            self._close_after_response()
+
     def _close_after_response(self) -> None:
         """Close the connection, after the rest of a refused body was discarded."""
         if self._uploads is None or not self._uploads.start_drain():
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -3,8 +3,9 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from rattanfork_core.connections import ResponseBudget
 
-from rattanfork_node.http1 import RequestLimits, ServerConnection
+from rattanfork_node.http1 import HttpServer, RequestLimits, ServerConnection
 from rattanfork_node.http1.tests.fakes import Client, FakeTransport, request
 
 
@@ -278,3 +279,80 @@
     for exchange in client.handled:
         exchange.respond(200)
     assert client.statuses[0] == 200
+
+
+class SlowReader(Client):
+    """A client connection that leaves responses unread."""
+
+    def __init__(self, server: HttpServer | None = None) -> None:
+        super().__init__()
+        if server is not None:
+            self.server = server
+            self.handler = server.handler
+            self.connection = ServerConnection(server)
+            self.connection.connection_made(self.transport)
+
+    def leave_unread(self, size: int) -> None:
+        self.connection.pause_writing()
+        self.handled[-1].respond(200, body=b"x" * size)
+
+
+def test_responses_that_clients_leave_unread_are_bounded_over_all_of_them():
+    """Guards against slow readers that fill the memory of the node."""
+    first = SlowReader()
+    first.server.unsent = ResponseBudget(1_000_000)
+    clients = [first, *(SlowReader(first.server) for _ in range(2))]
+    for number, client in enumerate(clients):
+        client.send(request(request_id=f"r{number}"))
+        client.leave_unread(300_000 + 8 * number)
+    assert not any(client.transport.aborted for client in clients)
+    last = SlowReader(first.server)
+    last.send(request(request_id="r9"))
+    last.leave_unread(400_000)
+    assert last.transport.aborted
+    assert not any(client.transport.aborted for client in clients)
+    first.connection.resume_writing()
+    assert len(first.transport.written) > 300_000
+    assert 600_000 < first.server.unsent.held < 601_000
+
+
+def test_responses_behind_an_unanswered_request_count_as_unread():
+    """Guards against pipelined responses that wait in memory without a bound."""
+    client = SlowReader()
+    client.server.unsent = ResponseBudget(1_000_000)
+    client.send(b"".join(request(request_id=f"r{n}") for n in range(9)))
+    for exchange in client.handled[1:5]:
+        exchange.respond(200, body=b"x" * 200_000)
+    assert client.server.unsent.held == 800_000
+    assert not client.transport.aborted
+    client.handled[0].respond(200)
+    assert client.server.unsent.held == 0
+    client.connection.connection_lost(None)
+
+
+def test_large_response_is_passed_to_the_transport_as_its_client_reads():
+    """Guards against whole responses that are kept until their last byte is sent."""
+    client = SlowReader()
+    client.send(request(request_id="r1") + request(request_id="r2"))
+    client.connection.pause_writing()
+    client.handled[0].respond(200, body=b"1" * 900_000)
+    client.handled[1].respond(200, body=b"2")
+    assert client.transport.written == b""
+    client.connection.resume_writing()
+    written = client.transport.written
+    assert written.count(b"1" * 900_000) == 1
+    assert written.endswith(b"2")
+    assert written.count(b"HTTP/1.1 200 ") == 2
+
+
+def test_connection_is_closed_only_after_a_large_response_was_sent():
+    """Guards against a response that is cut off by the close that it announces."""
+    client = SlowReader()
+    client.send(request(more="Connection: close\r\n"))
+    client.leave_unread(900_000)
+    client.connection.leave()
+    client.connection.close()
+    assert not client.transport.closed
+    client.connection.resume_writing()
+    assert len(client.transport.written) > 900_000
+    assert client.transport.closed
--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -156,7 +156,7 @@
         if upload.wants_continue and is_next and not upload.is_paused:
             upload.wants_continue = False
             self._server.uploads.events["upload.continue"] += 1
-            self._transport.write(_CONTINUE)
+            self._connection.write(_CONTINUE)
         self._connection.update_reading()
 
     def drop_requests(self) -> None:
