--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -14,8 +14,8 @@
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
+from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response
-from rattanfork_node.http1.request_body import PART_BYTES
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 
 if TYPE_CHECKING:
@@ -33,8 +33,6 @@
 _MAX_FRAMING_FACTOR = 8
 #: Bytes of unsent responses to one client from which they count against the budget.
 _MIN_COUNTED_BYTES = 64 << 10
-#: Bytes of unsent responses to one client at which reading of requests pauses.
-_WRITE_BUFFER_BYTES = 256 << 10
 
 
 class ServerConnection(asyncio.Protocol, ResponseHolder):
@@ -63,10 +61,7 @@
         self._leaving = False
         self._receiving = False
         self._paused = False
-        self._writable = True
-        #: What the transport was not given yet.
-        self._output: deque[bytes] = deque()
-        self._output_bytes = 0
+        self._output: Output | None = None
         self._closes_once_sent = False
         #: Whether unsent responses count against the budget of the server.
         self._is_counted = False
@@ -81,7 +76,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with its server."""
         self._transport = transport
-        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
+        self._output = Output(transport)
         self._server.connections.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -109,14 +104,15 @@
 
     def pause_writing(self) -> None:
         """Pause reading: the client does not read its responses."""
-        self._writable = False
+        self._output.pause()
         self._last_active = self._server.clock.now()
         self.update_reading()
 
     def resume_writing(self) -> None:
         """Send more; resume reading unless too many requests are unanswered."""
-        self._writable = True
-        self._send_output()
+        self._output.resume()
+        if self._closes_once_sent:
+            self._close_once_sent()
         self._count_unsent()
         self.update_reading()
 
@@ -268,7 +264,7 @@
             self.write(b"".join(parts))
             if self._closing:
                 self._close_once_sent()
-        if not self._writable or len(pending) > 1 or self._is_counted:
+        if not self._output.is_writable or len(pending) > 1 or self._is_counted:
             self._count_unsent()
         if parts and not self._closing:
             if pending and pending[0].upload is not None:
@@ -276,18 +272,8 @@
             self.update_reading()
 
     def write(self, data: bytes) -> None:
-        """Send data behind all that was written before.
-
-        Data is passed to the transport a part at a time, as a transport keeps all that
-        it is given until the last byte of it is sent.
-        """
-        if not self._output and len(data) <= _WRITE_BUFFER_BYTES:
-            self._transport.write(data)
-            return
-        for start in range(0, len(data), PART_BYTES):
-            self._output.append(data[start : start + PART_BYTES])
-        self._output_bytes += len(data)
-        self._send_output()
+        """Send data behind all that was written before."""
+        self._output.write(data)
 
     def drop_requests(self) -> None:
         """Drop further requests, as a response will close the connection."""
@@ -296,7 +282,7 @@
     def update_reading(self) -> None:
         """Pause or resume reading, by what is unanswered, unread or awaited."""
         full = (
-            not self._writable
+            not self._output.is_writable
             or len(self.pending) >= _MAX_PIPELINED
             or (self._uploads is not None and self._uploads.is_paused)
         )
@@ -323,10 +309,12 @@
     def close(self) -> None:
         """Close the connection once all that was written is sent."""
         self._closing = True
-        if self._output:
-            self._closes_once_sent = True
-        elif self._transport is not None:
+        if self._output is None:
+            return
+        if self._output.is_empty:
             self._transport.close()
+        else:
+            self._closes_once_sent = True
 
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
@@ -334,7 +322,7 @@
         if self._head_since is not None:
             if now - self._head_since > limits.head_timeout:
                 self._reject(408)
-        elif not self._writable:
+        elif not self._output.is_writable:
             self._count_unsent()
             if now - self._last_active > _SLOW_READER_TIMEOUT_S:
                 self._transport.abort()
@@ -352,7 +340,7 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that wait for the client to read."""
-        return self._transport.get_write_buffer_size() + self._output_bytes
+        return self._output.unsent_bytes
 
     @property
     def _limits(self) -> RequestLimits:
@@ -446,19 +434,9 @@
             block = names.request_id + b": " + self._request_id + b"\r\n"
         exchange.respond(status, block)
 
-    def _send_output(self) -> None:
-        while self._output and self._writable:
-            part = self._output.popleft()
-            self._output_bytes -= len(part)
-            self._transport.write(part)
-        if self._closes_once_sent and not self._output:
-            self._closes_once_sent = False
-            self._close_after_response()
-
     def _close_once_sent(self) -> None:
-        if self._output:
-            self._closes_once_sent = True
-        else:
+        self._closes_once_sent = not self._output.is_empty
+        if not self._closes_once_sent:
             self._close_after_response()
 
     def _close_after_response(self) -> None:
