--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_client_accounts.py
@@ -119,6 +119,25 @@
     assert status_of(harness.send_request(request_id="r2", keys=[b""])) == 401
 
 
+@on_loop
+async def test_call_of_a_run_under_way_is_served_without_a_key():
+    """Guards against calls that are denied for a key which they never carry."""
+    harness = make_harness(timeout=2.0)
+    harness.clock.advance(60.1)
+    harness.gate_harness.submit("run", deadline=harness.clock.now() + 1.0)
+    harness.send_request(request_id="run.1")
+    assert run_of(harness).request_id == b"run.1"
+
+
+@on_loop
+async def test_call_without_a_configuration_is_answered_503():
+    """Guards against 401 or 404 by a node that does not know keys and routes yet."""
+    harness = make_harness()
+    harness.holder._current = None
+    for request_id in ("run.1", "caller"):
+        assert status_of(harness.send_request(request_id=request_id)) == 503
+
+
 @on_loop
 async def test_log_tells_why_a_request_without_a_key_is_no_call():
     """Guards against refused calls of which the log shows no cause."""
