Send no bodies on a lost link, and forget a declared length with its request

A lost link kept the readers of the bodies that it was sending until it was freed itself, and the connection of a client kept the length that an earlier request had declared. The new test failed before.

--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -67,8 +67,6 @@
         self._is_counted = False
         #: Receives large bodies; None before the first one.
         self._uploads: UploadReceiver | None = None
-        #: Content-Length of the last large body; None if it was chunked.
-        self._declared_length: int | None = None
         self._last_active = server.clock.now()
         self._head_since: float | None = None
         self._reset_request()
@@ -363,6 +361,8 @@
         self._head_bytes = 0
         self._expects_continue = False
         self._has_large_body = False
+        #: Content-Length of a large body; None if it is chunked.
+        self._declared_length: int | None = None
         self._reading_head = False
         self._error_status = 0
 
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -444,6 +444,7 @@
         if self._closed:
             return
         self._closed = True
+        self._bodies.clear()
         error = LinkLostError(reason)
         if not self._ready.done():
             self._ready.set_exception(error)
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_large_bodies.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_large_bodies.py
@@ -1,5 +1,7 @@
 """Tests of bodies that nodes pass on in parts, without sockets."""
 
+import gc
+
 import pytest
 from rattanfork_core.request import FenceVerdict, Outcome, Reason
 from rattanfork_core.revision import RevisionState
@@ -278,3 +280,17 @@
     near._bodies.on_credit(BodyCredit(1, len(BODY)))
     near._flush()
     assert len(pair.transport.written) < 100
+
+
+@on_loop
+async def test_lost_link_keeps_no_body():
+    """Guards against bodies that stay in memory with a link that is gone."""
+    pair = BodyPair()
+    near = pair.links[0]
+    body = HeldBody([BODY])
+    reader = body.open()
+    near.send_body(1, reader, 0)
+    gc.collect()
+    referrers = len(gc.get_referrers(reader))
+    near.close("lost")
+    assert len(gc.get_referrers(reader)) < referrers
