Take back the lower rate of successors of issuers that left in order

What remains is suspected: by the code a successor may issue at 0.7 of the rate after 0.5 s, while its predecessor has just used the whole limit of the window.

--- a/packages/rattanfork-core/rattanfork_core/quota/issuer.py
+++ b/packages/rattanfork-core/rattanfork_core/quota/issuer.py
@@ -245,21 +245,14 @@
             self._drop_old_requesters(state, now)
             fraction = min(1.0, len(state.requesters) / max(1, self._fleet_size()))
             rate = _HANDOVER_FRACTION * account.rate
-            return self._rate_of_successor(account, elapsed, rate) * fraction
+            if elapsed < min(handover, self._bound.exhausted_time(account)):
+                rate = min(rate, self._bound.succession_rate(account))
+            return rate * fraction
         fraction = self._visible_fraction
         if now - state.since < self._bound.window:
-            rate = _FIRST_WINDOW_FRACTION * account.rate
-            return self._rate_of_successor(account, elapsed, rate) * fraction
+            return _FIRST_WINDOW_FRACTION * account.rate * fraction
         return self._bound.sustained_rate(account) * fraction
 
-    def _rate_of_successor(
-        self, account: ClientAccount, elapsed: float, rate: float
-    ) -> float:
-        """Return a rate, lower while the predecessor may have used the whole limit."""
-        if elapsed < self._bound.exhausted_time(account):
-            return min(rate, self._bound.succession_rate(account))
-        return rate
-
     def _update_primary(self, name: str, state: _AccountState, now: float) -> None:
         if not self._is_primary(name):
             state.primary_since = None
