--- a/packages/rattanfork-core/rattanfork_core/connections/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -7,8 +7,6 @@
 from rattanfork_core.connections.response_budget import (
     ResponseBudget,
     ResponseHolder,
-    response_budget_bytes,
-    unsent_budget_bytes,
 )
 
 __all__ = [
@@ -19,6 +17,4 @@
     "ResponseBudget",
     "ResponseHolder",
     "choose_idle",
-    "response_budget_bytes",
-    "unsent_budget_bytes",
 ]
--- a/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/response_budget.py
@@ -1,66 +1,63 @@
-"""Budgets of memory for the responses that a node receives or has not sent yet."""
+"""Budget of memory for responses that are received, passed on or not sent yet."""
 
 from abc import ABC, abstractmethod
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
 
-#: Largest budget, in bytes.
+from rattanfork_core.clock import Clock
+from rattanfork_core.memory import MemoryRoom
+
+#: Capacity without a memory limit, in bytes.
 MAX_RESPONSE_BYTES = 64 << 20
-#: Part of a node's memory limit that the budget may take: 1 / ``_MEMORY_DIVISOR``.  A
-#: received body is copied up to three times on its way to the caller.
-_MEMORY_DIVISOR = 8
-#: Part of a node's memory limit for what callers have not read, 1 / the divisor, and
-#: the budget without a limit, in bytes.
-_UNSENT_DIVISOR = 4
-_UNLIMITED_UNSENT_BYTES = 256 << 20
+#: Seconds for which a response keeps its room while others wait for some.
+_MIN_HELD_S = 2.0
 
 
-def response_budget_bytes(memory_bytes: int | None) -> int:
-    """Return the budget of a node, in bytes.
+class ResponseHolder(ABC):
+    """Holds a response, or the part of one that has been received so far."""
 
-    Parameters
-    ==========
+    @abstractmethod
+    def evict(self) -> None:
+        """Free the bytes, and neither receive nor send the rest of the response."""
 
-    memory_bytes : int or None
-        Memory limit of the node, in bytes; None if it is unknown.
 
-    Examples
-    ========
+@dataclass(slots=True)
+class _Held:
+    """What one holder holds.
+
+    Parameters
+    ==========
 
-    >>> response_budget_bytes(None) == 64 << 20
-    True
-    >>> response_budget_bytes(300_000_000)
-    37500000
+    size : int
+        Bytes that are held.
+    since : float
+        When it began to hold any, in seconds of the clock.
     """
-    if memory_bytes is None:
-        return MAX_RESPONSE_BYTES
-    return min(MAX_RESPONSE_BYTES, memory_bytes // _MEMORY_DIVISOR)
 
+    size: int
+    since: float
 
-def unsent_budget_bytes(memory_bytes: int | None) -> int:
-    """Return the budget of a node for responses that wait for slow readers, in bytes.
+
+@dataclass(slots=True, frozen=True)
+class _Waiting:
+    """A response that is received once there is room for all of it.
 
     Parameters
     ==========
 
-    memory_bytes : int or None
-        Memory limit of the node, in bytes; None if it is unknown.
-
-    Examples
-    ========
-
-    >>> unsent_budget_bytes(300_000_000)
-    75000000
+    holder : ResponseHolder
+        Holds the response.
+    size : int
+        Its size in bytes.
+    on_granted : callable
+        Called once the room is reserved.
     """
-    if memory_bytes is None:
-        return _UNLIMITED_UNSENT_BYTES
-    return memory_bytes // _UNSENT_DIVISOR
 
-
-class ResponseHolder(ABC):
-    """Holds a response, or the part of one that has been received so far."""
-
-    @abstractmethod
-    def evict(self) -> None:
-        """Free the bytes, and neither receive nor send the rest of the response."""
+    holder: ResponseHolder
+    size: int
+    on_granted: Callable[[], None]
 
 
 class ResponseBudget:
@@ -69,9 +66,14 @@
     Explanation
     ===========
 
-    A response may have no end, so its size is known only once it is complete.  If the
-    budget is exhausted, the largest response is evicted: one without an end becomes the
-    largest, while ordinary ones are completed beside it.
+    A response may have no end, and its reader may never finish.  If the budget is
+    exhausted, the response is evicted that has taken the most memory for the longest
+    time: the product of size and age is small for a response that is passed on, and
+    grows for one that isn't, however many clients there are and however little each
+    of them holds.
+
+    A response whose size is known can wait for room with :meth:`reserve`, so that those
+    that arrive together are passed on one after another.
 
     Parameters
     ==========
@@ -80,6 +82,10 @@
         Size of the budget, in bytes.
     max_response : int, optional
         Maximum size of one response, in bytes; the whole budget by default.
+    clock : Clock, optional
+        Source of the current time; without one the largest response is evicted.
+    room : MemoryRoom, optional
+        Room that the budget shares with others.
 
     Examples
     ========
@@ -96,12 +102,21 @@
     """
 
     def __init__(
-        self, capacity: int = MAX_RESPONSE_BYTES, max_response: int | None = None
+        self,
+        capacity: int = MAX_RESPONSE_BYTES,
+        max_response: int | None = None,
+        clock: Clock | None = None,
+        room: MemoryRoom | None = None,
     ) -> None:
         self._capacity = capacity
         self._max_response = capacity if max_response is None else max_response
-        self._sizes: dict[ResponseHolder, int] = {}
+        self._clock = clock
+        self._room = MemoryRoom(capacity) if room is None else room
+        self._holders: dict[ResponseHolder, _Held] = {}
         self._held = 0
+        self._waiting: deque[_Waiting] = deque()
+        self._is_granting = False
+        self._room.notify(self._grant_waiting)
 
     @property
     def capacity(self) -> int:
@@ -110,24 +125,116 @@
 
     @property
     def held(self) -> int:
-        """Bytes that are held."""
+        """Bytes that are held or reserved."""
         return self._held
 
+    @property
+    def waiting(self) -> int:
+        """Number of responses that wait for room."""
+        return len(self._waiting)
+
     def hold(self, holder: ResponseHolder, size: int) -> None:
-        """Set how many bytes a response holds; evict the largest ones if needed.
+        """Set how many bytes a response holds; evict others if needed.
 
         This may evict ``holder`` itself.
         """
-        self._held += size - self._sizes.get(holder, 0)
-        self._sizes[holder] = size
-        if size > self._max_response:
-            self.release(holder)
+        # What is freed here is for the holder, not for those that wait.
+        was_granting, self._is_granting = self._is_granting, True
+        try:
+            self._set_size(holder, size)
+            if size > self._max_response:
+                self._evict(holder)
+            while self._holders and not self._fits(0):
+                self._evict(self._find_victim(0.0))
+        finally:
+            self._is_granting = was_granting
+
+    def reserve(
+        self, holder: ResponseHolder, size: int, on_granted: Callable[[], None]
+    ) -> None:
+        """Hold a response of a known size as soon as there is room for all of it.
+
+        Parameters
+        ==========
+
+        holder : ResponseHolder
+            Holds the response; is evicted if the budget is too small for it.
+        size : int
+            Its size in bytes.
+        on_granted : callable
+            Called once the room is reserved, unless it is released before.
+        """
+        if size > min(self._max_response, self._capacity):
             holder.evict()
-        while self._held > self._capacity:
-            largest = max(self._sizes, key=self._sizes.__getitem__)
-            self.release(largest)
-            largest.evict()
+            return
+        self._waiting.append(_Waiting(holder, size, on_granted))
+        self._grant_waiting()
 
     def release(self, holder: ResponseHolder) -> None:
-        """Release the bytes of a response, if it holds any."""
-        self._held -= self._sizes.pop(holder, 0)
+        """Release the bytes of a response, and its place among those that wait."""
+        if self._waiting:
+            self._waiting = deque(w for w in self._waiting if w.holder is not holder)
+        held = self._holders.pop(holder, None)
+        if held is not None:
+            self._held -= held.size
+            self._room.change(-held.size)
+
+    @contextmanager
+    def hand_over(self, holder: ResponseHolder) -> Iterator[None]:
+        """Release a response while another holder takes it, before any that waits."""
+        was_granting, self._is_granting = self._is_granting, True
+        try:
+            self.release(holder)
+            yield
+        finally:
+            self._is_granting = was_granting
+            self._grant_waiting()
+
+    def sweep(self) -> None:
+        """Evict a response for those that wait; call about twice a second."""
+        if self._waiting:
+            victim = self._find_victim(_MIN_HELD_S)
+            if victim is not None:
+                self._evict(victim)
+            self._grant_waiting()
+
+    def _fits(self, size: int) -> bool:
+        return self._held + size <= self._capacity and size <= self._room.free
+
+    def _set_size(self, holder: ResponseHolder, size: int) -> None:
+        held = self._holders.get(holder)
+        if held is None:
+            held = self._holders[holder] = _Held(0, self._now())
+        change, held.size = size - held.size, size
+        self._held += change
+        self._room.change(change)
+
+    def _evict(self, holder: ResponseHolder) -> None:
+        self.release(holder)
+        holder.evict()
+
+    def _find_victim(self, min_age: float) -> ResponseHolder | None:
+        """Return the holder with the most bytes for the longest time, if any."""
+        now = self._now()
+        victim, most = None, (-1.0, -1)
+        for holder, held in self._holders.items():
+            age = now - held.since
+            cost = (age * held.size, held.size)
+            if age >= min_age and cost > most:
+                victim, most = holder, cost
+        return victim
+
+    def _grant_waiting(self) -> None:
+        if self._is_granting:
+            return
+        self._is_granting = True
+        try:
+            while self._waiting and self._fits(self._waiting[0].size):
+                first = self._waiting.popleft()
+                self._set_size(first.holder, first.size)
+                first.on_granted()
+        finally:
+            self._is_granting = False
+
+    def _now(self) -> float:
+        return 0.0 if self._clock is None else self._clock.now()
--- a/packages/rattanfork-core/rattanfork_core/request/result.py
+++ b/packages/rattanfork-core/rattanfork_core/request/result.py
@@ -34,7 +34,7 @@
     headers : list of pairs
         Headers of the upstream's response.
     body : bytes
-        Complete body of the response.
+        Complete body of the response; empty if it is large.
     block : bytes
         Headers of the upstream's response as raw lines that end in CRLF, where they
         are forwarded unparsed.
@@ -49,6 +49,8 @@
         guard.
     proof : Proof
         How it was proved that the request has not run.
+    body_parts : list of bytes, optional
+        A large body.
     """
 
     outcome: Outcome
@@ -62,3 +64,4 @@
     block: bytes = b""
     services_reached: tuple[str, ...] = ()
     proof: Proof = Proof.NONE
+    body_parts: list[bytes] | None = None
--- a/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/__init__.py
@@ -1,11 +1,6 @@
 """Large request bodies: when one may be read, and when its request is refused."""
 
-from rattanfork_core.uploads.body_budget import (
-    BodyBudget,
-    Reservation,
-    body_budget_bytes,
-    large_room_bytes,
-)
+from rattanfork_core.uploads.body_budget import BodyBudget, Reservation
 from rattanfork_core.uploads.body_intake import (
     LARGE_BODY_BYTES,
     MAX_UNCOUNTED_BODY_BYTES,
@@ -23,7 +18,5 @@
     "DrainBound",
     "IntakeState",
     "Reservation",
-    "body_budget_bytes",
     "is_large_body",
-    "large_room_bytes",
 ]
--- a/packages/rattanfork-core/rattanfork_core/uploads/body_budget.py
+++ b/packages/rattanfork-core/rattanfork_core/uploads/body_budget.py
@@ -3,10 +3,8 @@
 from collections import deque
 from collections.abc import Callable
 
-#: Largest budget, in bytes.
-MAX_BUDGET_BYTES = 32 << 20
-#: Part of a node's memory limit that the budget may take: 1 / ``_MEMORY_DIVISOR``.
-_MEMORY_DIVISOR = 4
+from rattanfork_core.memory import MemoryRoom
+
 #: Part of the budget for the bodies that are read: 1 / ``_SHARE_DIVISOR``.  The rest
 #: holds the bytes that arrive together with the heads of uploads that still wait; they
 #: have left the socket before reading can be paused.
@@ -17,52 +15,6 @@
 _MAX_GROWN_BYTES = 2 << 20
 #: Size in bytes from which a body takes room among the largest ones.
 _MIN_LARGE_BYTES = 1 << 20
-#: Room for the largest bodies without a memory limit, in bytes, and the share of a
-#: memory limit.
-_UNLIMITED_LARGE_BYTES = 128 << 20
-_LARGE_MEMORY_SHARE = 0.4
-
-
-def body_budget_bytes(memory_bytes: int | None) -> int:
-    """Return the budget of a node, in bytes.
-
-    Parameters
-    ==========
-
-    memory_bytes : int or None
-        Memory limit of the node, in bytes; None if it is unknown.
-
-    Examples
-    ========
-
-    >>> body_budget_bytes(None) == body_budget_bytes(200_000_000) == 32 << 20
-    True
-    >>> body_budget_bytes(40_000_000)
-    10000000
-    """
-    if memory_bytes is None:
-        return MAX_BUDGET_BYTES
-    return min(MAX_BUDGET_BYTES, memory_bytes // _MEMORY_DIVISOR)
-
-
-def large_room_bytes(memory_bytes: int | None) -> int:
-    """Return the room of a node for its largest bodies, in bytes.
-
-    Parameters
-    ==========
-
-    memory_bytes : int or None
-        Memory limit of the node, in bytes; None if it is unknown.
-
-    Examples
-    ========
-
-    >>> large_room_bytes(200_000_000)
-    80000000
-    """
-    if memory_bytes is None:
-        return _UNLIMITED_LARGE_BYTES
-    return int(memory_bytes * _LARGE_MEMORY_SHARE)
 
 
 class Reservation:
@@ -168,6 +120,9 @@
         Size of the budget, in bytes, without the room for the largest bodies.
     large_room : int, optional
         Room for the largest bodies, in bytes; half of the capacity by default.
+    room : MemoryRoom, optional
+        Room that all bodies share with others; without one only the sizes above
+        bound them.
 
     Examples
     ========
@@ -183,11 +138,21 @@
     second may be read
     """
 
-    def __init__(self, capacity: int, large_room: int | None = None) -> None:
+    def __init__(
+        self,
+        capacity: int,
+        large_room: int | None = None,
+        room: MemoryRoom | None = None,
+    ) -> None:
         self._capacity = capacity
         half = capacity // _MAX_GROWN_DIVISOR
         self._max_grown = min(half, _MAX_GROWN_BYTES)
         self._large_room = half if large_room is None else large_room
+        if room is None:
+            room = MemoryRoom(capacity + self._large_room)
+        self._room = room
+        #: Bytes that are counted in the room.
+        self._counted = 0
         self._large_reserved = 0
         self._large_peak = 0
         self._reserved = 0
@@ -198,6 +163,7 @@
         self._queue: deque[Reservation] = deque()
         self._large_queue: deque[Reservation] = deque()
         self._is_granting = False
+        room.notify(self._grant_next)
 
     @property
     def capacity(self) -> int:
@@ -265,6 +231,8 @@
         early_limit = self._capacity - self.share
         if self._early + count > early_limit or self.held + count > self._capacity:
             return False
+        if count > self._room.free:
+            return False
         reservation.early += count
         self._early += count
         self._record_peak()
@@ -276,9 +244,10 @@
         self._grant_next()
 
     def _grow(self, reservation: Reservation, size: int) -> bool:
-        if self.held + size - reservation.size > self._capacity:
+        growth = size - reservation.size
+        if self.held + growth > self._capacity or growth > self._room.free:
             return False
-        self._reserved += size - reservation.size
+        self._reserved += growth
         reservation.size = size
         self._record_peak()
         return True
@@ -292,6 +261,7 @@
         if reservation.share > size:
             self._shared -= reservation.share - size
             reservation.share = size
+        self._count_in_room()
         self._grant_next()
 
     def _release(self, reservation: Reservation) -> None:
@@ -302,6 +272,7 @@
             self._shared -= reservation.share
         self._early -= reservation.early
         reservation.early = 0
+        self._count_in_room()
         self._grant_next()
 
     def _grant_next(self) -> None:
@@ -337,6 +308,8 @@
 
     def _has_room(self, reservation: Reservation) -> bool:
         size = reservation.size
+        if size - reservation.early > self._room.free:
+            return False
         if reservation.is_large:
             return self._large_reserved + size <= self._large_room
         if self.held + size - reservation.early > self._capacity:
@@ -344,5 +317,12 @@
         return self._shared + size <= self.share
 
     def _record_peak(self) -> None:
+        self._count_in_room()
         self._peak = max(self._peak, self.held)
         self._large_peak = max(self._large_peak, self._large_reserved)
+
+    def _count_in_room(self) -> None:
+        total = self.held + self._large_reserved
+        change, self._counted = total - self._counted, total
+        if change:
+            self._room.change(change)
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -11,11 +11,7 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
-from rattanfork_core.connections import (
-    ResponseBudget,
-    response_budget_bytes,
-    unsent_budget_bytes,
-)
+from rattanfork_core.connections import ResponseBudget
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
@@ -23,12 +19,13 @@
     MembershipSettings,
     MemberStatus,
 )
+from rattanfork_core.memory import MemoryPlan, MemoryRoom
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.revision import ConfigurationLease, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LogSampler
-from rattanfork_core.uploads import BodyBudget, body_budget_bytes, large_room_bytes
+from rattanfork_core.uploads import BodyBudget
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
@@ -53,6 +50,7 @@
 from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.peer import PeerLink, PeerPool
 from rattanfork_node.relay import (
+    BodyBound,
     DecisionLog,
     DrainPolicy,
     Gate,
@@ -200,10 +198,7 @@
             me,
             MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=TICK_SECONDS),
         )
-        self._body_budget = BodyBudget(
-            body_budget_bytes(settings.memory_bytes),
-            large_room_bytes(settings.memory_bytes),
-        )
+        self._create_budgets(settings.memory_bytes)
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
         self._dependencies = OperationDependencies()
@@ -218,7 +213,7 @@
             self._rules,
             self._objectives,
         )
-        relay = settings.relay
+        relay, plan = settings.relay, self._memory_plan
         self._gate = Gate(
             self._clock,
             self._boot,
@@ -232,8 +227,8 @@
                 relay.retry_budget_window,
             ),
             self._quarantine,
-            self._body_budget.capacity,
-            ResponseBudget(response_budget_bytes(settings.memory_bytes)),
+            BodyBound(plan.medium_bodies, self._body_room),
+            self._responses,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -246,6 +241,15 @@
             lambda: self._create_link(connecting=True), self._clock, _SILENCE_TIMEOUT_S
         )
 
+    def _create_budgets(self, memory_bytes: int | None) -> None:
+        self._memory_plan = plan = MemoryPlan.of(memory_bytes)
+        common = MemoryRoom(plan.common)
+        self._body_room = MemoryRoom(plan.bodies, common)
+        self._responses = ResponseBudget(plan.responses, clock=self._clock, room=common)
+        self._body_budget = BodyBudget(
+            plan.medium_bodies, plan.large_bodies, self._body_room
+        )
+
     def _create_tasks(self) -> None:
         settings = self._settings
         self._gossip_task = GossipTask(
@@ -385,9 +389,7 @@
         self._callers.uploads = UploadResources(
             self._body_budget, self._counters.events
         )
-        self._callers.unsent = ResponseBudget(
-            unsent_budget_bytes(settings.memory_bytes)
-        )
+        self._callers.unsent = self._responses
         self._metrics = HttpServer(
             self._clock,
             settings.names,
@@ -406,6 +408,7 @@
             self._handler,
             _MAX_BODY_BYTES,
             connecting,
+            self._responses,
         )
 
     async def _start(self) -> None:
@@ -458,6 +461,7 @@
     def _sweep(self) -> None:
         self._objectives.flush()
         self._gate.sweep()
+        self._responses.sweep()
         self._relay.orphaned_calls.sweep()
         for _, server in self._servers:
             server.sweep()
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -17,6 +17,7 @@
 from rattanfork_node.http1.render import render_head, render_response
 from rattanfork_node.http1.request_body import (
     PART_BYTES,
+    BodyBuffer,
     BodyReader,
     HeldBody,
 )
@@ -28,6 +29,7 @@
 
 __all__ = [
     "PART_BYTES",
+    "BodyBuffer",
     "BodyReader",
     "Exchange",
     "HeaderNames",
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -109,7 +109,7 @@
         #: How its rank was computed while the capacity is shared by account.
         self.fair_share: FairRank | None = None
         self.answered = False
-        self.output: tuple[int, bytes, bytes] | None = None
+        self.output: tuple[int, bytes, bytes | HeldBody] | None = None
         #: Called once if the client disconnects before the response.
         self.on_disconnect: Callable[[], None] | None = None
         #: Called if the node stops before the response, to end the request; None if
@@ -147,7 +147,9 @@
             self.method, self.target, self.header_block, body.parts, self.account_name
         )
 
-    def respond(self, status: int, block: bytes = b"", body: bytes = b"") -> None:
+    def respond(
+        self, status: int, block: bytes = b"", body: bytes | HeldBody = b""
+    ) -> None:
         """Set the final response; later calls have no effect.
 
         Parameters
@@ -158,7 +160,7 @@
         block : bytes
             Header lines, each ending in CRLF, without hop-by-hop headers and
             Content-Length.
-        body : bytes
+        body : bytes or HeldBody
             Response body.
         """
         if self.answered:
--- a/packages/rattanfork-node/rattanfork_node/http1/output.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/output.py
@@ -3,10 +3,13 @@
 import asyncio
 from collections import deque
 
-from rattanfork_node.http1.request_body import PART_BYTES
+from rattanfork_node.http1.request_body import PART_BYTES, HeldBody
 
-#: Bytes that the transport holds at which it is given no more.
-WRITE_BUFFER_BYTES = 256 << 10
+#: Bytes that the transport holds at which it is given no more.  What it holds below is
+#: not counted, so that this many bytes for each connection have no other bound.
+_WRITE_BUFFER_BYTES = 4 << 10
+#: Unsent bytes from which a client counts as one that does not read.
+_MAX_BACKLOG_BYTES = 256 << 10
 
 
 class Output:
@@ -33,13 +36,18 @@
         self._held = 0
         #: Whether the transport takes more data.
         self.is_writable = True
-        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
 
     @property
     def is_empty(self) -> bool:
         """Whether the transport was given all data."""
         return not self._parts
 
+    @property
+    def is_backed_up(self) -> bool:
+        """Whether the client leaves more unread than one that reads does."""
+        return not self.is_writable and self.unsent_bytes > _MAX_BACKLOG_BYTES
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the client has not read yet."""
@@ -47,7 +55,7 @@
 
     def write(self, data: bytes) -> None:
         """Send data behind all that was written before."""
-        if not self._parts and len(data) <= WRITE_BUFFER_BYTES:
+        if self.is_writable and not self._parts and len(data) <= PART_BYTES:
             self._transport.write(data)
             return
         for start in range(0, len(data), PART_BYTES):
@@ -55,6 +63,13 @@
         self._held += len(data)
         self._pass_on()
 
+    def write_body(self, body: HeldBody) -> None:
+        """Send a body that is held in parts, which are freed as they are sent."""
+        self._parts.extend(body.parts)
+        self._held += body.size
+        body.discard()
+        self._pass_on()
+
     def pause(self) -> None:
         """Stop passing data on: the transport takes no more."""
         self.is_writable = False
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -71,6 +71,8 @@
         Event counters; new connections are counted as ``connections.new.<cause>``.
     budget : ResponseBudget, optional
         Budget for the bodies of the responses that the node is receiving.
+    keeps_parts : bool
+        Whether large bodies of responses are kept in parts.
     """
 
     def __init__(
@@ -83,8 +85,10 @@
         captured: frozenset[bytes],
         events: Counter[str] | None = None,
         budget: ResponseBudget | None = None,
+        keeps_parts: bool = False,
     ) -> None:
         self._clock = clock
+        self._keeps_parts = keeps_parts
         self._budget = ResponseBudget() if budget is None else budget
         self._address = (host, port)
         self._max_connections = max_connections
@@ -280,6 +284,7 @@
                         self._on_closed,
                         self._events,
                         self._budget,
+                        self._keeps_parts,
                     ),
                     *self._address,
                 )
--- a/packages/rattanfork-node/rattanfork_node/http1/render.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/render.py
@@ -9,6 +9,23 @@
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
+def render_response_head(status: int, block: bytes, length: int, close: bool) -> bytes:
+    r"""Return status line and headers of a response with a body of a length.
+
+    Examples
+    ========
+
+    >>> render_response_head(200, b"A: b\r\n", 7, close=False)
+    b'HTTP/1.1 200 OK\r\nA: b\r\nContent-Length: 7\r\n\r\n'
+    """
+    line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status
+    length_line = (
+        b"" if status in _STATUSES_WITHOUT_BODY else b"Content-Length: %d\r\n" % length
+    )
+    ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
+    return b"".join((line, block, length_line, ending))
+
+
 def render_response(
     status: int, block: bytes, body: bytes, close: bool, for_head: bool = False
 ) -> bytes:
@@ -22,14 +39,8 @@
     >>> render_response(204, b"", b"", close=False)
     b'HTTP/1.1 204 No Content\r\n\r\n'
     """
-    line = _STATUS_LINES.get(status) or b"HTTP/1.1 %d Status\r\n" % status
-    length = (
-        b""
-        if status in _STATUSES_WITHOUT_BODY
-        else b"Content-Length: %d\r\n" % len(body)
-    )
-    ending = b"Connection: close\r\n\r\n" if close else b"\r\n"
-    return b"".join((line, block, length, ending, b"" if for_head else body))
+    head = render_response_head(status, block, len(body), close)
+    return head if for_head else head + body
 
 
 def render_head(
--- a/packages/rattanfork-node/rattanfork_node/http1/request_body.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/request_body.py
@@ -1,4 +1,4 @@
-"""Large request bodies: held once, in parts, and passed on a part at a time."""
+"""Large bodies: held once, in parts, and passed on a part at a time."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
@@ -29,6 +29,9 @@
     def read(self) -> bytes:
         """Return the next part; b"" at the end, or if more has yet to arrive."""
 
+    def close(self) -> None:  # noqa: B027
+        """Free what the reader holds; it is read no further."""
+
 
 class BodyBuffer:
     """Collects a body as it is received.
@@ -81,7 +84,7 @@
 
 
 class HeldBody:
-    """A body that this node has received whole, held until its request is answered.
+    """A body that this node has received whole.
 
     Parameters
     ==========
@@ -107,6 +110,9 @@
         self.parts = parts
         self.size = sum(map(len, parts))
 
+    def __len__(self) -> int:
+        return self.size
+
     def open(self) -> "HeldBodyReader":
         """Return a reader at the begin of the body."""
         return HeldBodyReader(self)
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -15,7 +15,8 @@
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.output import Output
-from rattanfork_node.http1.render import render_response
+from rattanfork_node.http1.render import render_response, render_response_head
+from rattanfork_node.http1.request_body import HeldBody
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 
 if TYPE_CHECKING:
@@ -31,8 +32,6 @@
 #: Bytes of trailers and of the framing of chunks that a request may have for each byte
 #: of its body, besides twice the maximum size of a head.
 _MAX_FRAMING_FACTOR = 8
-#: Bytes of unsent responses to one client from which they count against the budget.
-_MIN_COUNTED_BYTES = 64 << 10
 
 
 class ServerConnection(asyncio.Protocol, ResponseHolder):
@@ -101,9 +100,11 @@
         return False
 
     def pause_writing(self) -> None:
-        """Pause reading: the client does not read its responses."""
+        """Count what is unsent: the client does not read its responses."""
         self._output.pause()
         self._last_active = self._server.clock.now()
+        # Counted by the caller, which may pass on more.
+        self._is_counted = True
         self.update_reading()
 
     def resume_writing(self) -> None:
@@ -213,13 +214,11 @@
         if self._uploads is not None and self._uploads.current is not None:
             self._uploads.receive(body)
             return
-        self._body_size += len(body)
-        self._body.append(body)
-        if self._body_size > MAX_UNCOUNTED_BODY_BYTES and self._begin_upload():
-            parts, self._body = self._body, []
-            for part in parts:
-                self._uploads.receive(part)
-        elif self._body_size > self._limits.max_body_bytes:
+        self._body += body
+        if len(self._body) > MAX_UNCOUNTED_BODY_BYTES and self._begin_upload():
+            received, self._body = bytes(self._body), bytearray()
+            self._uploads.receive(received)
+        elif len(self._body) > self._limits.max_body_bytes:
             self._fail_parsing(413)
 
     def on_message_complete(self) -> None:
@@ -235,10 +234,10 @@
             return
         if self._closing or self._drop_requests:
             return
-        exchange = self._make_exchange(b"".join(self._body))
+        exchange = self._make_exchange(bytes(self._body))
         self._drop_requests = not exchange.keep_alive
         self._head_bytes = 0
-        self._body = []
+        self._body = bytearray()
         self.pending.append(exchange)
         self._server.handler.on_request(exchange)
 
@@ -248,23 +247,34 @@
         if self._lost:
             return
         parts: list[bytes] = []
+        has_flushed = False
         while pending and pending[0].output is not None:
+            has_flushed = True
             exchange = pending.popleft()
             status, block, body = exchange.output
             close = not exchange.keep_alive or (self._leaving and not pending)
-            head = exchange.method == b"HEAD"
-            parts.append(render_response(status, block, body, close, head))
+            is_head = exchange.method == b"HEAD"
+            if type(body) is HeldBody and not is_head:
+                parts.append(render_response_head(status, block, body.size, close))
+                self.write(b"".join(parts))
+                parts.clear()
+                self._output.write_body(body)
+            elif type(body) is HeldBody:
+                parts.append(render_response_head(status, block, body.size, close))
+            else:
+                parts.append(render_response(status, block, body, close, is_head))
             if close:
                 self._closing = True
                 break
         if parts:
-            self._last_active = self._server.clock.now()
             self.write(b"".join(parts))
+        if has_flushed:
+            self._last_active = self._server.clock.now()
             if self._closing:
                 self._close_once_sent()
-        if not self._output.is_writable or len(pending) > 1 or self._is_counted:
+        if self._is_counted or len(pending) > 1:
             self._count_unsent()
-        if parts and not self._closing:
+        if has_flushed and not self._closing:
             if pending and pending[0].upload is not None:
                 self._uploads.continue_upload(pending[0].upload)
             self.update_reading()
@@ -280,7 +290,7 @@
     def update_reading(self) -> None:
         """Pause or resume reading, by what is unanswered, unread or awaited."""
         full = (
-            not self._output.is_writable
+            self._output.is_backed_up
             or len(self.pending) >= _MAX_PIPELINED
             or (self._uploads is not None and self._uploads.is_paused)
         )
@@ -353,8 +363,7 @@
         self._keys: list[bytes] = []
         self._request_id = b""
         self._client_timeout: float | None = None
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._body = bytearray()
         #: Bytes of the body, also of one that is passed on as it is received.
         self._body_bytes = 0
         self._head_size = 0
@@ -368,9 +377,12 @@
 
     def _count_unsent(self) -> None:
         """Count what the client has not read, and what waits for earlier responses."""
-        waiting = sum(len(e.output[2]) for e in self.pending if e.output is not None)
-        size = self.unsent_bytes + waiting
-        self._is_counted = size > _MIN_COUNTED_BYTES
+        if self._lost:
+            return
+        size = sum(len(e.output[2]) for e in self.pending if e.output is not None)
+        if not self._output.is_writable:
+            size += self.unsent_bytes
+        self._is_counted = size > 0
         if self._is_counted:
             self._server.unsent.hold(self, size)
         else:
@@ -395,7 +407,7 @@
         server = self._server
         if server.uploads is None or self._closing or self._drop_requests:
             return False
-        known_size = max(self._body_size, self._declared_length or 0)
+        known_size = max(len(self._body), self._declared_length or 0)
         if self._uploads is None:
             self._uploads = UploadReceiver(self, server, self._transport)
         return self._uploads.begin(
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_endless_responses.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_endless_responses.py
@@ -142,5 +142,5 @@
     connections = Connections(1 << 20)
     connection = connections.send_request()
     connection.data_received(response("r", "x" * 100_000))
-    assert connection._body == []
+    assert connection._body.take_parts() == []
     assert connections.budget.held == 0
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -227,8 +227,10 @@
 
 def test_reading_pauses_while_client_does_not_read():
     client = Client()
+    client.transport.unsent_bytes = 300_000
     client.connection.pause_writing()
     assert not client.transport.reading
+    client.transport.unsent_bytes = 0
     client.connection.resume_writing()
     assert client.transport.reading
 
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -14,7 +14,7 @@
 )
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
-from rattanfork_node.http1.request_body import PART_BYTES, BodyReader
+from rattanfork_node.http1.request_body import PART_BYTES, BodyBuffer, BodyReader
 from rattanfork_node.http1.upstream_response import (
     UpstreamResponse,
     keep_alive_timeout,
@@ -25,8 +25,8 @@
 _STALE_RESET_WINDOW_S = 0.1
 #: Idle seconds up to which a reset is not attributed to the connection being stale.
 _MIN_STALE_IDLE_S = 0.1
-#: Size of a response body, in bytes, from which it counts against the node's budget.
-_MIN_COUNTED_BYTES = 64 << 10
+#: Size of a response body, in bytes, above which it may be kept in parts.
+_MAX_JOINED_BYTES = 64 << 10
 #: Maximum bytes that are received for a request besides bodies: heads, trailers and
 #: the framing of chunks.  For each byte of a body, that many bytes of framing may come
 #: on top; a chunk of one byte has five.
@@ -81,6 +81,8 @@
         a bound as ``upstream.exceeded.<bound>``.
     budget : ResponseBudget, optional
         Budget for the bodies of the responses that the node is receiving.
+    keeps_parts : bool
+        Whether large bodies of responses are kept in parts.
     """
 
     _numbers = count(1)
@@ -94,8 +96,10 @@
         on_closed: Callable[["UpstreamConnection"], None],
         events: Counter[str] | None = None,
         budget: ResponseBudget | None = None,
+        keeps_parts: bool = False,
     ) -> None:
         self._clock = clock
+        self._keeps_parts = keeps_parts
         self._events = Counter() if events is None else events
         self._budget = ResponseBudget() if budget is None else budget
         self._id_name = id_name
@@ -152,7 +156,7 @@
         #: Whether it was reset before the first data from the upstream.
         self.refused = False
         self._unused = True
-        self._size = 0
+        self._is_counted = False
         self._reset()
 
     @property
@@ -276,6 +280,10 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._transport.abort()
             return
+        if self._body.size:
+            # The response is not complete.
+            self._is_counted = True
+            self._budget.hold(self, self._body.size)
         # Released only now, as the parser has seen any bytes after the response.
         if self._completed:
             self._release_or_close()
@@ -318,13 +326,8 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, within the budget of the node."""
-        self._size += len(body)
         self._body_bytes += len(body)
         self._body.append(body)
-        if self._size > _MIN_COUNTED_BYTES:
-            self._budget.hold(self, self._size)
-            if self._transport.is_closing():
-                raise ValueError("response exceeds the budget of the node")
 
     def on_message_complete(self) -> None:
         """Complete a final response; interim (1xx) ones are ignored."""
@@ -335,7 +338,7 @@
         """Abort the connection, whose response exceeds the budget of the node."""
         self._events["upstream.exceeded.budget"] += 1
         self.evicted = True
-        self._body.clear()
+        self._body.take_parts()
         self._transport.abort()
 
     def _send_body(self) -> None:
@@ -373,13 +376,11 @@
             self.stale_idle_time = self.idle_before
 
     def _reset(self) -> None:
-        if self._size > _MIN_COUNTED_BYTES:
-            self._budget.release(self)
+        self._release_budget()
         self._response_id = b""
         self._headers: dict[bytes, bytes] = {}
         self._block = bytearray()
-        self._body: list[bytes] = []
-        self._size = 0
+        self._body = BodyBuffer()
         self._status = 0
         self._received_at = 0.0
         self._in_body = False
@@ -407,21 +408,29 @@
         # of the body.
         self._reusable = reusable and self._request_body is None
         self._request_body = None
-        body = b"".join(self._body)
+        is_large = self._keeps_parts and self._body.size > _MAX_JOINED_BYTES
         # An idle connection must not keep its last response in memory.
-        self._body = []
-        if self._size > _MIN_COUNTED_BYTES:
-            self._budget.release(self)
-        on_response(
-            UpstreamResponse(
-                self._status,
-                bytes(self._block),
-                body,
-                self._headers,
-                self._received_at,
-                is_identified,
-            )
+        parts = self._body.take_parts()
+        response = UpstreamResponse(
+            self._status,
+            bytes(self._block),
+            b"" if is_large else b"".join(parts),
+            self._headers,
+            self._received_at,
+            is_identified,
+            parts if is_large else None,
         )
+        if not self._is_counted:
+            on_response(response)
+            return
+        self._is_counted = False
+        with self._budget.hand_over(self):
+            on_response(response)
+
+    def _release_budget(self) -> None:
+        if self._is_counted:
+            self._is_counted = False
+            self._budget.release(self)
 
     def _is_foreign(self) -> bool:
         """Return whether a response without the request's ID belongs to another one."""
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream_response.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream_response.py
@@ -23,6 +23,8 @@
     is_identified : bool
         Whether it is certainly the response to its request, and not one to another
         request or to an earlier attempt.
+    parts : list of bytes, optional
+        A large body, if the connection keeps such in parts; ``body`` is empty then.
     """
 
     status: int
@@ -31,6 +33,12 @@
     headers: dict[bytes, bytes]
     received_at: float = 0.0
     is_identified: bool = True
+    parts: list[bytes] | None = None
+
+    @property
+    def body_size(self) -> int:
+        """Size of the body, in bytes."""
+        return len(self.body) if self.parts is None else sum(map(len, self.parts))
 
 
 def keep_alive_timeout(value: bytes) -> float | None:
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -11,6 +11,7 @@
 from rattanfork_node.peer.link import PeerLink
 from rattanfork_node.peer.messages import (
     BODY_PARTS_LEVEL,
+    REPLY_PARTS_LEVEL,
     BurnReply,
     BurnRequest,
     Call,
@@ -80,6 +81,7 @@
     "RulesReply",
     "RulesRequest",
     "Run",
+    "REPLY_PARTS_LEVEL",
     "RunReply",
     "SyncReply",
     "SyncRequest",
--- a/packages/rattanfork-node/rattanfork_node/peer/body_sender.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/body_sender.py
@@ -1,4 +1,4 @@
-"""Sends the large bodies of the runs of one connection between nodes."""
+"""Sends the large bodies of one connection between nodes."""
 
 from collections import deque
 from collections.abc import Callable
@@ -53,17 +53,30 @@
         self._turns: deque[int] = deque()
         self._is_writable = True
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the connection takes more data."""
+        return self._is_writable
+
+    @property
+    def remaining_bytes(self) -> int:
+        """Bytes of all bodies that were not sent yet."""
+        return sum(body.reader.remaining for body in self._bodies.values())
+
     def add(self, number: int, reader: BodyReader) -> None:
-        """Send the body of a run once its receiver asks for it."""
+        """Send the body of a run or reply once its receiver asks for it."""
         self._bodies[number] = _SentBody(reader)
 
     def drop(self, number: int) -> None:
-        """Send no more of the body of a run."""
-        self._bodies.pop(number, None)
+        """Send no more of a body."""
+        body = self._bodies.pop(number, None)
+        if body is not None:
+            body.reader.close()
 
     def clear(self) -> None:
         """Send nothing more, as the connection is lost."""
-        self._bodies.clear()
+        for number in list(self._bodies):
+            self.drop(number)
         self._turns.clear()
 
     def on_credit(self, credit: BodyCredit) -> None:
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -7,6 +7,8 @@
 
 import msgpack
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import ResponseBudget
+from rattanfork_core.request import Outcome, Reason
 
 from rattanfork_node.http1 import BodyReader
 from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
@@ -38,6 +40,7 @@
     decode_message,
     encode_message,
 )
+from rattanfork_node.peer.reply_bodies import OutgoingReplyBody, ReplyBodyReceiver
 from rattanfork_node.peer.retirement_messages import (
     PersistRequest,
     RetirementsRequest,
@@ -103,6 +106,8 @@
         Maximum size of a body.
     connecting : bool
         Whether this side opened the connection.
+    responses : ResponseBudget, optional
+        Budget of this node for responses.
     """
 
     def __init__(
@@ -114,7 +119,9 @@
         handler: PeerHandler,
         max_body_bytes: int,
         connecting: bool,
+        responses: ResponseBudget | None = None,
     ) -> None:
+        self._responses = ResponseBudget() if responses is None else responses
         self._clock = clock
         self._key = key
         self._node = node
@@ -144,6 +151,9 @@
         self._late_replies = 0
         self._peer_level = 0
         self._bodies = BodySender(self.send)
+        self._reply_bodies = ReplyBodyReceiver(
+            self._responses, self.send, self._deliver, self._deliver_without_body
+        )
         #: Tasks or jobs of the peer's requests by number, kept by the handler.
         self.calls: dict[int, Any] = {}
         #: Bodies that arrive in parts, by the number of their run, kept by the handler.
@@ -191,8 +201,16 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes that the peer has not read yet."""
-        return 0 if self._closed else self._transport.get_write_buffer_size()
+        """Bytes that the peer has not read yet, with the bodies that it will get."""
+        if self._closed:
+            return 0
+        unsent = self._transport.get_write_buffer_size()
+        return unsent + self._bodies.remaining_bytes
+
+    @property
+    def is_writable(self) -> bool:
+        """Whether the peer reads what it is sent."""
+        return self._bodies.is_writable
 
     async def wait_ready(self) -> None:
         """Wait until the handshake is complete.
@@ -253,6 +271,21 @@
         self._bodies.add(number, reader)
         self.send_batched(BodyStart(number, reader.size, fingerprint))
 
+    def send_reply(self, reply: RunReply, parts: list[bytes]) -> None:
+        """Send a reply whose body follows in parts."""
+        number = reply.number
+        body = OutgoingReplyBody(
+            parts, self._responses, lambda: self._on_reply_body_evicted(number)
+        )
+        self._bodies.add(number, body)
+        self.send_batched(BodyStart(number, body.size, 0))
+        self.send_batched(reply)
+        body.hold()
+
+    def take_reply_body(self) -> list[bytes] | None:
+        """Return the body of the reply that is being handled, if it came in parts."""
+        return self._reply_bodies.take()
+
     def was_written(self, number: int) -> bool:
         """Return whether the message of a number was written to the transport.
 
@@ -266,6 +299,8 @@
         self._reply_futures.pop(number, None)
         self._run_callbacks.pop(number, None)
         self._bodies.drop(number)
+        if self._reply_bodies.drop(number):
+            self.send(Cancel(number))
 
     def heartbeat(self, silence: float, idle: float) -> None:
         """Ping an idle peer and close on timeout; call several times a second.
@@ -349,12 +384,16 @@
         if not self._authenticated:
             self._advance_handshake(message)
         elif type(message) is RunReply:
-            done = self._run_callbacks.pop(message.number, None)
             self._bodies.drop(message.number)
-            if done is None:
-                self._late_replies += 1
+            if not self._reply_bodies.on_reply(message):
+                self._deliver(message)
+        elif self._is_client and type(message) is BodyStart:
+            if message.number in self._run_callbacks:
+                self._reply_bodies.on_start(message)
             else:
-                done(message)
+                self.send(Cancel(message.number))
+        elif self._is_client and type(message) is BodyPart:
+            self._reply_bodies.on_part(message)
         elif isinstance(message, REPLIES):
             future = self._reply_futures.pop(message.number, None)
             if future is None or future.done():
@@ -375,8 +414,33 @@
         else:
             self._dispatch_request(message)
 
+    def _deliver(self, reply: RunReply) -> None:
+        done = self._run_callbacks.pop(reply.number, None)
+        if done is None:
+            self._late_replies += 1
+        else:
+            done(reply)
+
+    def _deliver_without_body(self, reply: RunReply) -> None:
+        """Report a run whose response found no room: it ran, and has no response."""
+        self.send(Cancel(reply.number))
+        self._deliver(
+            reply._replace(
+                outcome=int(Outcome.UNKNOWN),
+                reason=int(Reason.TOO_LARGE),
+                status=0,
+                block=b"",
+                retry_elsewhere=False,
+            )
+        )
+
+    def _on_reply_body_evicted(self, number: int) -> None:
+        self._bodies.drop(number)
+        self.send_batched(BodyPart(number, b""))
+
     def _dispatch_request(self, message: Message) -> None:
         if isinstance(message, Cancel):
+            self._bodies.drop(message.number)
             self._handler.on_cancel(self, message.number)
             return
         method = _HANDLER_METHODS.get(type(message))
@@ -445,6 +509,7 @@
             return
         self._closed = True
         self._bodies.clear()
+        self._reply_bodies.clear()
         error = LinkLostError(reason)
         if not self._ready.done():
             self._ready.set_exception(error)
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -33,11 +33,13 @@
 #: upstreams to runs and their replies, 2 the messages on retirements, 3 bodies in
 #: parts.  Nodes exchange their levels in pings, so that a node of a lower level never
 #: gets what it would reject.
-MESSAGE_LEVEL = 3
+MESSAGE_LEVEL = 4
 #: Lowest level of a node that understands the messages on retirements.
 RETIREMENTS_LEVEL = 2
 #: Lowest level of a node that receives bodies in parts.
 BODY_PARTS_LEVEL = 3
+#: Level from which a peer receives the bodies of replies in parts.
+REPLY_PARTS_LEVEL = 4
 #: Maximum characters of a header, a path or the ID of an upstream.
 _MAX_TEXT_LENGTH = 16_384
 _MAX_HEADERS = 200
--- a/packages/rattanfork-node/rattanfork_node/relay/body_bound.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/body_bound.py
@@ -1,8 +1,10 @@
-"""Route path: bound on the bodies of uploads that a gate holds."""
+"""Route path: bound on the request bodies that a gate holds."""
+
+from rattanfork_core.memory import MemoryRoom
 
 
 class BodyBound:
-    """Bounds the bytes of the bodies of uploads that wait or run at a gate.
+    """Bounds the bytes of the bodies of requests that wait or run at a gate.
 
     Explanation
     ===========
@@ -14,6 +16,8 @@
 
     capacity : int
         Maximum number of bytes.
+    room : MemoryRoom, optional
+        Room that they share with the bodies of this node's own clients.
 
     Examples
     ========
@@ -26,8 +30,9 @@
     True
     """
 
-    def __init__(self, capacity: int) -> None:
+    def __init__(self, capacity: int, room: MemoryRoom | None = None) -> None:
         self._capacity = capacity
+        self._room = MemoryRoom(capacity) if room is None else room
         self._held = 0
 
     @property
@@ -37,11 +42,13 @@
 
     def take(self, size: int) -> bool:
         """Hold a body of a size in bytes; return whether it fits."""
-        if self._held + size > self._capacity:
+        if self._held + size > self._capacity or size > self._room.free:
             return False
         self._held += size
+        self._room.change(size)
         return True
 
     def release(self, size: int) -> None:
         """Release a body of a size in bytes."""
         self._held -= size
+        self._room.change(-size)
--- a/packages/rattanfork-node/rattanfork_node/relay/completion.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/completion.py
@@ -10,6 +10,7 @@
 from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.request import CallResult, Outcome, Reason, jittered_retry_after
 
+from rattanfork_node.http1 import HeldBody
 from rattanfork_node.relay.admitted_request import AdmittedRequest, AttemptRecord
 from rattanfork_node.relay.decision_log import DecisionLog
 from rattanfork_node.relay.refusals import RefusalResponder
@@ -101,7 +102,9 @@
             self._counters.events["relay.refusal-status-replaced"] += 1
             exchange.respond(status, self._refusals.request_id_line(exchange))
         elif result.status:
-            exchange.respond(status, result.block, result.body)
+            parts = result.body_parts
+            body = result.body if parts is None else HeldBody(parts)
+            exchange.respond(status, result.block, body)
         elif outcome is Outcome.NOT_RUN:
             self._counters.events[f"relay.not-run.{result.proof}"] += 1
             retry_after = jittered_retry_after(
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -342,7 +343,7 @@
             exchange.account_name,
             *(report or ()),
         )
-        link.send_run(run, lambda reply: self._on_reply(attempt, member, reply))
+        link.send_run(run, partial(self._on_reply, attempt, member, link))
 
     def _send_large_body(self, link: PeerLink) -> bytes:
         """Send a body that is held in parts; return what the run itself carries."""
@@ -393,7 +394,9 @@
         )
         self._on_result(attempt, result)
 
-    def _on_reply(self, attempt: int, member: Member, reply: RunReply | None) -> None:
+    def _on_reply(
+        self, attempt: int, member: Member, link: PeerLink, reply: RunReply | None
+    ) -> None:
         if reply is None:
             if not self._link.was_written(self._number):
                 self._on_unsent(attempt, member)
@@ -412,7 +415,8 @@
         )
         if self._instance_state is not None:
             self._instance_state.busy = reply.busy
-        self._on_result(attempt, result_from_reply(reply))
+        body_parts = link.take_reply_body()
+        self._on_result(attempt, result_from_reply(reply, body_parts))
 
     def _on_result(self, attempt: int, result: CallResult) -> None:
         now = self._relay.clock.now()
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -20,7 +20,6 @@
 )
 from rattanfork_core.quarantine import Quarantine, SuspectTracker
 from rattanfork_core.request import CallResult, Outcome, Reason
-from rattanfork_core.uploads.body_budget import MAX_BUDGET_BYTES
 
 from rattanfork_node.http1 import (
     HeaderNames,
@@ -38,6 +37,7 @@
     MISDIRECTED_STATUS,
     connection_lost,
     not_run,
+    response_dropped,
     result_from_response,
 )
 from rattanfork_node.relay.job import Job
@@ -71,6 +71,8 @@
 #: Size of a request body up to which the fingerprint of a successful run is computed
 #: later.  Until then the request is kept in memory.
 _MAX_DEFERRED_BODY_BYTES = 4096
+#: Bytes of request bodies at a gate without a memory limit.
+_MAX_BODY_BYTES = 32 << 20
 #: Seconds after the deadline of a request at which its response counts as lost.  An
 #: upstream stops work at the deadline that it receives.
 _LOST_AFTER_S = 1.0
@@ -117,8 +119,8 @@
         Retry budget of this gate.
     quarantine : Quarantine
         Fingerprints of requests that no upstream may run.
-    upload_bytes : int
-        Maximum bytes of the bodies of uploads that wait or run here.
+    bodies : BodyBound, optional
+        Bound on the bodies of requests that wait or run here.
     responses : ResponseBudget, optional
         Budget for the bodies of the responses that the node is receiving.
     """
@@ -132,12 +134,12 @@
         decision_log: DecisionLog,
         grants: GateRetryBudget,
         quarantine: Quarantine,
-        upload_bytes: int = MAX_BUDGET_BYTES,
+        bodies: BodyBound | None = None,
         responses: ResponseBudget | None = None,
     ) -> None:
         self._clock = clock
         self._responses = ResponseBudget() if responses is None else responses
-        self._upload_bodies = BodyBound(upload_bytes)
+        self._bodies = BodyBound(_MAX_BODY_BYTES) if bodies is None else bodies
         self.grants = grants
         self._quarantine = quarantine
         self._decision_log = decision_log
@@ -229,7 +231,7 @@
     @property
     def upload_bytes(self) -> int:
         """Bytes of the bodies of uploads that wait or run."""
-        return self._upload_bodies.held
+        return self._bodies.held
 
     @property
     def unsent_bytes(self) -> int:
@@ -400,6 +402,7 @@
             self.advertised.header_names | {self._not_run_name, self._stamp_name},
             self._counters.events,
             self._responses,
+            keeps_parts=True,
         )
 
     def _abort_predecessor_runs(self) -> None:
@@ -488,8 +491,13 @@
         if job.ended:
             return
         job.response = response
-        result = result_from_response(
-            job, response, self._not_run_name, self._stamp_name
+        is_dropped = response is None and job.connection.evicted
+        result = (
+            response_dropped()
+            if is_dropped
+            else result_from_response(
+                job, response, self._not_run_name, self._stamp_name
+            )
         )
         self.misdirected |= result.reason is Reason.STALE_INSTANCE
         if response is not None and result.outcome is Outcome.UNKNOWN:
@@ -497,7 +505,7 @@
             cause = "without-stamp" if is_success else "unproved-refusal"
             self._counters.events[f"upstream.{cause}"] += 1
         self._finish_run(job, result, result.outcome is Outcome.ANSWERED)
-        if response is None and self._accepting:
+        if response is None and self._accepting and not is_dropped:
             self._crash_detector.on_lost(job.fingerprint)
 
     def _withdraw(self, job: Job, reason: Reason) -> None:
@@ -561,7 +569,7 @@
 
     def _hold_body(self, job: Job) -> bool:
         """Count the body of an upload; return whether it is within the bound."""
-        if not self._upload_bodies.take(len(job.body)):
+        if not self._bodies.take(len(job.body)):
             return False
         job.body_bytes_held = len(job.body)
         return True
@@ -569,7 +577,7 @@
     def _finish(self, job: Job, result: CallResult) -> None:
         job.ended = True
         if job.body_bytes_held:
-            self._upload_bodies.release(job.body_bytes_held)
+            self._bodies.release(job.body_bytes_held)
             job.body_bytes_held = 0
         upstream = self._upstream.name if self._upstream is not None else ""
         self._decision_log.on_run(job, result, self._admission, upstream)
--- a/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate_results.py
@@ -91,6 +91,11 @@
     return CallResult(Outcome.UNKNOWN, Reason.CONNECTION, retry_elsewhere=True)
 
 
+def response_dropped() -> CallResult:
+    """Return the result of a request whose response found no room."""
+    return CallResult(Outcome.UNKNOWN, Reason.TOO_LARGE)
+
+
 def not_run(reason: Reason) -> CallResult:
     """Return the result of a request that the upstream did not run."""
     retry_elsewhere = reason in _RETRY_ELSEWHERE_REASONS
@@ -104,6 +109,7 @@
         status=response.status,
         block=response.header_block,
         body=response.body,
+        body_parts=response.parts,
     )
     if response.status >= 500 and not job.failed_calls:
         # No downstream call failed, so the failure is the upstream's own and
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -15,6 +15,7 @@
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.peer import (
+    REPLY_PARTS_LEVEL,
     BasePeerHandler,
     BodyPart,
     BodyStart,
@@ -43,6 +44,11 @@
     from rattanfork_node.member.retirement_task import RetirementTask
 
 
+#: Size in bytes up to which a body is sent with its reply although the peer does not
+#: read at the moment.
+_MAX_UNPAUSED_BYTES = 4 << 10
+
+
 class RelayPeerHandler(BasePeerHandler):
     """Handles runs, cancels, fences and configuration requests from peer nodes.
 
@@ -211,18 +217,34 @@
             report = gate.advertised.report() or ()
         elif reason is Reason.UPSTREAM_LIMIT:
             reason = Reason.SHED
-        link.send_batched(
-            RunReply(
-                number,
-                int(result.outcome),
-                int(reason),
-                result.status,
-                result.block,
-                result.body,
-                result.retry_elsewhere,
-                float(gate.threshold(operation)),
-                gate.outstanding,
-                list(result.services_reached),
-                *report,
-            )
+        parts = self._body_parts(link, result)
+        reply = RunReply(
+            number,
+            int(result.outcome),
+            int(reason),
+            result.status,
+            result.block,
+            b"" if parts else result.body,
+            result.retry_elsewhere,
+            float(gate.threshold(operation)),
+            gate.outstanding,
+            list(result.services_reached),
+            *report,
         )
+        if not parts:
+            link.send_batched(reply)
+        elif link.peer_level < REPLY_PARTS_LEVEL:
+            link.send_batched(reply._replace(body=b"".join(parts)))
+        else:
+            link.send_reply(reply, parts)
+
+    def _body_parts(self, link: PeerLink, result: CallResult) -> list[bytes] | None:
+        """Return the body if it follows its reply in parts.
+
+        On a link whose peer does not read, all but the smallest bodies are held back so
+        that its buffer stays small.
+        """
+        parts = result.body_parts
+        if parts is not None or link.is_writable:
+            return parts
+        return [result.body] if len(result.body) > _MAX_UNPAUSED_BYTES else None
--- a/packages/rattanfork-node/rattanfork_node/relay/run_replies.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/run_replies.py
@@ -6,8 +6,19 @@
 from rattanfork_node.peer import RunReply
 
 
-def result_from_reply(reply: RunReply) -> CallResult:
-    """Return the result of an attempt from the reply of its gate."""
+def result_from_reply(
+    reply: RunReply, body_parts: list[bytes] | None = None
+) -> CallResult:
+    """Return the result of an attempt from the reply of its gate.
+
+    Parameters
+    ==========
+
+    reply : RunReply
+        The reply.
+    body_parts : list of bytes, optional
+        Its body if it came in parts.
+    """
     return CallResult(
         outcome_of(reply.outcome),
         reason_of(reply.reason),
@@ -16,6 +27,7 @@
         retry_elsewhere=reply.retry_elsewhere,
         block=reply.block,
         services_reached=tuple(reply.services_reached),
+        body_parts=body_parts,
     )
 
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -24,6 +24,7 @@
 from rattanfork_node.member.directory import InstanceDirectory
 from rattanfork_node.peer import LinkLostError, Run, RunReply
 from rattanfork_node.relay import ClientAccounts, DecisionLog, Relay, RelaySettings
+from rattanfork_node.relay.body_bound import BodyBound
 from rattanfork_node.relay.gate import Gate
 from rattanfork_node.relay.job import Job
 from rattanfork_node.relay.upstream import Upstream
@@ -58,6 +59,7 @@
         self.done = None
         self.body = None
         self.aborted = False
+        self.evicted = False
 
     def send(self, data, request_id, done, is_head=False, body=None) -> None:
         self.sent, self.done, self.body = data, done, body
@@ -139,7 +141,7 @@
             decision_log,
             self.grants,
             self.quarantine,
-            upload_bytes,
+            BodyBound(upload_bytes),
         )
         self.gate.attach(Upstream("u1", "127.0.0.1", 1, slots), 9)
         self.pool = self.gate._pool = FakeUpstreamPool()
@@ -201,6 +203,9 @@
     def send(self, message) -> None:
         self.sent.append(message)
 
+    def take_reply_body(self) -> None:
+        return None
+
     def was_written(self, number) -> bool:
         return self.written
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/gate_peer.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/gate_peer.py
@@ -16,6 +16,7 @@
     """The peer's side of a link: passes replies to the entry node's side."""
 
     peer_level = 1
+    is_writable = True
 
     def __init__(self, link: "GateLink", connection_id: str) -> None:
         self.connection_id = connection_id
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_upstream_reports.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_upstream_reports.py
@@ -106,6 +106,7 @@
 
     connection_id = "c1"
     peer = "peer@b"
+    is_writable = True
 
     def __init__(self, peer_level: int) -> None:
         self.peer_level = peer_level
