Keep descriptors for links, upstream and store; bound the ports of the platform

At the ports of readiness and announcements, bodies up to 16 MB were read for any number of connections.

Cause: maxFds of the settings was read nowhere; connections were accepted until the system refused. The node's own servers had the limits of the callers' server and no budget. A connection to the port between nodes that never proved to be one stayed.

Beyond it, connections without a request are closed first, then those within an incomplete one, then those that leave a response unread, the longest inactive first; one whose request waits for its response is never closed for another, the newest is instead. Listening goes on. The own ports take bodies up to 16 KiB on 32 connections each.

--- a/packages/rattanfork-core/rattanfork_core/connections/__init__.py
+++ b/packages/rattanfork-core/rattanfork_core/connections/__init__.py
@@ -1,6 +1,7 @@
 """Reuse and memory of the connections between a node and its upstream."""
 
 from rattanfork_core.connections.causes import NewConnectionCause, ReplacementCauses
+from rattanfork_core.connections.descriptor_limit import DescriptorLimit
 from rattanfork_core.connections.idle_choice import choose_idle
 from rattanfork_core.connections.idle_limit import IdleLimit
 from rattanfork_core.connections.open_delay import OpenDelay
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "DescriptorLimit",
     "IdleLimit",
     "NewConnectionCause",
     "OpenDelay",
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -11,7 +11,10 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
-from rattanfork_core.connections import ResponseBudget
+from rattanfork_core.connections import (
+    DescriptorLimit,
+    ResponseBudget,
+)
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
@@ -48,7 +51,7 @@
 from rattanfork_node.member.gate_report_task import GateReportTask
 from rattanfork_node.member.quarantine_task import QuarantineTask
 from rattanfork_node.member.retirement_task import RetirementTask
-from rattanfork_node.peer import PeerLink, PeerPool
+from rattanfork_node.peer import PeerLink, PeerPool, PendingHandshakes
 from rattanfork_node.relay import (
     BodyBound,
     DecisionLog,
@@ -74,6 +77,10 @@
 _SILENCE_TIMEOUT_S = 0.8
 #: Maximum size of a body between nodes, in bytes.
 _MAX_BODY_BYTES = 64 << 20
+#: Maximum size of a body, and number of connections, at each of the ports of the
+#: platform, the upstream and operators.
+_MAX_OWN_BODY_BYTES = 16 << 10
+_MAX_OWN_CONNECTIONS = 32
 #: Requests per slot up to which an instance of the own data centre is chosen without
 #: considering other data centres.  Below it no request waits there; the remaining
 #: slots absorb requests that arrive before the next reply reports the load.
@@ -126,6 +133,8 @@
         self._log = RequestLog(
             writer, LogSampler(self._clock), settings.instance, time.time
         )
+        self._descriptors = DescriptorLimit(settings.max_descriptors)
+        self._handshakes = PendingHandshakes(self._clock)
         self._create_components(decode)
         self._create_tasks()
         self._create_servers(announcement_handler)
@@ -382,23 +391,35 @@
             (settings.announcements, announcement_handler(self)),
         )
         self._servers = [
-            (address, HttpServer(self._clock, settings.names, RequestLimits(), handler))
-            for address, handler in handlers
+            (address, self._create_server(handler)) for address, handler in handlers
         ]
         self._callers = self._servers[0][1]
+        self._callers.limits = RequestLimits()
+        self._callers.max_connections = self._max_caller_connections
         self._callers.uploads = UploadResources(
             self._body_budget, self._counters.events
         )
         self._callers.unsent = self._responses
-        self._metrics = HttpServer(
-            self._clock,
-            settings.names,
-            RequestLimits(),
+        self._metrics = self._create_server(
             MetricsHandler(
                 self._counters, self._state_reporter.gauges, self._objectives
-            ),
+            )
         )
 
+    def _create_server(self, handler: RequestHandler) -> HttpServer:
+        """Return a server for the platform, the upstream or operators."""
+        limits = RequestLimits(max_body_bytes=_MAX_OWN_BODY_BYTES)
+        server = HttpServer(self._clock, self._settings.names, limits, handler)
+        server.max_connections = lambda: _MAX_OWN_CONNECTIONS
+        return server
+
+    def _max_caller_connections(self) -> float:
+        others = self._gate.connections + self._pool.connected
+        others += len(self._handler.links) + self._handshakes.count
+        others += sum(len(server.connections) for _, server in self._servers[1:])
+        others += len(self._metrics.connections)
+        return self._descriptors.max_clients(others)
+
     def _create_link(self, connecting: bool) -> PeerLink:
         return PeerLink(
             self._clock,
@@ -411,12 +432,15 @@
             self._responses,
         )
 
+    def _accept_link(self) -> PeerLink:
+        link = self._create_link(connecting=False)
+        self._handshakes.add(link)
+        return link
+
     async def _start(self) -> None:
         host, port = self._settings.peers
         loop = asyncio.get_running_loop()
-        self._peer_listener = await loop.create_server(
-            lambda: self._create_link(connecting=False), host, port
-        )
+        self._peer_listener = await loop.create_server(self._accept_link, host, port)
         await self._gossip_task.start(host, port)
         for (server_host, server_port), server in self._servers:
             await server.start(server_host, server_port)
@@ -466,6 +490,7 @@
         for _, server in self._servers:
             server.sweep()
         self._metrics.sweep()
+        self._handshakes.sweep()
         if self._store.joined:
             # Before, the members that this node sees may be a few of all.
             service = self._settings.relay.service
--- a/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_settings.py
@@ -45,6 +45,8 @@
         Seconds from SIGTERM until the process is killed.
     memory_bytes : int or None
         Memory limit of the node, in bytes; None if it is not known.
+    max_descriptors : int or None
+        Limit on open descriptors; None if it is not known.
     """
 
     instance: str
@@ -62,3 +64,4 @@
     metrics: Address | None = None
     grace: float = 6.0
     memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -120,6 +120,11 @@
         opened_before = self._clock.now() - _SETTLE_S
         return sum(c.opened_at <= opened_before for c in self._open)
 
+    @property
+    def connections(self) -> int:
+        """Number of connections that are open or being opened."""
+        return len(self._open) + len(self._connecting)
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of requests that the upstream has not read yet."""
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -1,7 +1,11 @@
 """HTTP/1.1 server of a node."""
 
 import asyncio
+import heapq
 import socket
+from collections.abc import Callable
+from math import ceil, inf
+from operator import attrgetter
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.connections import ResponseBudget
@@ -18,6 +22,9 @@
 #: paused: of 300 at once, 24 MB with the system's default and with 64 KiB, at most
 #: 14 MB with 32 KiB.  32 KiB per round trip of 1 ms exceed a link of 100 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 32 << 10
+#: Part of the connections that is closed at once if there are too many, 1 / the
+#: divisor: the choice looks at all of them.
+_CLOSED_DIVISOR = 32
 
 
 class HttpServer:
@@ -60,6 +67,10 @@
         self.request_id_name = names.request_id.lower()
         self.deadline_name = names.deadline.lower()
         self.key_name = names.key.lower()
+        #: Returns the maximum number of connections.
+        self.max_connections: Callable[[], float] = lambda: inf
+        #: Connections that were closed as there were too many.
+        self.dropped = 0
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self._listener: asyncio.Server | None = None
@@ -96,11 +107,25 @@
         """Bytes of responses that clients have not read yet."""
         return sum(c.unsent_bytes for c in self.connections)
 
+    def admit(self, connection: ServerConnection) -> None:
+        """Register a new connection; close others if there are too many.
+
+        Those without a request are closed first, then those within one that has not
+        been received whole, then those that leave a response unread, in each case the
+        longest inactive first.  If all others wait for a response, the new one is
+        closed.
+        """
+        self.connections.add(connection)
+        if len(self.connections) > self.max_connections():
+            self._close_excess(connection)
+
     def sweep(self) -> None:
         """Close idle and slow connections; call twice a second."""
         now = self.clock.now()
         for connection in list(self.connections):
             connection.check_time(now)
+        if len(self.connections) > self.max_connections():
+            self._close_excess(None)
 
     def leave(self) -> None:
         """Close each connection once its received requests are answered."""
@@ -114,3 +139,17 @@
             self._listener.close()
         for connection in list(self.connections):
             connection.close()
+
+    def _close_excess(self, newest: ServerConnection | None) -> None:
+        others = [c for c in self.connections if c is not newest and not c.is_closing]
+        excess = len(others) + (newest is not None) - self.max_connections()
+        if excess <= 0:
+            return
+        unused = [c for c in others if not c.pending]
+        count = max(ceil(excess), len(others) // _CLOSED_DIVISOR)
+        for connection in heapq.nsmallest(count, unused, key=attrgetter("drop_order")):
+            self.dropped += 1
+            connection.drop()
+        if newest is not None and not unused:
+            self.dropped += 1
+            newest.drop()
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -74,7 +74,7 @@
         """Register the connection with its server."""
         self._transport = transport
         self._output = Output(transport)
-        self._server.connections.add(self)
+        self._server.admit(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handlers of unanswered requests that the client disconnected."""
@@ -337,6 +337,22 @@
         elif not self.pending and now - self._last_active > limits.idle_timeout:
             self.close()
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the connection will be closed."""
+        return self._closing or self._lost
+
+    @property
+    def drop_order(self) -> tuple[bool, bool, float]:
+        """Place in the order in which connections without pending requests close."""
+        return not self._output.is_writable, self._receiving, self._last_active
+
+    def drop(self) -> None:
+        """Abort the connection, which has no request that was received whole."""
+        self._closing = True
+        self._output.clear()
+        self._transport.abort()
+
     def evict(self) -> None:
         """Abort the connection, whose client reads too slowly for the node's budget."""
         if self._server.uploads is not None:
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -39,6 +39,7 @@
     encode_message,
 )
 from rattanfork_node.peer.pool import PeerPool
+from rattanfork_node.peer.pending_handshakes import PendingHandshakes
 from rattanfork_node.peer.retirement_messages import (
     PersistReply,
     PersistRequest,
@@ -73,6 +74,7 @@
     "PeerPool",
     "PersistReply",
     "PersistRequest",
+    "PendingHandshakes",
     "Ping",
     "Pong",
     "Reply",
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -233,6 +233,11 @@
         """Bytes of the bodies of uploads that wait or run."""
         return self._bodies.held
 
+    @property
+    def connections(self) -> int:
+        """Number of connections to the upstream."""
+        return 0 if self._pool is None else self._pool.connections
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of requests that the upstream has not read yet."""
