Count all but the smallest bodies of peers' requests, and keep links' buffers small

What callers would have seen: the process beside an upstream ends while many nodes send it bodies at once.

Cause: a gate counted bodies from 64 KiB on, or 16 KiB on routes of uploads; below, their sum was bounded by the length of its queue only, and the window of a body in parts not at all. Bodies up to 512 KiB were encoded into the buffer of a link also while its peer did not read, a second copy beside the budget.

Change: a gate counts bodies from 4 KiB on and the window of those in parts, in the room that the node's own bodies share; what doesn't fit is shed, not run. While a peer doesn't read, bodies from 4 KiB on follow their run in parts.

Evidence: the test that said which bodies are counted now demands all (20,000 bytes on an ordinary route: 0 counted before); the tests of relay, peer and http1 pass.

--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -11,6 +11,7 @@
 from rattanfork_node.peer.link import PeerLink
 from rattanfork_node.peer.messages import (
     BODY_PARTS_LEVEL,
+    MAX_UNPAUSED_BYTES,
     REPLY_PARTS_LEVEL,
     BurnReply,
     BurnRequest,
@@ -38,8 +39,8 @@
     decode_message,
     encode_message,
 )
-from rattanfork_node.peer.pool import PeerPool
 from rattanfork_node.peer.pending_handshakes import PendingHandshakes
+from rattanfork_node.peer.pool import PeerPool
 from rattanfork_node.peer.retirement_messages import (
     PersistReply,
     PersistRequest,
@@ -50,6 +51,7 @@
 
 __all__ = [
     "BODY_PARTS_LEVEL",
+    "MAX_UNPAUSED_BYTES",
     "BodyCredit",
     "BodyPart",
     "BodyStart",
@@ -72,9 +74,9 @@
     "PeerHandler",
     "PeerLink",
     "PeerPool",
+    "PendingHandshakes",
     "PersistReply",
     "PersistRequest",
-    "PendingHandshakes",
     "Ping",
     "Pong",
     "Reply",
--- a/packages/rattanfork-node/rattanfork_node/peer/messages.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/messages.py
@@ -38,6 +38,9 @@
 RETIREMENTS_LEVEL = 2
 #: Lowest level of a node that receives bodies in parts.
 BODY_PARTS_LEVEL = 3
+#: Size in bytes up to which a body is sent whole although the peer does not read at the
+#: moment.
+MAX_UNPAUSED_BYTES = 4 << 10
 #: Level from which a peer receives the bodies of replies in parts.
 REPLY_PARTS_LEVEL = 4
 #: Maximum characters of a header, a path or the ID of an upstream.
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -21,8 +21,10 @@
 )
 from rattanfork_core.request.commands import Command
 
+from rattanfork_node.http1 import HeldBody
 from rattanfork_node.peer import (
     BODY_PARTS_LEVEL,
+    MAX_UNPAUSED_BYTES,
     Cancel,
     LinkLostError,
     PeerLink,
@@ -309,7 +311,6 @@
             attempt,
             lambda result: self._on_result(attempt, result),
             account=exchange.account_name,
-            is_upload=exchange.upload is not None,
         )
         if exchange.large_body is not None:
             self._job.large_body = exchange.large_body.open()
@@ -346,13 +347,19 @@
         link.send_run(run, partial(self._on_reply, attempt, member, link))
 
     def _send_large_body(self, link: PeerLink) -> bytes:
-        """Send a body that is held in parts; return what the run itself carries."""
+        """Send a large body in parts; return what the run itself carries.
+
+        On a link whose peer does not read, all but the smallest bodies are large, so
+        that its buffer stays small.
+        """
         exchange = self._exchange
         body = exchange.large_body
-        if body is None:
-            return exchange.body
         if link.peer_level < BODY_PARTS_LEVEL:
-            return body.join()
+            return exchange.body if body is None else body.join()
+        if body is None:
+            if link.is_writable or len(exchange.body) <= MAX_UNPAUSED_BYTES:
+                return exchange.body
+            body = HeldBody([exchange.body])
         link.send_body(self._number, body.open(), exchange.fingerprint)
         return b""
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -230,7 +230,7 @@
 
     @property
     def upload_bytes(self) -> int:
-        """Bytes of the bodies of uploads that wait or run."""
+        """Bytes of the bodies of peers' requests that wait or run."""
         return self._bodies.held
 
     @property
@@ -305,7 +305,7 @@
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
-        if job.is_upload and not self._hold_body(job):
+        if job.counted_bytes and not self._hold_body(job):
             # The reason is one that nodes of earlier builds know, too.
             self._counters.events["gate.upload-bytes"] += 1
             self._refuse(job, Reason.SHED)
@@ -573,17 +573,15 @@
         self._finish(job, not_run(reason))
 
     def _hold_body(self, job: Job) -> bool:
-        """Count the body of an upload; return whether it is within the bound."""
-        if not self._bodies.take(len(job.body)):
-            return False
-        job.body_bytes_held = len(job.body)
-        return True
+        """Count the body of a peer's request; return whether it is within the bound."""
+        job.is_counted = self._bodies.take(job.counted_bytes)
+        return job.is_counted
 
     def _finish(self, job: Job, result: CallResult) -> None:
         job.ended = True
-        if job.body_bytes_held:
-            self._bodies.release(job.body_bytes_held)
-            job.body_bytes_held = 0
+        if job.is_counted:
+            self._bodies.release(job.counted_bytes)
+            job.is_counted = False
         upstream = self._upstream.name if self._upstream is not None else ""
         self._decision_log.on_run(job, result, self._admission, upstream)
         job.done(result)
--- a/packages/rattanfork-node/rattanfork_node/relay/job.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/job.py
@@ -72,14 +72,14 @@
     origin: str = ""
     #: Name of the client account that sent it; "" without one.
     account: str = ""
-    #: Whether it is an upload, whose body counts against the gate's bound.
-    is_upload: bool = False
+    #: Bytes of a peer's request that the gate holds, while it waits or runs.
+    counted_bytes: int = 0
     #: The body if it is passed on in parts; ``body`` is empty then.
     large_body: BodyReader | None = None
     #: Fingerprint of a request with a large body.
     large_fingerprint: int = 0
-    #: Bytes of the gate's bound on bodies that it holds.
-    body_bytes_held: int = 0
+    #: Whether these bytes are taken from the gate's bound on bodies.
+    is_counted: bool = False
     waiter: Waiter | None = None
     connection: UpstreamConnection | None = None
     #: The upstream's response, also if the result is that it did not run; None before
--- a/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/peer_handler.py
@@ -11,10 +11,10 @@
 from rattanfork_core.request import CallResult, Reason
 from rattanfork_core.request.importance import RANK_LIMIT
 from rattanfork_core.revision import RevisionState
-from rattanfork_core.uploads import LARGE_BODY_BYTES, MAX_UNCOUNTED_BODY_BYTES
 
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.peer import (
+    MAX_UNPAUSED_BYTES,
     REPLY_PARTS_LEVEL,
     BasePeerHandler,
     BodyPart,
@@ -44,9 +44,8 @@
     from rattanfork_node.member.retirement_task import RetirementTask
 
 
-#: Size in bytes up to which a body is sent with its reply although the peer does not
-#: read at the moment.
-_MAX_UNPAUSED_BYTES = 4 << 10
+#: Size in bytes up to which the body of a request is not counted.
+_MIN_COUNTED_BYTES = 4 << 10
 
 
 class RelayPeerHandler(BasePeerHandler):
@@ -112,7 +111,7 @@
             partial(call_log.hand_over, run.number),
             link.peer,
             run.account,
-            self._is_counted(run),
+            _counted_bytes(run, body),
             large_body=body,
             large_fingerprint=0 if body is None else body.fingerprint,
         )
@@ -122,17 +121,6 @@
             self._gate.advertised.on_report(report, link.peer)
         self._gate.submit(job)
 
-    def _is_counted(self, run: Run) -> bool:
-        """Return whether the body of a run counts against the gate's bound."""
-        size = len(run.body)
-        if size <= LARGE_BODY_BYTES or size > MAX_UNCOUNTED_BODY_BYTES:
-            return size > LARGE_BODY_BYTES
-        configuration = self._configuration.current
-        return (
-            configuration is not None
-            and run.route.rpartition("/")[0] in configuration.upload_routes
-        )
-
     def on_body_start(self, link: PeerLink, start: BodyStart) -> None:
         """Expect the body of a run in parts."""
         if start.number in link.bodies:
@@ -247,4 +235,11 @@
         parts = result.body_parts
         if parts is not None or link.is_writable:
             return parts
-        return [result.body] if len(result.body) > _MAX_UNPAUSED_BYTES else None
+        return [result.body] if len(result.body) > MAX_UNPAUSED_BYTES else None
+
+
+def _counted_bytes(run: Run, body: RemoteBody | None) -> int:
+    """Return the bytes of a run's body that count against the gate's bound."""
+    if body is not None:
+        return body.max_held_bytes
+    return len(run.body) if len(run.body) > _MIN_COUNTED_BYTES else 0
--- a/packages/rattanfork-node/rattanfork_node/relay/remote_body.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/remote_body.py
@@ -45,6 +45,11 @@
         """Size of the body, in bytes."""
         return self._start.size
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Most bytes of the body that wait here at a time."""
+        return min(self.size, _WINDOW_BYTES + PART_BYTES)
+
     @property
     def fingerprint(self) -> int:
         """Fingerprint of the request, as its sender computed it."""
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -183,6 +183,7 @@
     connection_id = "c1"
     peer_level = 1
     usable = True
+    is_writable = True
     #: Whether runs were written to the transport before the link was lost.
     written = True
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_uploads.py
@@ -365,7 +365,7 @@
 def test_gate_bounds_the_bytes_of_uploads_it_holds():
     """Bodies come from all nodes; each of them may be within its own budget."""
     harness = GateHarness(slots=1, upload_bytes=50_000)
-    upload = {"body": BODY, "is_upload": True, "idempotent": False}
+    upload = {"body": BODY, "counted_bytes": len(BODY), "idempotent": False}
     results = [harness.submit(f"u{n}", **upload)[1] for n in range(3)]
     small, _ = harness.submit("r1", body=b"small")
     [refused] = results[2]
@@ -378,10 +378,11 @@
 
 
 @pytest.mark.parametrize(
-    ("route", "body", "held"), [("u", BODY, 20_000), ("u", b"x", 0), ("r", BODY, 0)]
+    ("route", "body", "held"),
+    [("u", BODY, 20_000), ("u", b"x", 0), ("r", BODY, 20_000), ("r", b"x", 0)],
 )
-def test_gate_counts_large_bodies_of_upload_routes_only(route, body, held):
-    """A run from a peer names its route; the kind is in the configuration."""
+def test_gate_counts_all_but_the_smallest_bodies(route, body, held):
+    """Guards against bodies from many nodes, each too small for a bound of its own."""
     services = (WeightedService("s"),)
     routes = (
         Route("u", "h", "/u/", services, upload=True),
