Bound the small requests of all clients, and the connections themselves

What callers would have seen: the process ends under bodies that are each too small to be counted, and every request that it holds with it.

Cause: bodies up to 64 KiB, 64 requests on each connection, heads, and connections had a bound each and none on their number; a threshold times thousands of clients is no bound.

Change: a budget of 0.15 of the memory beside the program counts connections, heads, small bodies and pending requests. Once it is exhausted, requests received only in part are refused (503, not run), by bytes times seconds; a request received whole is refused before it is passed on if its connection holds more than an equal share, so one with a single small request is served. A request that was passed on is never dropped for it. A connection with more than 64 KiB pending isn't read while room is short. Connections beyond the budget's share close as for descriptors.

Found on the way by its unit test: an incomplete request was counted twice as it completed.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -13,6 +13,7 @@
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
 from rattanfork_core.connections import (
     DescriptorLimit,
+    RequestBudget,
     ResponseBudget,
 )
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
@@ -252,6 +253,7 @@
 
     def _create_budgets(self, memory_bytes: int | None) -> None:
         self._memory_plan = plan = MemoryPlan.of(memory_bytes)
+        self._requests = RequestBudget(plan.requests)
         common = MemoryRoom(plan.common)
         self._body_room = MemoryRoom(plan.bodies, common)
         self._responses = ResponseBudget(plan.responses, clock=self._clock, room=common)
@@ -400,6 +402,7 @@
             self._body_budget, self._counters.events
         )
         self._callers.unsent = self._responses
+        self._callers.requests = self._requests
         self._metrics = self._create_server(
             MetricsHandler(
                 self._counters, self._state_reporter.gauges, self._objectives
@@ -418,7 +421,9 @@
         others += len(self._handler.links) + self._handshakes.count
         others += sum(len(server.connections) for _, server in self._servers[1:])
         others += len(self._metrics.connections)
-        return self._descriptors.max_clients(others)
+        return min(
+            self._descriptors.max_clients(others), self._requests.max_connections
+        )
 
     def _create_link(self, connecting: bool) -> PeerLink:
         return PeerLink(
--- a/packages/rattanfork-node/rattanfork_node/http1/exchange.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/exchange.py
@@ -57,6 +57,7 @@
         "fair_share",
         "granted_at",
         "header_block",
+        "held_bytes",
         "host",
         "keep_alive",
         "keys",
@@ -108,6 +109,8 @@
         self._large_fingerprint = 0
         #: How its rank was computed while the capacity is shared by account.
         self.fair_share: FairRank | None = None
+        #: Bytes that count against the budget for requests.
+        self.held_bytes = 0
         self.answered = False
         self.output: tuple[int, bytes, bytes | HeldBody] | None = None
         #: Called once if the client disconnects before the response.
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -8,7 +8,7 @@
 from operator import attrgetter
 
 from rattanfork_core.clock import Clock
-from rattanfork_core.connections import ResponseBudget
+from rattanfork_core.connections import RequestBudget, ResponseBudget
 
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
@@ -22,6 +22,8 @@
 #: paused: of 300 at once, 24 MB with the system's default and with 64 KiB, at most
 #: 14 MB with 32 KiB.  32 KiB per round trip of 1 ms exceed a link of 100 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 32 << 10
+#: Bytes of connections and requests without a memory limit.
+_MAX_REQUEST_BYTES = 128 << 20
 #: Part of the connections that is closed at once if there are too many, 1 / the
 #: divisor: the choice looks at all of them.
 _CLOSED_DIVISOR = 32
@@ -46,6 +48,8 @@
         are handled.
     unsent : ResponseBudget, optional
         Budget for the responses that clients have not read yet.
+    requests : RequestBudget, optional
+        Budget for the requests that clients are sending or wait for.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         handler: RequestHandler,
         uploads: UploadResources | None = None,
         unsent: ResponseBudget | None = None,
+        requests: RequestBudget | None = None,
     ) -> None:
         self.clock = clock
         self.names = names
@@ -63,14 +68,19 @@
         self.handler = handler
         self.uploads = uploads
         self.unsent = ResponseBudget() if unsent is None else unsent
+        self.requests = RequestBudget(_MAX_REQUEST_BYTES)
+        if requests is not None:
+            self.requests = requests
         self.stripped = names.stripped_from_requests()
         self.request_id_name = names.request_id.lower()
         self.deadline_name = names.deadline.lower()
         self.key_name = names.key.lower()
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
-        #: Connections that were closed as there were too many.
+        #: Connections that were closed as there were too many, and requests that were
+        #: refused for want of memory.
         self.dropped = 0
+        self.refused = 0
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self._listener: asyncio.Server | None = None
@@ -140,6 +150,18 @@
         for connection in list(self.connections):
             connection.close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse requests that are not received whole, until there is room again."""
+        now = self.clock.now()
+        excess = self.requests.excess
+        incomplete = [c for c in self.connections if c.incomplete_bytes]
+        incomplete.sort(key=lambda c: c.incomplete_cost(now), reverse=True)
+        for connection in incomplete:
+            if excess <= 0:
+                return
+            excess -= connection.incomplete_bytes
+            connection.refuse_incomplete()
+
     def _close_excess(self, newest: ServerConnection | None) -> None:
         others = [c for c in self.connections if c is not newest and not c.is_closing]
         excess = len(others) + (newest is not None) - self.max_connections()
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
-from rattanfork_core.connections import ResponseHolder
+from rattanfork_core.connections import REQUEST_BYTES, ResponseHolder
 from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
 
@@ -25,6 +25,11 @@
 #: Unanswered requests of one connection at which reading pauses.  Clients pipeline far
 #: fewer; the limit bounds the memory that one connection can take.
 _MAX_PIPELINED = 64
+#: Bytes of its requests at which a connection is no longer read while room is short.
+_MAX_PENDING_BYTES = 64 << 10
+#: Status of a request that was not run and may be sent again, and when.
+_NOT_RUN_STATUS = 503
+_RETRY_LINE = b"Retry-After: 1\r\n"
 #: Seconds for which a client may leave responses unread.
 _SLOW_READER_TIMEOUT_S = 20.0
 #: Longest timeout of a client in milliseconds; a longer one is ignored.
@@ -64,6 +69,10 @@
         self._closes_once_sent = False
         #: Whether unsent responses count against the budget of the server.
         self._is_counted = False
+        #: Bytes of requests that were received whole, and of one that was not.
+        self._pending_bytes = 0
+        self.incomplete_bytes = 0
+        self._incomplete_since = 0.0
         #: Receives large bodies; None before the first one.
         self._uploads: UploadReceiver | None = None
         self._last_active = server.clock.now()
@@ -81,6 +90,11 @@
         self._lost = True
         self._server.connections.discard(self)
         self._server.unsent.release(self)
+        self._server.requests.change(-self._pending_bytes - self.incomplete_bytes)
+        self._pending_bytes = self.incomplete_bytes = 0
+        # Connection and transport refer to each other, so that they are freed only by
+        # the next garbage collection.
+        self._output.clear()
         if self._uploads is not None:
             self._uploads.on_lost()
         for exchange in self.pending:
@@ -139,6 +153,8 @@
                 self._reject(431)
         if self._uploads is not None:
             self._uploads.deliver()
+        if self._receiving or self.incomplete_bytes:
+            self._count_incomplete()
         self.update_reading()
 
     def _feed_parser(self, data: bytes) -> None:
@@ -238,8 +254,26 @@
         self._drop_requests = not exchange.keep_alive
         self._head_bytes = 0
         self._body = bytearray()
+        self.enqueue(exchange)
+        if self._exceeds_fair_share():
+            self._server.refused += 1
+            exchange.respond(_NOT_RUN_STATUS, self._refusal_block())
+        else:
+            self._server.handler.on_request(exchange)
+
+    def enqueue(self, exchange: Exchange) -> None:
+        """Add a request to those that wait for their responses."""
+        size = REQUEST_BYTES + len(exchange.header_block) + len(exchange.body)
+        exchange.held_bytes = size
+        self._pending_bytes += size
+        self._server.requests.change(size - self.incomplete_bytes)
+        self.incomplete_bytes = 0
         self.pending.append(exchange)
-        self._server.handler.on_request(exchange)
+
+    def remove(self, exchange: Exchange) -> None:
+        """Remove a request that is not answered as the last one that was added."""
+        self.pending.remove(exchange)
+        self._release(exchange)
 
     def flush_responses(self) -> None:
         """Write the responses that are next in order."""
@@ -251,6 +285,7 @@
         while pending and pending[0].output is not None:
             has_flushed = True
             exchange = pending.popleft()
+            self._release(exchange)
             status, block, body = exchange.output
             close = not exchange.keep_alive or (self._leaving and not pending)
             is_head = exchange.method == b"HEAD"
@@ -293,6 +328,10 @@
             self._output.is_backed_up
             or len(self.pending) >= _MAX_PIPELINED
             or (self._uploads is not None and self._uploads.is_paused)
+            or (
+                self._pending_bytes > _MAX_PENDING_BYTES
+                and self._server.requests.is_short
+            )
         )
         if full == self._paused or self._closing or self._lost:
             return
@@ -361,6 +400,18 @@
         self._output.clear()
         self._transport.abort()
 
+    def incomplete_cost(self, now: float) -> float:
+        """Return for how long a request has been incomplete, times its bytes so far."""
+        return self.incomplete_bytes * (now - self._incomplete_since)
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is not received whole, and close after it."""
+        self._server.refused += 1
+        self._body = bytearray()
+        self._block = bytearray()
+        self._reject(_NOT_RUN_STATUS)
+        self._count_incomplete()
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that wait for the client to read."""
@@ -404,6 +455,39 @@
         else:
             self._server.unsent.release(self)
 
+    def _count_incomplete(self) -> None:
+        """Count a request that is not received whole; make room if there is none."""
+        size = 0
+        if self._receiving and not self._drop_requests:
+            size = len(self._block) + len(self._target) + len(self._body)
+            if not self.incomplete_bytes:
+                self._incomplete_since = self._server.clock.now()
+        requests = self._server.requests
+        requests.change(size - self.incomplete_bytes)
+        self.incomplete_bytes = size
+        if size and requests.is_exhausted:
+            self._server.refuse_incomplete()
+
+    def _exceeds_fair_share(self) -> bool:
+        """Return whether requests are refused that this connection sends now."""
+        requests = self._server.requests
+        if not requests.is_exhausted:
+            return False
+        return self._pending_bytes > requests.fair_bytes(len(self._server.connections))
+
+    def _refusal_block(self) -> bytes:
+        """Return the headers of a response that a request was not run."""
+        block = _RETRY_LINE
+        if self._request_id:
+            name = self._server.names.request_id
+            block += name + b": " + self._request_id + b"\r\n"
+        return block
+
+    def _release(self, exchange: Exchange) -> None:
+        self._pending_bytes -= exchange.held_bytes
+        self._server.requests.change(-exchange.held_bytes)
+        exchange.held_bytes = 0
+
     def _make_exchange(self, body: bytes) -> Exchange:
         return Exchange(
             self,
@@ -456,10 +540,9 @@
             return
         exchange = Exchange(self, b"", b"", "", b"", b"", self._request_id, None, False)
         self.pending.append(exchange)
-        names = self._server.names
-        block = b""
-        if self._request_id:
-            block = names.request_id + b": " + self._request_id + b"\r\n"
+        block = self._refusal_block()
+        if status != _NOT_RUN_STATUS:
+            block = block.removeprefix(_RETRY_LINE)
         exchange.respond(status, block)
 
     def _close_once_sent(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -91,12 +91,11 @@
             wants_continue,
             is_counted,
         )
-        pending = self._connection.pending
-        pending.append(exchange)
+        self._connection.enqueue(exchange)
         if self._server.handler.on_head(exchange):
             self._server.uploads.events["upload.requests"] += 1
             return True
-        pending.remove(exchange)
+        self._connection.remove(exchange)
         self.current = None
         return False
 
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -368,6 +368,8 @@
             self.closed = True
             self.close_cause = cause
             self._budget.release(self)
+            # Kept in memory with the transport until the next garbage collection.
+            self._body.take_parts()
             self._on_closed(self)
 
     def _detect_stale(self) -> None:
