Refuse no upload as incomplete; count connections that close once they are read

Callers: beside a crowd of stalled requests a proper upload could get 400, after which nobody tries again. Cause: while an upload is read, its connection counted as within an incomplete small request, and refusing that ends the upload as malformed. Now only requests without an upload count so. Connections that close after their response weren't counted while their clients didn't read it, so they could still take all descriptors. Now each connection counts until it is gone.

Refusals and closed connections have counters, callers.refused.memory and callers.dropped.

--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -77,10 +77,6 @@
         self.key_name = names.key.lower()
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
-        #: Connections that were closed as there were too many, and requests that were
-        #: refused for want of memory.
-        self.dropped = 0
-        self.refused = 0
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self._listener: asyncio.Server | None = None
@@ -162,16 +158,27 @@
             excess -= connection.incomplete_bytes
             connection.refuse_incomplete()
 
+    def count_refusal(self) -> None:
+        """Count a request that is refused for want of memory."""
+        self._count("callers.refused.memory")
+
     def _close_excess(self, newest: ServerConnection | None) -> None:
-        others = [c for c in self.connections if c is not newest and not c.is_closing]
-        excess = len(others) + (newest is not None) - self.max_connections()
+        # Those that were closed for others remain registered for a moment.
+        kept = [c for c in self.connections if not c.is_dropped]
+        excess = len(kept) - self.max_connections()
         if excess <= 0:
             return
-        unused = [c for c in others if not c.pending]
-        count = max(ceil(excess), len(others) // _CLOSED_DIVISOR)
+        unused = [c for c in kept if c is not newest and not c.pending]
+        count = max(ceil(excess), len(kept) // _CLOSED_DIVISOR)
         for connection in heapq.nsmallest(count, unused, key=attrgetter("drop_order")):
-            self.dropped += 1
-            connection.drop()
+            self._drop(connection)
         if newest is not None and not unused:
-            self.dropped += 1
-            newest.drop()
+            self._drop(newest)
+
+    def _drop(self, connection: ServerConnection) -> None:
+        self._count("callers.dropped")
+        connection.drop()
+
+    def _count(self, event: str) -> None:
+        if self.uploads is not None:
+            self.uploads.events[event] += 1
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -73,6 +73,8 @@
         self._pending_bytes = 0
         self.incomplete_bytes = 0
         self._incomplete_since = 0.0
+        #: Whether it was closed for others.
+        self.is_dropped = False
         #: Receives large bodies; None before the first one.
         self._uploads: UploadReceiver | None = None
         self._last_active = server.clock.now()
@@ -256,7 +258,7 @@
         self._body = bytearray()
         self.enqueue(exchange)
         if self._exceeds_fair_share():
-            self._server.refused += 1
+            self._server.count_refusal()
             exchange.respond(_NOT_RUN_STATUS, self._refusal_block())
         else:
             self._server.handler.on_request(exchange)
@@ -376,11 +378,6 @@
         elif not self.pending and now - self._last_active > limits.idle_timeout:
             self.close()
 
-    @property
-    def is_closing(self) -> bool:
-        """Whether the connection will be closed."""
-        return self._closing or self._lost
-
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
         """Place in the order in which connections without pending requests close."""
@@ -388,7 +385,7 @@
 
     def drop(self) -> None:
         """Abort the connection, which has no request that was received whole."""
-        self._closing = True
+        self._closing = self.is_dropped = True
         self._output.clear()
         self._transport.abort()
 
@@ -396,7 +393,7 @@
         """Abort the connection, whose client reads too slowly for the node's budget."""
         if self._server.uploads is not None:
             self._server.uploads.events["callers.exceeded.budget"] += 1
-        self._closing = True
+        self._closing = self.is_dropped = True
         self._output.clear()
         self._transport.abort()
 
@@ -406,7 +403,7 @@
 
     def refuse_incomplete(self) -> None:
         """Refuse the request that is not received whole, and close after it."""
-        self._server.refused += 1
+        self._server.count_refusal()
         self._body = bytearray()
         self._block = bytearray()
         self._reject(_NOT_RUN_STATUS)
@@ -458,7 +455,8 @@
     def _count_incomplete(self) -> None:
         """Count a request that is not received whole; make room if there is none."""
         size = 0
-        if self._receiving and not self._drop_requests:
+        is_upload = self._uploads is not None and self._uploads.current is not None
+        if self._receiving and not (is_upload or self._drop_requests):
             size = len(self._block) + len(self._target) + len(self._body)
             if not self.incomplete_bytes:
                 self._incomplete_since = self._server.clock.now()
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_crowded_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_crowded_server.py
@@ -41,7 +41,6 @@
     others = [CrowdedClient(first) for _ in range(3)]
     assert first.transport.aborted
     assert not any(client.transport.aborted for client in others)
-    assert first.server.dropped == 1
 
 
 def test_connection_within_a_request_is_closed_after_idle_ones():
@@ -66,6 +65,19 @@
     assert not first.transport.aborted
 
 
+def test_connection_that_closes_once_it_is_read_counts_until_then():
+    """Guards against descriptors of clients that don't read the last response."""
+    first = CrowdedClient()
+    first.server.max_connections = lambda: 1
+    first.send(request(more="Connection: close\r\n"))
+    first.transport.unsent_bytes = 100_000
+    first.connection.pause_writing()
+    first.handled[0].respond(200, body=b"x" * 100_000)
+    newest = CrowdedClient(first)
+    assert first.transport.aborted
+    assert not newest.transport.aborted
+
+
 def test_stalled_bodies_are_refused_and_a_moving_one_is_not():
     """Guards against many bodies below the bound on one, each never complete."""
     first = make_server(500_000)
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from rattanfork_core.connections import RequestBudget
 from rattanfork_core.request import Reason
 
 from rattanfork_node.http1 import RequestLimits
@@ -358,3 +359,19 @@
         assert client.budget.held == 0
 
     asyncio.run(run())
+
+
+@on_loop
+async def test_upload_is_not_refused_for_want_of_room_for_small_requests():
+    """Guards against a proper upload that a crowd of stalled requests ends with 400."""
+    client = UploadClient()
+    client.server.requests = RequestBudget(10_000)
+    client.send(head() + BODY[:10_000])
+    client.clock.advance(1.0)
+    crowd = [UploadClient(server=client.server) for _ in range(8)]
+    for other in crowd:
+        other.send(b"GET /a/ HTTP/1.1\r\n" + b"X: yyyy\r\n" * 200)
+    client.send(BODY[10_000:])
+    assert len(client.handler.complete) == 1
+    assert client.statuses == []
+    assert [503] in [other.statuses for other in crowd]
