Bound bodies and unread responses of the own interface

All bodies together take 64 MiB, beyond it a request is refused as not run; all responses that callers leave unread take 64 MiB, beyond it the one that took most for longest is aborted. Six callers that stall within bodies of 16 MB: none was refused in 20 s before, now the first beyond the bound is, and an ordinary request is answered. The test of unread responses reads the new budget, so it could not run before.

--- a/packages/rattanfork-node/rattanfork_node/edge/server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 from rattanfork_core.clock import Clock
+from rattanfork_core.connections import ResponseBudget, ResponseHolder
 from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.request import CallResult, Outcome, Reason
 from rattanfork_core.settings import LimitSettings
@@ -23,6 +24,29 @@
 _MAX_KEYS = 100
 #: Maximum size of the request line and of a header field.
 _MAX_LINE_BYTES = 16_384
+#: Bytes of all request bodies, and of all responses that callers have not read.
+_MAX_HELD_BYTES = 64 << 20
+#: Reasons for a refusal before the end of a body.
+_UNREAD_BODY_REASONS = frozenset((Reason.TOO_LARGE, Reason.NO_BODY_ROOM))
+
+
+class _UnreadResponse(ResponseHolder):
+    """A response that is being sent to its caller.
+
+    Parameters
+    ==========
+
+    request : aiohttp.web.BaseRequest
+        The request that it answers.
+    """
+
+    def __init__(self, request: web.BaseRequest) -> None:
+        self._request = request
+
+    def evict(self) -> None:
+        """Abort the connection of the caller."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
 
 
 class CallServer:
@@ -67,6 +91,8 @@
         self._counters = counters
         self._metrics = metrics
         self._in_flight = 0
+        self._body_bytes = 0
+        self._unread = ResponseBudget(_MAX_HELD_BYTES, clock=clock)
         self._draining = False
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
@@ -116,12 +142,26 @@
             return self._refuse(Reason.SHED, "")
         self._in_flight += 1
         try:
-            return await self._serve_request(request)
+            response = await self._serve_request(request)
         except asyncio.CancelledError:
             self._counters.events["caller.left"] += 1
             raise
         finally:
             self._in_flight -= 1
+        return await self._send(request, response)
+
+    async def _send(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.Response:
+        """Send a response, which counts as unread until its caller has read it."""
+        unread = _UnreadResponse(request)
+        self._unread.hold(unread, len(response.body or b""))
+        try:
+            await response.prepare(request)
+            await response.write_eof()
+        finally:
+            self._unread.release(unread)
+        return response
 
     async def _serve_request(self, request: web.BaseRequest) -> web.StreamResponse:
         started_at = self._clock.now()
@@ -130,10 +170,20 @@
             return self._refuse(Reason.TOO_LARGE, "")
         if request.path == _KEYS_PATH:
             return await self._issue_keys(request)
+        body = bytearray()
+        try:
+            if request.body_exists:
+                reason = await self._read_body(request, body)
+                if reason is not Reason.NONE:
+                    return self._refuse(reason, "")
+            return await self._serve_body(request, bytes(body), started_at)
+        finally:
+            self._body_bytes -= len(body)
+
+    async def _serve_body(
+        self, request: web.BaseRequest, body: bytes, started_at: float
+    ) -> web.StreamResponse:
         try:
-            body = await self._read_body(request) if request.body_exists else b""
-            if body is None:
-                return self._refuse(Reason.TOO_LARGE, "")
             incoming = parse_request(request, body, self._random)
         except BadRequestError as error:
             self._counters.events["bad.http"] += 1
@@ -159,13 +209,16 @@
             # connection may still be open, so it needs a response.
             return CallResult(Outcome.UNKNOWN, Reason.CANCELLED)
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes | None:
-        body = b""
+    async def _read_body(self, request: web.BaseRequest, body: bytearray) -> Reason:
+        """Read a body; return why its request is refused."""
         async for chunk in request.content.iter_any():
             body += chunk
+            self._body_bytes += len(chunk)
             if len(body) > self._limits.body:
-                return None
-        return body
+                return Reason.TOO_LARGE
+            if self._body_bytes > _MAX_HELD_BYTES:
+                return Reason.NO_BODY_ROOM
+        return Reason.NONE
 
     async def _issue_keys(self, request: web.BaseRequest) -> web.Response:
         service = request.query.get("service", "")
@@ -196,6 +249,6 @@
         self._counters.events[f"edge.{reason.label}"] += 1
         result = CallResult(Outcome.NOT_RUN, reason, retry_after=1.0)
         response = render_result(result, request_id)
-        if reason is Reason.TOO_LARGE or self._draining:
+        if reason in _UNREAD_BODY_REASONS or self._draining:
             response.force_close()
         return response
--- a/packages/rattanfork-node/rattanfork_node/edge/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/tests/test_server.py
@@ -77,3 +77,71 @@
             await server.stop()
 
     asyncio.run(run())
+
+
+class LongIngress:
+    """Answers each request with eight megabytes."""
+
+    async def serve(self, incoming: IncomingRequest) -> CallResult:
+        return CallResult(Outcome.ANSWERED, status=200, body=b"r" * (8 << 20))
+
+
+async def _start(ingress: object, limits: LimitSettings) -> tuple[CallServer, int]:
+    server = CallServer(
+        MonotonicClock(), Random(1), ingress, limits, Counters(), IgnoredMetrics()
+    )
+    with socket() as reserved:
+        reserved.bind(("127.0.0.1", 0))
+        port = reserved.getsockname()[1]
+    await server.start("127.0.0.1", port)
+    return server, port
+
+
+def test_bodies_of_all_callers_are_bounded_together():
+    """Guards against many callers that each send most of a body and stall."""
+
+    async def run() -> None:
+        server, port = await _start(AnsweringIngress(), LimitSettings(body=16 << 20))
+        head = (
+            b"POST /claims/add HTTP/1.1\r\nHost: h\r\nContent-Length: 16777216\r\n\r\n"
+        )
+        stalled = []
+        for _ in range(6):
+            stalled.append(await asyncio.open_connection("127.0.0.1", port))
+            stalled[-1][1].write(head + b"b" * (15 << 20))
+        async with asyncio.timeout(20):
+            done, waiting = await asyncio.wait(
+                [asyncio.ensure_future(r.readline()) for r, _ in stalled],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        assert next(iter(done)).result().split()[1] == b"503"
+        assert server._body_bytes <= 65 << 20
+        assert (await _ask(port, {}))[0] == 200
+        for task in waiting:
+            task.cancel()
+        for _, writer in stalled:
+            writer.close()
+        await server.stop()
+
+    asyncio.run(run())
+
+
+def test_responses_that_callers_leave_unread_are_bounded_together():
+    """Guards against callers of long responses that never read them."""
+
+    async def run() -> None:
+        server, port = await _start(LongIngress(), LimitSettings())
+        readers = [
+            await asyncio.open_connection("127.0.0.1", port, limit=1024)
+            for _ in range(20)
+        ]
+        for _, writer in readers:
+            writer.write(b"GET /claims/get HTTP/1.1\r\nHost: h\r\n\r\n")
+        await asyncio.sleep(1.0)
+        assert server._unread.held <= 64 << 20
+        assert (await _ask(port, {}))[0] == 200
+        for _, writer in readers:
+            writer.close()
+        await server.stop()
+
+    asyncio.run(run())
