--- a/packages/rattanfork-soak/rattanfork_soak/site.py
+++ b/packages/rattanfork-soak/rattanfork_soak/site.py
@@ -91,6 +91,11 @@
         """Base URL for requests of clients."""
         return f"http://127.0.0.1:{self._node.ports['outbound']}"
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port for requests of clients."""
+        return "127.0.0.1", self._node.ports["outbound"]
+
     @property
     def pid(self) -> int:
         """Process ID of the node."""
--- a/packages/rattanfork-soak/rattanfork_soak/soak.py
+++ b/packages/rattanfork-soak/rattanfork_soak/soak.py
@@ -18,6 +18,7 @@
     draw_fault,
 )
 from rattanfork_soak.site import MEMORY_LIMIT_MB, Site
+from rattanfork_soak.stalling_clients import StallingClients
 from rattanfork_soak.violation import Violation
 
 #: Interval between checks of what arrived at workers and whether nodes exited.
@@ -138,6 +139,7 @@
             environment.kill_after_leaving(
                 Random(self._seed + 6), self._settings.seconds
             ),
+            StallingClients(environment.sites, Random(self._seed + 8)).run(),
             self._review_forever(environment, checks),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
