Give the usage of requests and the node's budgets classes of their own

The connection of a client is for parsing and order; what its requests take of the budget is counted apart now, and the composition root builds its budgets in one place. The bytes that both budgets count are gauges. No change of behaviour: the tests of http1, relay, peer, app and edge and those of misbehaving clients pass.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -11,11 +11,6 @@
 
 from rattanfork_core.budgets import GateRetryBudget
 from rattanfork_core.clock import BootTimeClock, MonotonicClock
-from rattanfork_core.connections import (
-    DescriptorLimit,
-    RequestBudget,
-    ResponseBudget,
-)
 from rattanfork_core.gate_status import GateReportTable, OperationDependencies
 from rattanfork_core.membership import (
     Member,
@@ -23,16 +18,15 @@
     MembershipSettings,
     MemberStatus,
 )
-from rattanfork_core.memory import MemoryPlan, MemoryRoom
 from rattanfork_core.objectives import RouteObjectives
 from rattanfork_core.quarantine import Quarantine
 from rattanfork_core.revision import ConfigurationLease, RevisionState
 from rattanfork_core.routes import Configuration
 from rattanfork_core.trace import LogSampler
-from rattanfork_core.uploads import BodyBudget
 from rattanfork_platform import WatchedPlatform
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
+from rattanfork_node.app.budgets import NodeBudgets
 from rattanfork_node.app.memory_gauges import memory_gauges
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.app.periodic_steps import PeriodicSteps
@@ -54,7 +48,6 @@
 from rattanfork_node.member.retirement_task import RetirementTask
 from rattanfork_node.peer import PeerLink, PeerPool, PendingHandshakes
 from rattanfork_node.relay import (
-    BodyBound,
     DecisionLog,
     DrainPolicy,
     Gate,
@@ -134,7 +127,9 @@
         self._log = RequestLog(
             writer, LogSampler(self._clock), settings.instance, time.time
         )
-        self._descriptors = DescriptorLimit(settings.max_descriptors)
+        self._budgets = NodeBudgets(
+            self._clock, settings.memory_bytes, settings.max_descriptors
+        )
         self._handshakes = PendingHandshakes(self._clock)
         self._create_components(decode)
         self._create_tasks()
@@ -208,7 +203,6 @@
             me,
             MembershipSettings(push_fanout=_PUSH_FANOUT, push_interval=TICK_SECONDS),
         )
-        self._create_budgets(settings.memory_bytes)
         self._gate_reports = GateReportTable(self._clock, me.name)
         self._quarantine = Quarantine(self._clock)
         self._dependencies = OperationDependencies()
@@ -223,7 +217,7 @@
             self._rules,
             self._objectives,
         )
-        relay, plan = settings.relay, self._memory_plan
+        relay = settings.relay
         self._gate = Gate(
             self._clock,
             self._boot,
@@ -237,8 +231,8 @@
                 relay.retry_budget_window,
             ),
             self._quarantine,
-            BodyBound(plan.medium_bodies, self._body_room),
-            self._responses,
+            self._budgets.gate_bodies,
+            self._budgets.responses,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -251,16 +245,6 @@
             lambda: self._create_link(connecting=True), self._clock, _SILENCE_TIMEOUT_S
         )
 
-    def _create_budgets(self, memory_bytes: int | None) -> None:
-        self._memory_plan = plan = MemoryPlan.of(memory_bytes)
-        self._requests = RequestBudget(plan.requests)
-        common = MemoryRoom(plan.common)
-        self._body_room = MemoryRoom(plan.bodies, common)
-        self._responses = ResponseBudget(plan.responses, clock=self._clock, room=common)
-        self._body_budget = BodyBudget(
-            plan.medium_bodies, plan.large_bodies, self._body_room
-        )
-
     def _create_tasks(self) -> None:
         settings = self._settings
         self._gossip_task = GossipTask(
@@ -366,13 +350,15 @@
             self._platform,
             lambda: self._store.confirmed_age,
             lambda: self.ready,
-            self._body_budget,
+            self._budgets.bodies,
             self._account_tasks.demand.gauges,
             partial(
                 memory_gauges,
                 lambda: self._callers.unsent_bytes,
                 lambda: self._pool.unsent_bytes + self._handler.unsent_bytes,
                 lambda: self._gate.unsent_bytes,
+                lambda: self._budgets.requests.held,
+                lambda: self._budgets.responses.held,
             ),
         )
         self._upstream_monitor = UpstreamMonitor(
@@ -399,10 +385,10 @@
         self._callers.limits = RequestLimits()
         self._callers.max_connections = self._max_caller_connections
         self._callers.uploads = UploadResources(
-            self._body_budget, self._counters.events
+            self._budgets.bodies, self._counters.events
         )
-        self._callers.unsent = self._responses
-        self._callers.requests = self._requests
+        self._callers.unsent = self._budgets.responses
+        self._callers.requests = self._budgets.requests
         self._metrics = self._create_server(
             MetricsHandler(
                 self._counters, self._state_reporter.gauges, self._objectives
@@ -421,9 +407,7 @@
         others += len(self._handler.links) + self._handshakes.count
         others += sum(len(server.connections) for _, server in self._servers[1:])
         others += len(self._metrics.connections)
-        return min(
-            self._descriptors.max_clients(others), self._requests.max_connections
-        )
+        return self._budgets.max_clients(others)
 
     def _create_link(self, connecting: bool) -> PeerLink:
         return PeerLink(
@@ -434,7 +418,7 @@
             self._handler,
             _MAX_BODY_BYTES,
             connecting,
-            self._responses,
+            self._budgets.responses,
         )
 
     def _accept_link(self) -> PeerLink:
@@ -490,7 +474,7 @@
     def _sweep(self) -> None:
         self._objectives.flush()
         self._gate.sweep()
-        self._responses.sweep()
+        self._budgets.responses.sweep()
         self._relay.orphaned_calls.sweep()
         for _, server in self._servers:
             server.sweep()
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -148,14 +148,13 @@
 
     def refuse_incomplete(self) -> None:
         """Refuse requests that are not received whole, until there is room again."""
-        now = self.clock.now()
+        incomplete = [c for c in self.connections if c.usage.incomplete]
+        incomplete.sort(key=lambda c: c.usage.incomplete_cost, reverse=True)
         excess = self.requests.excess
-        incomplete = [c for c in self.connections if c.incomplete_bytes]
-        incomplete.sort(key=lambda c: c.incomplete_cost(now), reverse=True)
         for connection in incomplete:
             if excess <= 0:
                 return
-            excess -= connection.incomplete_bytes
+            excess -= connection.usage.incomplete
             connection.refuse_incomplete()
 
     def count_refusal(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
-from rattanfork_core.connections import REQUEST_BYTES, ResponseHolder
+from rattanfork_core.connections import ResponseHolder
 from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
 
@@ -17,6 +17,7 @@
 from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response, render_response_head
 from rattanfork_node.http1.request_body import HeldBody
+from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 
 if TYPE_CHECKING:
@@ -25,8 +26,6 @@
 #: Unanswered requests of one connection at which reading pauses.  Clients pipeline far
 #: fewer; the limit bounds the memory that one connection can take.
 _MAX_PIPELINED = 64
-#: Bytes of its requests at which a connection is no longer read while room is short.
-_MAX_PENDING_BYTES = 64 << 10
 #: Status of a request that was not run and may be sent again, and when.
 _NOT_RUN_STATUS = 503
 _RETRY_LINE = b"Retry-After: 1\r\n"
@@ -69,10 +68,8 @@
         self._closes_once_sent = False
         #: Whether unsent responses count against the budget of the server.
         self._is_counted = False
-        #: Bytes of requests that were received whole, and of one that was not.
-        self._pending_bytes = 0
-        self.incomplete_bytes = 0
-        self._incomplete_since = 0.0
+        #: What its requests take of the server's budget.
+        self.usage = RequestUsage(server.clock, server.requests)
         #: Whether it was closed for others.
         self.is_dropped = False
         #: Receives large bodies; None before the first one.
@@ -92,8 +89,7 @@
         self._lost = True
         self._server.connections.discard(self)
         self._server.unsent.release(self)
-        self._server.requests.change(-self._pending_bytes - self.incomplete_bytes)
-        self._pending_bytes = self.incomplete_bytes = 0
+        self.usage.clear()
         # Connection and transport refer to each other, so that they are freed only by
         # the next garbage collection.
         self._output.clear()
@@ -155,7 +151,7 @@
                 self._reject(431)
         if self._uploads is not None:
             self._uploads.deliver()
-        if self._receiving or self.incomplete_bytes:
+        if self._receiving or self.usage.incomplete:
             self._count_incomplete()
         self.update_reading()
 
@@ -257,7 +253,7 @@
         self._head_bytes = 0
         self._body = bytearray()
         self.enqueue(exchange)
-        if self._exceeds_fair_share():
+        if self.usage.exceeds_fair_share(len(self._server.connections)):
             self._server.count_refusal()
             exchange.respond(_NOT_RUN_STATUS, self._refusal_block())
         else:
@@ -265,17 +261,13 @@
 
     def enqueue(self, exchange: Exchange) -> None:
         """Add a request to those that wait for their responses."""
-        size = REQUEST_BYTES + len(exchange.header_block) + len(exchange.body)
-        exchange.held_bytes = size
-        self._pending_bytes += size
-        self._server.requests.change(size - self.incomplete_bytes)
-        self.incomplete_bytes = 0
+        self.usage.add(exchange)
         self.pending.append(exchange)
 
     def remove(self, exchange: Exchange) -> None:
-        """Remove a request that is not answered as the last one that was added."""
+        """Remove a request that was added, and is to be received in another way."""
         self.pending.remove(exchange)
-        self._release(exchange)
+        self.usage.remove(exchange)
 
     def flush_responses(self) -> None:
         """Write the responses that are next in order."""
@@ -287,7 +279,7 @@
         while pending and pending[0].output is not None:
             has_flushed = True
             exchange = pending.popleft()
-            self._release(exchange)
+            self.usage.remove(exchange)
             status, block, body = exchange.output
             close = not exchange.keep_alive or (self._leaving and not pending)
             is_head = exchange.method == b"HEAD"
@@ -330,10 +322,7 @@
             self._output.is_backed_up
             or len(self.pending) >= _MAX_PIPELINED
             or (self._uploads is not None and self._uploads.is_paused)
-            or (
-                self._pending_bytes > _MAX_PENDING_BYTES
-                and self._server.requests.is_short
-            )
+            or self.usage.is_too_large
         )
         if full == self._paused or self._closing or self._lost:
             return
@@ -397,10 +386,6 @@
         self._output.clear()
         self._transport.abort()
 
-    def incomplete_cost(self, now: float) -> float:
-        """Return for how long a request has been incomplete, times its bytes so far."""
-        return self.incomplete_bytes * (now - self._incomplete_since)
-
     def refuse_incomplete(self) -> None:
         """Refuse the request that is not received whole, and close after it."""
         self._server.count_refusal()
@@ -458,21 +443,10 @@
         is_upload = self._uploads is not None and self._uploads.current is not None
         if self._receiving and not (is_upload or self._drop_requests):
             size = len(self._block) + len(self._target) + len(self._body)
-            if not self.incomplete_bytes:
-                self._incomplete_since = self._server.clock.now()
-        requests = self._server.requests
-        requests.change(size - self.incomplete_bytes)
-        self.incomplete_bytes = size
-        if size and requests.is_exhausted:
+        self.usage.set_incomplete(size)
+        if size and self._server.requests.is_exhausted:
             self._server.refuse_incomplete()
 
-    def _exceeds_fair_share(self) -> bool:
-        """Return whether requests are refused that this connection sends now."""
-        requests = self._server.requests
-        if not requests.is_exhausted:
-            return False
-        return self._pending_bytes > requests.fair_bytes(len(self._server.connections))
-
     def _refusal_block(self) -> bytes:
         """Return the headers of a response that a request was not run."""
         block = _RETRY_LINE
@@ -481,11 +455,6 @@
             block += name + b": " + self._request_id + b"\r\n"
         return block
 
-    def _release(self, exchange: Exchange) -> None:
-        self._pending_bytes -= exchange.held_bytes
-        self._server.requests.change(-exchange.held_bytes)
-        exchange.held_bytes = 0
-
     def _make_exchange(self, body: bytes) -> Exchange:
         return Exchange(
             self,
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_crowded_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_crowded_server.py
@@ -30,7 +30,7 @@
     """Return the first client of a server with a budget for requests, in bytes."""
     first = CrowdedClient()
     first.server.requests = RequestBudget(requests)
-    return first
+    return CrowdedClient(first)
 
 
 def test_connection_idle_longest_is_closed_for_a_new_one():
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_uploads.py
@@ -364,10 +364,11 @@
 @on_loop
 async def test_upload_is_not_refused_for_want_of_room_for_small_requests():
     """Guards against a proper upload that a crowd of stalled requests ends with 400."""
-    client = UploadClient()
-    client.server.requests = RequestBudget(10_000)
+    first = UploadClient()
+    first.server.requests = RequestBudget(10_000)
+    client = UploadClient(server=first.server)
     client.send(head() + BODY[:10_000])
-    client.clock.advance(1.0)
+    first.clock.advance(1.0)
     crowd = [UploadClient(server=client.server) for _ in range(8)]
     for other in crowd:
         other.send(b"GET /a/ HTTP/1.1\r\n" + b"X: yyyy\r\n" * 200)
