--- a/packages/rattanfork-node/rattanfork_node/http1/upstream_response.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream_response.py
@@ -35,11 +35,6 @@
     is_identified: bool = True
     parts: list[bytes] | None = None
 
-    @property
-    def body_size(self) -> int:
-        """Size of the body, in bytes."""
-        return len(self.body) if self.parts is None else sum(map(len, self.parts))
-
 
 def keep_alive_timeout(value: bytes) -> float | None:
     """Return the time-out in seconds that a Keep-Alive header states, if it does.
--- a/packages/rattanfork-soak/rattanfork_soak/stalling_clients.py
+++ b/packages/rattanfork-soak/rattanfork_soak/stalling_clients.py
@@ -4,13 +4,15 @@
 from collections import deque
 from random import Random
 
+from rattanfork_adapter.tests.fakes import DEADLINE
+
 from rattanfork_soak.site import Site
 
 #: Connections that stay open at a time; the oldest is closed for a new one.
 _MAX_OPEN = 60
 #: Bounds of the time between two new connections, in seconds.
 _INTERVAL_S = (0.02, 0.2)
-_HEAD = b"POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Rattanfork-Deadline-Ms: 3000\r\n"
+_HEAD = f"POST /p/x HTTP/1.1\r\nHost: h.example\r\n{DEADLINE}: 3000\r\n".encode()
 
 
 class StallingClients:
