Report each connection that ends with something unfinished

A client's connection that ends with a request unanswered, a response not acknowledged, or bytes received and not read, is counted as callers.closed.REASON.STAGE and, if this node closed it, written as connection_ended with the IDs. A link that ends with runs pending or messages unsent is counted and written as link_lost with its reason. What the kernel still holds of a response is asked from the socket, as the process counts it as sent.

No decision has changed.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -27,6 +27,7 @@
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
 from rattanfork_node.app.budgets import NodeBudgets
+from rattanfork_node.app.connection_end_log import ConnectionEndLog
 from rattanfork_node.app.memory_gauges import memory_gauges
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.app.periodic_steps import PeriodicSteps
@@ -382,6 +383,7 @@
             (address, self._create_server(handler)) for address, handler in handlers
         ]
         self._callers = self._servers[0][1]
+        self._callers.ends = ConnectionEndLog(self._counters, self._log)
         self._callers.limits = RequestLimits()
         self._callers.max_connections = self._max_caller_connections
         self._callers.uploads = UploadResources(
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -8,6 +8,13 @@
 
 from rattanfork_node.http1.awaitable import acquire_connection, send_request
 from rattanfork_node.http1.client import HttpClient
+from rattanfork_node.http1.connection_end import (
+    CloseReason,
+    ConnectionEnd,
+    ConnectionEndObserver,
+    RequestStage,
+    UnansweredRequest,
+)
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.fingerprints import fingerprint_of
 from rattanfork_node.http1.handler import RequestHandler
@@ -31,6 +38,9 @@
     "PART_BYTES",
     "BodyBuffer",
     "BodyReader",
+    "CloseReason",
+    "ConnectionEnd",
+    "ConnectionEndObserver",
     "Exchange",
     "HeaderNames",
     "HeldBody",
@@ -38,7 +48,9 @@
     "HttpServer",
     "RequestHandler",
     "RequestLimits",
+    "RequestStage",
     "ServerConnection",
+    "UnansweredRequest",
     "Upload",
     "UploadResources",
     "UpstreamResponse",
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -10,6 +10,10 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.connections import RequestBudget, ResponseBudget
 
+from rattanfork_node.http1.connection_end import (
+    ConnectionEndObserver,
+    IgnoredEnds,
+)
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
@@ -77,6 +81,8 @@
         self.key_name = names.key.lower()
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
+        #: Is told of connections that end with something unfinished.
+        self.ends: ConnectionEndObserver = IgnoredEnds()
         self.connections: set[ServerConnection] = set()
         self.leaving = False
         self._listener: asyncio.Server | None = None
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -11,6 +11,12 @@
 from rattanfork_core.parsing import parse_whole_number
 from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
 
+from rattanfork_node.http1.connection_end import (
+    CloseReason,
+    ConnectionEnd,
+    RequestStage,
+    UnansweredRequest,
+)
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
@@ -19,6 +25,7 @@
 from rattanfork_node.http1.request_body import HeldBody
 from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
+from rattanfork_node.kernel_queues import undelivered_bytes, unread_bytes
 
 if TYPE_CHECKING:
     from rattanfork_node.http1.server import HttpServer
@@ -59,6 +66,11 @@
         self.pending: deque[Exchange] = deque()
         self._closing = False
         self._lost = False
+        #: Why the connection ends; ``CLIENT`` until this side closes it.
+        self._close_reason = CloseReason.CLIENT
+        #: Bytes that the client had not acknowledged, and that were not read, when
+        #: this side closed the connection.
+        self._undelivered = self._unread = 0
         #: Whether further requests of this connection are dropped.
         self._drop_requests = False
         self._leaving = False
@@ -87,6 +99,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handlers of unanswered requests that the client disconnected."""
         self._lost = True
+        self._report_unfinished()
         self._server.connections.discard(self)
         self._server.unsent.release(self)
         self.usage.clear()
@@ -294,6 +307,7 @@
                 parts.append(render_response(status, block, body, close, is_head))
             if close:
                 self._closing = True
+                self._close_reason = CloseReason.ANSWERED
                 break
         if parts:
             self.write(b"".join(parts))
@@ -342,15 +356,16 @@
             # Later requests would follow the response that closes the connection.
             self._drop_requests = True
         elif not self._receiving:
-            self.close()
+            self.close(CloseReason.LEAVING)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason = CloseReason.STOPPED) -> None:
         """Close the connection once all that was written is sent."""
         self._closing = True
         if self._output is None:
             return
+        self._close_reason = reason
         if self._output.is_empty:
-            self._transport.close()
+            self._close_transport()
         else:
             self._closes_once_sent = True
 
@@ -363,9 +378,9 @@
         elif not self._output.is_writable:
             self._count_unsent()
             if now - self._last_active > _SLOW_READER_TIMEOUT_S:
-                self._transport.abort()
+                self._abort_transport(CloseReason.SLOW_READER)
         elif not self.pending and now - self._last_active > limits.idle_timeout:
-            self.close()
+            self.close(CloseReason.IDLE)
 
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
@@ -376,7 +391,7 @@
         """Abort the connection, which has no request that was received whole."""
         self._closing = self.is_dropped = True
         self._output.clear()
-        self._transport.abort()
+        self._abort_transport(CloseReason.DROPPED)
 
     def evict(self) -> None:
         """Abort the connection, whose client reads too slowly for the node's budget."""
@@ -384,7 +399,7 @@
             self._server.uploads.events["callers.exceeded.budget"] += 1
         self._closing = self.is_dropped = True
         self._output.clear()
-        self._transport.abort()
+        self._abort_transport(CloseReason.EVICTED)
 
     def refuse_incomplete(self) -> None:
         """Refuse the request that is not received whole, and close after it."""
@@ -512,6 +527,32 @@
             block = block.removeprefix(_RETRY_LINE)
         exchange.respond(status, block)
 
+    def _close_transport(self) -> None:
+        self._measure_queues()
+        self._transport.close()
+
+    def _abort_transport(self, reason: CloseReason) -> None:
+        self._close_reason = reason
+        self._measure_queues()
+        self._transport.abort()
+
+    def _measure_queues(self) -> None:
+        self._undelivered = undelivered_bytes(self._transport) + self.unsent_bytes
+        self._unread = unread_bytes(self._transport)
+
+    def _report_unfinished(self) -> None:
+        """Report requests without a response, and bytes left in the queues."""
+        unanswered = [
+            UnansweredRequest(exchange.request_id, RequestStage.of(exchange))
+            for exchange in self.pending
+        ]
+        if unanswered or self._undelivered or self._unread:
+            self._server.ends.on_unfinished(
+                ConnectionEnd(
+                    self._close_reason, unanswered, self._undelivered, self._unread
+                )
+            )
+
     def _close_once_sent(self) -> None:
         self._closes_once_sent = not self._output.is_empty
         if not self._closes_once_sent:
@@ -520,7 +561,7 @@
     def _close_after_response(self) -> None:
         """Close the connection, after the rest of a refused body was discarded."""
         if self._uploads is None or not self._uploads.start_drain():
-            self._transport.close()
+            self._close_transport()
         elif self._paused:
             self._paused = False
             self._transport.resume_reading()
--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -17,6 +17,7 @@
     SyncRequest,
 )
 from rattanfork_node.peer.rules import rules_reply
+from rattanfork_node.telemetry.log import log_change
 
 if TYPE_CHECKING:
     from rattanfork_core.revision import RevisionState
@@ -93,6 +94,14 @@
         """Remove a closed connection; its call log is kept."""
         self._links.discard(link)
 
+    def on_unfinished(
+        self, link: PeerLink, reason: str, runs: int, unsent: int
+    ) -> None:
+        """Count and log a lost connection with unanswered runs or unsent messages."""
+        self._counters.events["links.lost.runs"] += runs
+        self._counters.events["links.lost.unsent"] += unsent > 0
+        log_change("link_lost", peer=link.peer, reason=reason, runs=runs, unsent=unsent)
+
     def on_bad_frame(self, reason: str) -> None:
         """Count a rejected frame."""
         self._counters.events["peer.bad-frame"] += 1
--- a/packages/rattanfork-node/rattanfork_node/peer/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/handler.py
@@ -88,6 +88,25 @@
     def on_closed(self, link: "PeerLink") -> None:
         """Remove a connection that was closed."""
 
+    @abstractmethod
+    def on_unfinished(
+        self, link: "PeerLink", reason: str, runs: int, unsent: int
+    ) -> None:
+        """Record a lost connection with unanswered runs or unsent messages.
+
+        Parameters
+        ==========
+
+        link : PeerLink
+            The connection, of either side.
+        reason : str
+            Why it was lost.
+        runs : int
+            Runs of this node without a reply.
+        unsent : int
+            Messages and bytes of bodies that the peer does not get.
+        """
+
     @abstractmethod
     def on_bad_frame(self, reason: str) -> None:
         """Count a rejected frame."""
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -333,6 +333,8 @@
 
     def close(self, reason: str) -> None:
         """Abort the connection and fail all pending requests."""
+        if not self._closed:
+            self._report_unfinished(reason)
         if self._transport is not None:
             self._transport.abort()
         self._mark_lost(reason)
@@ -346,7 +348,10 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending requests."""
-        self._mark_lost("closed by the peer" if error is None else str(error))
+        reason = "closed by the peer" if error is None else str(error)
+        if not self._closed:
+            self._report_unfinished(reason)
+        self._mark_lost(reason)
 
     def pause_writing(self) -> None:
         """Send no more parts of bodies: the peer does not read."""
@@ -504,6 +509,14 @@
         if not self._ready.done():
             self._ready.set_result(None)
 
+    def _report_unfinished(self, reason: str) -> None:
+        runs, unsent = len(self._run_callbacks), len(self._unsent)
+        if self._transport is not None:
+            unsent += self._transport.get_write_buffer_size()
+        unsent += self._bodies.remaining_bytes
+        if runs or unsent:
+            self._handler.on_unfinished(self, reason, runs, unsent)
+
     def _mark_lost(self, reason: str) -> None:
         if self._closed:
             return
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -45,6 +45,9 @@
     def abort(self):
         self.aborted = True
 
+    def get_write_buffer_size(self):
+        return 0
+
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
@@ -59,10 +62,14 @@
     def __init__(self) -> None:
         self.calls: list[Call] = []
         self.rejected: list[str] = []
+        self.unfinished: list[tuple[str, int, bool]] = []
 
     def on_call(self, link, call):
         self.calls.append(call)
 
+    def on_unfinished(self, link, reason, runs, unsent):
+        self.unfinished.append((reason, runs, unsent > 0))
+
     def on_bad_frame(self, reason):
         self.rejected.append(reason)
 
