Close connections of clients without a reset

Callers saw a whole request that a worker had run end with a truncated response (LOST): after SIGTERM, an idle timeout, a response that announces the close, or the exit of the process, if they sent anything more on that connection while they were still reading.

Cause: the node took what it had passed to the kernel for delivered, and closed the socket. Bytes that arrive at a closed socket, or wait unread in it, make the kernel reset the connection, and the reset discards all that the client's window had no room for. The class of fault: a step that counts as done when it was handed over, not when it was confirmed.

Now the sending side is closed first, what still arrives is read and discarded, and the connection is closed once the client has closed it or has acknowledged all bytes, which the kernel tells (TIOCOUTQ); a client without progress for 20 s is cut off as before. A node that stops waits for the same, for its clients and its peers, with the bounds that stood.

It works as a closed connection whose bytes are all acknowledged has nothing that a reset could discard.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -514,7 +514,7 @@
             self._gate,
             self._callers,
             lambda: self._relay.give_up(self._callers.pending),
-            lambda: self._handler.unsent_bytes,
+            lambda: self._handler.undelivered_bytes,
         )
         self._upstream_monitor.close()
         ends_at = shutdown.begin()
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -47,7 +47,8 @@
 
     Requests that are in flight near the end of the grace period are given up: their
     callers receive 503 if it is proved that they have not run, and 502 otherwise.
-    Responses that are ready are sent, unless their clients have stopped reading.
+    Responses that are ready are delivered, unless their clients have stopped reading:
+    what the kernel still holds at the exit is lost if the client sends anything more.
 
     Parameters
     ==========
@@ -65,7 +66,7 @@
     give_up : callable
         Called once, to end the requests that are still in flight.
     peer_bytes : callable
-        Returns the bytes of replies to other nodes that were not sent yet.
+        Returns the bytes of replies that other nodes have not acknowledged.
     """
 
     def __init__(
@@ -126,17 +127,17 @@
                 runs=runs,
                 requests=requests,
                 unanswered=self._callers.in_flight,
-                unsent_bytes=self._unsent_bytes,
+                undelivered_bytes=self._undelivered_bytes,
             )
-        elif self._unsent_bytes:
-            log_change("cut_off", unsent_bytes=self._unsent_bytes)
+        elif self._undelivered_bytes:
+            log_change("cut_off", undelivered_bytes=self._undelivered_bytes)
         return status
 
     async def _wait_for_responses(self) -> None:
         """Wait until requests that were given up have their final responses."""
         ends_at = self._began_at + self._time_until(_CLOSE_S)
         while (now := self._clock.now()) < ends_at:
-            if not self._callers.in_flight and not self._is_unsent(now):
+            if not self._callers.in_flight and not self._is_undelivered(now):
                 return
             await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
 
@@ -153,11 +154,11 @@
         return self._callers.in_flight + self._gate.outstanding
 
     @property
-    def _unsent_bytes(self) -> int:
-        return self._callers.unsent_bytes + self._peer_bytes()
+    def _undelivered_bytes(self) -> int:
+        return self._callers.undelivered_bytes + self._peer_bytes()
 
     def _is_busy(self, now: float) -> bool:
-        return self._is_unsent(now) or self._in_flight > 0
+        return self._in_flight > 0 or self._is_undelivered(now)
 
-    def _is_unsent(self, now: float) -> bool:
-        return self._unsent.update(now, self._unsent_bytes)
+    def _is_undelivered(self, now: float) -> bool:
+        return self._unsent.update(now, self._undelivered_bytes)
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -51,7 +51,7 @@
         return self.outstanding
 
     @property
-    def unsent_bytes(self) -> int:
+    def undelivered_bytes(self) -> int:
         return max(0, self.unread_bytes - int(self.read_rate * self.clock.elapsed))
 
     def give_up(self) -> None:
@@ -129,7 +129,7 @@
     node = DrainingNode()
     node.unread_bytes, node.read_rate = 4000, 1000
     assert node.shut_down() == 0
-    assert node.unsent_bytes == 0
+    assert node.undelivered_bytes == 0
     assert node.clock.elapsed < 4.5
 
 
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -119,6 +119,11 @@
         """Bytes of responses that clients have not read yet."""
         return sum(c.unsent_bytes for c in self.connections)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that clients have not acknowledged."""
+        return sum(c.undelivered_bytes for c in self.connections)
+
     def admit(self, connection: ServerConnection) -> None:
         """Register a new connection; close others if there are too many.
 
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -20,6 +20,7 @@
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
+from rattanfork_node.http1.lingering_close import LingeringClose
 from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response, render_response_head
 from rattanfork_node.http1.request_body import HeldBody
@@ -77,6 +78,7 @@
         self._receiving = False
         self._paused = False
         self._output: Output | None = None
+        self._ending: LingeringClose | None = None
         self._closes_once_sent = False
         #: Whether unsent responses count against the budget of the server.
         self._is_counted = False
@@ -94,6 +96,7 @@
         """Register the connection with its server."""
         self._transport = transport
         self._output = Output(transport)
+        self._ending = LingeringClose(transport)
         self._server.admit(self)
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -355,7 +358,7 @@
         if self.pending:
             # Later requests would follow the response that closes the connection.
             self._drop_requests = True
-        elif not self._receiving:
+        elif self._is_idle:
             self.close(CloseReason.LEAVING)
 
     def close(self, reason: CloseReason = CloseReason.STOPPED) -> None:
@@ -372,20 +375,24 @@
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
         limits = self._limits
-        if self._head_since is not None:
+        if self._ending.is_ending:
+            if self._ending.check(now) > _SLOW_READER_TIMEOUT_S:
+                self._abort_transport(CloseReason.SLOW_READER)
+        elif self._head_since is not None:
             if now - self._head_since > limits.head_timeout:
                 self._reject(408)
         elif not self._output.is_writable:
             self._count_unsent()
             if now - self._last_active > _SLOW_READER_TIMEOUT_S:
                 self._abort_transport(CloseReason.SLOW_READER)
-        elif not self.pending and now - self._last_active > limits.idle_timeout:
+        elif now - self._last_active > limits.idle_timeout and self._is_idle:
             self.close(CloseReason.IDLE)
 
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
         """Place in the order in which connections without pending requests close."""
-        return not self._output.is_writable, self._receiving, self._last_active
+        is_read = self._output.is_writable and not self._ending.is_ending
+        return not is_read, self._receiving, self._last_active
 
     def drop(self) -> None:
         """Abort the connection, which has no request that was received whole."""
@@ -414,6 +421,16 @@
         """Bytes of responses that wait for the client to read."""
         return self._output.unsent_bytes
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that the client has not acknowledged."""
+        return self._output.unsent_bytes + undelivered_bytes(self._transport)
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request is pending, not even in part."""
+        return not (self.pending or self._receiving)
+
     @property
     def _limits(self) -> RequestLimits:
         return self._server.limits
@@ -528,17 +545,13 @@
         exchange.respond(status, block)
 
     def _close_transport(self) -> None:
-        self._measure_queues()
-        self._transport.close()
+        self._ending.begin(self._server.clock.now())
 
     def _abort_transport(self, reason: CloseReason) -> None:
         self._close_reason = reason
-        self._measure_queues()
-        self._transport.abort()
-
-    def _measure_queues(self) -> None:
-        self._undelivered = undelivered_bytes(self._transport) + self.unsent_bytes
+        self._undelivered = self.undelivered_bytes
         self._unread = unread_bytes(self._transport)
+        self._transport.abort()
 
     def _report_unfinished(self) -> None:
         """Report requests without a response, and bytes left in the queues."""
--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -70,6 +70,11 @@
         """Bytes that the peers of accepted connections have not read yet."""
         return sum(link.unsent_bytes for link in self._links)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes that the peers of accepted connections have not acknowledged."""
+        return sum(link.undelivered_bytes for link in self._links)
+
     def on_open(self, link: PeerLink) -> None:
         """Register an authenticated connection and create its call log."""
         if link.connection_id in self._call_logs:
--- a/packages/rattanfork-node/rattanfork_node/peer/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/handler.py
@@ -104,7 +104,7 @@
         runs : int
             Runs of this node without a reply.
         unsent : int
-            Messages and bytes of bodies that the peer does not get.
+            Bytes of messages and bodies that the peer does not get.
         """
 
     @abstractmethod
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -11,6 +11,7 @@
 from rattanfork_core.request import Outcome, Reason
 
 from rattanfork_node.http1 import BodyReader
+from rattanfork_node.kernel_queues import undelivered_bytes
 from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.errors import FrameError, LinkLostError
@@ -201,12 +202,24 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes that the peer has not read yet, with the bodies that it will get."""
+        """Bytes that the transport was not given or still holds, with all bodies."""
         if self._closed:
             return 0
         unsent = self._transport.get_write_buffer_size()
         return unsent + self._bodies.remaining_bytes
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes that the peer has not acknowledged, with the bodies that it will get.
+
+        Closing the connection may discard them.
+        """
+        return (
+            0
+            if self._closed
+            else self.unsent_bytes + undelivered_bytes(self._transport)
+        )
+
     @property
     def is_writable(self) -> bool:
         """Whether the peer reads what it is sent."""
@@ -510,10 +523,8 @@
             self._ready.set_result(None)
 
     def _report_unfinished(self, reason: str) -> None:
-        runs, unsent = len(self._run_callbacks), len(self._unsent)
-        if self._transport is not None:
-            unsent += self._transport.get_write_buffer_size()
-        unsent += self._bodies.remaining_bytes
+        runs = len(self._run_callbacks)
+        unsent = 0 if self._transport is None else self.unsent_bytes
         if runs or unsent:
             self._handler.on_unfinished(self, reason, runs, unsent)
 
