Answer the requests that wait in sockets when a node stops

Callers saw a whole request end without an answer: sent up to a stall of the event loop before SIGTERM or the exit, it waited in the socket when the node closed the connection.

Cause: after a stall, timers and signals are handled before sockets are read, and the steps that close connections looked only at what the process had read. The same class as the truncated responses: what the kernel holds was not counted.

An idle connection with bytes unread in its socket is no longer idle, for SIGTERM and for the idle timeout. A draining node gives the event loop some turns before it exits, in which connections are accepted, sockets read and batched messages written, and looks again.

Evidence: test_request_in_the_socket_is_answered_when_the_server_leaves failed with a reset, test_request_that_waits_in_a_socket_is_answered_before_the_exit without its response, on the code before; both pass.

--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -33,6 +33,9 @@
 _POLL_INTERVAL_S = 0.05
 #: The same for requests that were given up, whose gates reply within that time.
 _RESPONSE_POLL_INTERVAL_S = 0.01
+#: Turns of the event loop in which new connections are accepted, sockets read, and
+#: batched messages written.
+_SETTLING_TURNS = 4
 
 
 class Shutdown:
@@ -49,6 +52,8 @@
     callers receive 503 if it is proved that they have not run, and 502 otherwise.
     Responses that are ready are delivered, unless their clients have stopped reading:
     what the kernel still holds at the exit is lost if the client sends anything more.
+    After a stall of the event loop its timers run before its sockets are read, so that
+    nothing is known to be in flight before it had some turns for both.
 
     Parameters
     ==========
@@ -114,7 +119,9 @@
             if now >= announce_at + _PROPAGATION_S and self._gate.accepting:
                 self._gate.detach()
             if now - self._began_at > _MIN_SERVING_S and not self._is_busy(now):
-                break
+                await self._settle()
+                if not self._is_busy(now):
+                    break
             await asyncio.sleep(_POLL_INTERVAL_S)
         status = 0
         if self._in_flight:
@@ -133,6 +140,10 @@
             log_change("cut_off", undelivered_bytes=self._undelivered_bytes)
         return status
 
+    async def _settle(self) -> None:
+        for _ in range(_SETTLING_TURNS):
+            await asyncio.sleep(0)
+
     async def _wait_for_responses(self) -> None:
         """Wait until requests that were given up have their final responses."""
         ends_at = self._began_at + self._time_until(_CLOSE_S)
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -152,3 +152,25 @@
     node.unread_bytes, node.read_rate = 100_000, 1000
     node.shut_down()
     assert node.clock.elapsed < GRACE - EXIT_MARGIN_S
+
+
+class LateRequest(DrainingNode):
+    """A node with a request in its socket when nothing else is in flight any more."""
+
+    @property
+    def in_flight(self) -> int:
+        if "received" in self.events:
+            return int(self.clock.elapsed < self.events["received"] + 0.5)
+        if self.clock.elapsed > 2.6:
+            asyncio.get_running_loop().call_soon(self._receive)
+        return 0
+
+    def _receive(self) -> None:
+        self.events.setdefault("received", self.clock.elapsed)
+
+
+def test_request_that_waits_in_a_socket_is_answered_before_the_exit():
+    """Guards against whole requests that are discarded unread after a stall."""
+    node = LateRequest()
+    assert node.shut_down() == 0
+    assert node.clock.elapsed > node.events["received"] + 0.5
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -428,8 +428,10 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Whether no request is pending, not even in part."""
-        return not (self.pending or self._receiving)
+        """Whether no request is pending, in part or in the socket."""
+        return not (
+            self.pending or self._receiving or unread_bytes(self._transport) > 0
+        )
 
     @property
     def _limits(self) -> RequestLimits:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
@@ -68,6 +68,10 @@
         await asyncio.get_running_loop().sock_sendall(self._socket, data)
         await asyncio.sleep(0.05)
 
+    def send_unread(self, data: bytes) -> None:
+        """Send without a turn of the event loop, in which the server would read."""
+        self._socket.send(data)
+
     async def begin_to_read(self) -> None:
         loop = asyncio.get_running_loop()
         self._received = await loop.sock_recv(self._socket, 1000)
@@ -118,3 +122,18 @@
             assert await client.read_body() == _BODY
 
     uvloop.run(play())
+
+
+def test_request_in_the_socket_is_answered_when_the_server_leaves():
+    """Guards against a whole request that is discarded unread after a stall."""
+
+    async def play() -> None:
+        async with SlowClient() as client:
+            client.send_unread(request())
+            client.server.leave()
+            assert await client.read_body() == _BODY
+            client.server.sweep()
+            await asyncio.sleep(0.05)
+            assert not client.server.connections
+
+    uvloop.run(play())
