Count batched replies as unsent when a node stops

Callers of another node could see 502 for a request that had run: the gate's node exited between a reply and the write of its batch, and the link was aborted.

Cause: replies are batched until the next turn of the event loop, and the check that ends a drain asked the transport only. A run that ended in the turn of that check lost its reply.

Evidence: test_reply_that_is_batched_counts_as_unsent failed before (0 bytes unsent) and passes. That the users met this case is only suspected.

--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -205,7 +205,7 @@
         """Bytes that the transport was not given or still holds, with all bodies."""
         if self._closed:
             return 0
-        unsent = self._transport.get_write_buffer_size()
+        unsent = self._transport.get_write_buffer_size() + sum(map(len, self._unsent))
         return unsent + self._bodies.remaining_bytes
 
     @property
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -316,3 +316,16 @@
     send_run()
     near.close("lost")
     assert written == [True, False]
+
+
+@on_event_loop
+def test_reply_that_is_batched_counts_as_unsent():
+    """Guards against a node that exits between a reply and the write of its batch."""
+    pair = LinkPair()
+    pair.deliver()
+    far = pair.links[1]
+    assert far.unsent_bytes == 0
+    far.send_batched(RUN_REPLY)
+    assert far.unsent_bytes > 0
+    far.close("this node stops")
+    assert pair.handlers[1].unfinished == [("this node stops", 0, True)]
