Close links with unanswered runs last

Callers of a node with more peers than connections could see 502 for a run that its gate was at work on: the link that received nothing for longest was closed for a new one, whether runs waited on it or not. Long runs are the ones that receive nothing for long.

Links without unanswered requests go first.

--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -190,6 +190,11 @@
         """Whether the connection was lost or closed."""
         return self._closed
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether a request of this node waits for its reply."""
+        return bool(self._reply_futures or self._run_callbacks)
+
     @property
     def late_replies(self) -> int:
         """Replies dropped because no request was pending for them."""
@@ -338,7 +343,7 @@
         if self._ping_sent_at:
             if now - self._ping_sent_at > 0.75 * silence:
                 self.close("no reply to a ping within the silence timeout")
-        elif now - self._last_received > (silence / 4 if self._has_pending else idle):
+        elif now - self._last_received > (silence / 4 if self.has_pending else idle):
             # A request may take longer than the silence timeout.  A ping is
             # answered at once, which distinguishes a busy peer from a lost one.
             self._ping_sent_at = now
@@ -388,10 +393,6 @@
             self._handler.on_bad_frame(str(error))
             self.close(f"bad frame: {error}")
 
-    @property
-    def _has_pending(self) -> bool:
-        return bool(self._reply_futures or self._run_callbacks)
-
     def _flush(self) -> None:
         unsent, self._unsent = self._unsent, []
         if unsent and not self._closed:
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -37,7 +37,8 @@
     silence : float
         Seconds without data from a peer after which its connection is closed.
     max_links : int
-        Maximum number of connections; the one idle longest is closed first.
+        Maximum number of connections; the one idle longest is closed first, those
+        with unanswered requests last.
     """
 
     #: Seconds between pings of a connection without pending requests.
@@ -169,6 +170,15 @@
         for task in list(self._connecting.values()):
             task.cancel()
 
+    def _choose_excess(self) -> Address:
+        """Return the address of the connection whose close costs least."""
+
+        def cost(address: Address) -> tuple[bool, float]:
+            link = self._links[address]
+            return link.has_pending, -link.idle_seconds
+
+        return min(self._links, key=cost)
+
     def _on_connect_done(self, address: Address, task: asyncio.Task[PeerLink]) -> None:
         self._connecting.pop(address, None)
         if not task.cancelled():
@@ -186,8 +196,7 @@
         except (TimeoutError, OSError) as error:
             raise LinkLostError(f"could not connect to {host}:{port}") from error
         if len(self._links) >= self._max_links:
-            longest_idle = max(self._links, key=lambda a: self._links[a].idle_seconds)
-            self._links.pop(longest_idle).close(
+            self._links.pop(self._choose_excess()).close(
                 "closed to stay within the connection limit"
             )
         replaced = self._links.get(address)
--- /dev/null
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections between nodes."""
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.clock import ManualClock
+
 from rattanfork_node.peer import (
     Call,
     FrameError,
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_pending_handshakes.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_pending_handshakes.py
@@ -1,6 +1,7 @@
 """Accepted connections that never prove to be of a node."""
 
 from rattanfork_core.clock import ManualClock
+
 from rattanfork_node.peer import PendingHandshakes
 
 
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_reply_bodies.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_reply_bodies.py
@@ -2,6 +2,7 @@
 
 import pytest
 from rattanfork_core.connections import ResponseBudget, ResponseHolder
+
 from rattanfork_node.peer import BodyPart, BodyStart, FrameError, RunReply
 from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.reply_bodies import OutgoingReplyBody, ReplyBodyReceiver
