Deliver the responses before a refused body whose rest was read

The same fault as in the close of an idle connection, at the end of a drained body: a client that pipelined a request with a refused body, and anything more behind it, lost what it was still reading of the response before. The drain now closes the connection as all other ways do. The new test failed before (reset by peer) and passes.

A drain that reaches its bound in bytes or time still closes at once: its client sends without end, and waiting for it would lift the bound.

--- a/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.uploads import DrainBound
@@ -25,18 +26,25 @@
     clock : Clock
         Source of the current time.
     transport : asyncio.Transport
-        The connection to close at the end.
+        The connection.
+    close : callable
+        Closes the connection once its responses are delivered.
     events : Counter
         Counts how drains end.
     """
 
-    __slots__ = ("_bound", "_events", "_is_paused", "_timer", "_transport")
+    __slots__ = ("_bound", "_close", "_events", "_is_paused", "_timer", "_transport")
 
     def __init__(
-        self, clock: Clock, transport: asyncio.Transport, events: Counter[str]
+        self,
+        clock: Clock,
+        transport: asyncio.Transport,
+        close: Callable[[], None],
+        events: Counter[str],
     ) -> None:
         self._bound = DrainBound(clock)
         self._transport = transport
+        self._close = close
         self._events = events
         self._is_paused = False
         loop = asyncio.get_running_loop()
@@ -65,7 +73,7 @@
         """Close the connection: the body has ended."""
         self._events["upload.drained"] += 1
         self.cancel()
-        self._transport.close()
+        self._close()
 
     def cancel(self) -> None:
         """Stop waiting, as the connection is closed."""
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -368,10 +368,14 @@
             return
         self._close_reason = reason
         if self._output.is_empty:
-            self._close_transport()
+            self.close_delivered()
         else:
             self._closes_once_sent = True
 
+    def close_delivered(self) -> None:
+        """Close the connection once the client has all that the transport was given."""
+        self._ending.begin(self._server.clock.now())
+
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
         limits = self._limits
@@ -546,9 +550,6 @@
             block = block.removeprefix(_RETRY_LINE)
         exchange.respond(status, block)
 
-    def _close_transport(self) -> None:
-        self._ending.begin(self._server.clock.now())
-
     def _abort_transport(self, reason: CloseReason) -> None:
         self._close_reason = reason
         self._undelivered = self.undelivered_bytes
@@ -576,7 +577,7 @@
     def _close_after_response(self) -> None:
         """Close the connection, after the rest of a refused body was discarded."""
         if self._uploads is None or not self._uploads.start_drain():
-            self._close_transport()
+            self.close_delivered()
         elif self._paused:
             self._paused = False
             self._transport.resume_reading()
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
@@ -5,10 +5,12 @@
 
 import asyncio
 import socket
+from collections import Counter
 
 import pytest
 import uvloop
 from rattanfork_core.clock import MonotonicClock
+from rattanfork_core.uploads import BodyBudget
 
 from rattanfork_node.http1 import (
     Exchange,
@@ -16,8 +18,10 @@
     HttpServer,
     RequestHandler,
     RequestLimits,
+    UploadResources,
 )
 from rattanfork_node.http1.tests.fakes import request
+from rattanfork_node.http1.tests.upload_client import BODY, head
 
 #: Much more than the receive buffer of the client.
 _BODY = b"x" * 400_000
@@ -35,6 +39,10 @@
         self.handled.append(exchange)
         exchange.respond(200, body=_BODY)
 
+    def on_head(self, exchange: Exchange) -> bool:
+        exchange.respond(503)
+        return True
+
 
 class SlowClient:
     """A client that starts to read a response and sends more before its end."""
@@ -44,6 +52,7 @@
         self.server = HttpServer(
             MonotonicClock(), HeaderNames(), RequestLimits(), self.handler
         )
+        self.server.uploads = UploadResources(BodyBudget(1 << 20), Counter())
         self._socket = socket.socket()
         self._socket.setblocking(False)
         self._socket.setsockopt(
@@ -124,6 +133,22 @@
     uvloop.run(play())
 
 
+def test_response_before_a_refused_body_is_whole_once_the_body_was_read():
+    """Guards against a reset at the end of a body that was read to be discarded."""
+
+    async def play() -> None:
+        async with SlowClient() as client:
+            await client.send(request())
+            await client.begin_to_read()
+            await client.send(head() + BODY)
+            await client.send(request(request_id="r2"))
+            received = await client.read_body()
+            assert received[: len(_BODY)] == _BODY
+            assert received[len(_BODY) :].startswith(b"HTTP/1.1 503 ")
+
+    uvloop.run(play())
+
+
 def test_request_in_the_socket_is_answered_when_the_server_leaves():
     """Guards against a whole request that is discarded unread after a stall."""
 
--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -167,7 +167,12 @@
         if self.current is None:
             return False
         events = self._server.uploads.events
-        self._drain = BodyDrain(self._server.clock, self._transport, events)
+        self._drain = BodyDrain(
+            self._server.clock,
+            self._transport,
+            self._connection.close_delivered,
+            events,
+        )
         return True
 
     def discard(
