--- a/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
@@ -48,15 +48,19 @@
         """Close the connection, at once if nothing can be lost by it."""
         if self._is_ending:
             return
-        self._undelivered = self.undelivered_bytes
-        if not (self._undelivered or unread_bytes(self._transport)):
-            self._transport.close()
+        transport = self._transport
+        # Most often the last response waits in the transport, and no more is asked.
+        self._undelivered = transport.get_write_buffer_size()
+        if not (
+            self._undelivered or undelivered_bytes(transport) or unread_bytes(transport)
+        ):
+            transport.close()
             return
         self._is_ending = True
         self._progress_at = now
-        if self._transport.can_write_eof():
-            self._transport.write_eof()
-        self._transport.resume_reading()
+        if transport.can_write_eof():
+            transport.write_eof()
+        transport.resume_reading()
 
     def check(self, now: float) -> float:
         """Close the connection if all was delivered.
