Answer a request whose handler fails unexpectedly

Callers would see a whole request without an answer, and the requests behind it on its connection refused with nothing: an exception of the handler left the parser as a parse error, the connection was to be closed with 400 behind the request that failed, and that one was never answered. No line told of it.

The handler is called at a border that answers 502, which promises nothing, counts unexpected.request and logs the exception with its place. The new test failed before: no response to either request.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -59,6 +59,7 @@
     Counters,
     LineWriter,
     RequestLog,
+    UnexpectedErrors,
     log_change,
 )
 from rattanfork_node.ticks import TICK_SECONDS, sleep_ticks
@@ -383,6 +384,8 @@
             (address, self._create_server(handler)) for address, handler in handlers
         ]
         self._callers = self._servers[0][1]
+        errors = UnexpectedErrors(self._counters.events)
+        self._callers.on_error = partial(errors.report, "request")
         self._callers.ends = ConnectionEndLog(self._counters, self._log)
         self._callers.limits = RequestLimits()
         self._callers.max_connections = self._max_caller_connections
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -26,6 +26,8 @@
 #: paused: of 300 at once, 24 MB with the system's default and with 64 KiB, at most
 #: 14 MB with 32 KiB.  32 KiB per round trip of 1 ms exceed a link of 100 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 32 << 10
+#: Status of a request whose handler failed.
+_FAILED_STATUS = 502
 #: Bytes of connections and requests without a memory limit.
 _MAX_REQUEST_BYTES = 128 << 20
 #: Part of the connections that is closed at once if there are too many, 1 / the
@@ -81,6 +83,8 @@
         self.key_name = names.key.lower()
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
+        #: Called with each exception that the handler raises.
+        self.on_error: Callable[[Exception], None] = _raise
         #: Is told of connections that end with something unfinished.
         self.ends: ConnectionEndObserver = IgnoredEnds()
         self.connections: set[ServerConnection] = set()
@@ -168,6 +172,15 @@
             excess -= connection.usage.incomplete
             connection.refuse_incomplete()
 
+    def handle(self, exchange: Exchange) -> None:
+        """Pass a request to the handler; answer it if that fails unexpectedly."""
+        try:
+            self.handler.on_request(exchange)
+        except Exception as error:
+            self.on_error(error)
+            # Whether it was passed on is unknown.
+            exchange.respond(_FAILED_STATUS)
+
     def count_refusal(self) -> None:
         """Count a request that is refused for want of memory."""
         self._count("callers.refused.memory")
@@ -192,3 +205,7 @@
     def _count(self, event: str) -> None:
         if self.uploads is not None:
             self.uploads.events[event] += 1
+
+
+def _raise(error: Exception) -> None:
+    raise error
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -273,7 +273,7 @@
             self._server.count_refusal()
             exchange.respond(_NOT_RUN_STATUS, self._refusal_block())
         else:
-            self._server.handler.on_request(exchange)
+            self._server.handle(exchange)
 
     def enqueue(self, exchange: Exchange) -> None:
         """Add a request to those that wait for their responses."""
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_server.py
@@ -358,3 +358,14 @@
     client.connection.resume_writing()
     assert len(client.transport.written) > 900_000
     assert client.transport.closed
+
+
+def test_request_is_answered_if_its_handler_fails():
+    """Guards against a whole request without an answer, and others behind it."""
+    client, errors = Client(), []
+    client.server.on_error = errors.append
+    client.handler.on_request = lambda exchange: int("x")
+    client.send(request(request_id="r1") + request(request_id="r2"))
+    assert client.statuses == [502, 502]
+    assert [type(error) for error in errors] == [ValueError] * 2
+    assert not client.transport.closed
