Keep a link open if a message on it can't be handled

An exception in the handling of one message, such as a reply to one run, left the callback of the event loop, which closes the connection: all runs on it ended with 502 at their callers' nodes. A ValueError was taken for a bad frame, with the same result.

Only a bad frame, after which the start of the next one is unknown, closes a link now. Others are counted as unexpected.link and logged with their place; a run that they belong to ends at its time-out. The new tests failed before: the link was closed, and the reply to another run lost.

--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -18,6 +18,7 @@
 )
 from rattanfork_node.peer.rules import rules_reply
 from rattanfork_node.telemetry.log import log_change
+from rattanfork_node.telemetry.unexpected_errors import UnexpectedErrors
 
 if TYPE_CHECKING:
     from rattanfork_core.revision import RevisionState
@@ -51,6 +52,7 @@
 
     def __init__(self, rules: RevisionState, counters: Counters) -> None:
         self._rules = rules
+        self._errors = UnexpectedErrors(counters.events)
         self._counters = counters
         self._call_logs: OrderedDict[str, ConnectionCallLog] = OrderedDict()
         self._links: set[PeerLink] = set()
@@ -107,6 +109,10 @@
         self._counters.events["links.lost.unsent"] += unsent > 0
         log_change("link_lost", peer=link.peer, reason=reason, runs=runs, unsent=unsent)
 
+    def on_error(self, link: PeerLink, error: Exception) -> None:
+        """Record an exception that the handling of a message raised."""
+        self._errors.report("link", error)
+
     def on_bad_frame(self, reason: str) -> None:
         """Count a rejected frame."""
         self._counters.events["peer.bad-frame"] += 1
--- a/packages/rattanfork-node/rattanfork_node/peer/handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/handler.py
@@ -107,6 +107,10 @@
             Bytes of messages and bodies that the peer does not get.
         """
 
+    @abstractmethod
+    def on_error(self, link: "PeerLink", error: Exception) -> None:
+        """Record an exception that the handling of a message raised."""
+
     @abstractmethod
     def on_bad_frame(self, reason: str) -> None:
         """Count a rejected frame."""
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -385,7 +385,7 @@
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
-                self._dispatch(decode_message(frame))
+                self._handle(decode_message(frame))
                 if self._closed:
                     return
         except (FrameError, msgpack.exceptions.UnpackException, ValueError) as error:
@@ -399,6 +399,17 @@
             self._last_written = self._last_number
             self._transport.write(b"".join(unsent))
 
+    def _handle(self, message: Message) -> None:
+        """Dispatch a message; an error in its handling costs no other message."""
+        try:
+            self._dispatch(message)
+        except FrameError:
+            raise
+        except Exception as error:
+            if not self._authenticated:
+                raise
+            self._handler.on_error(self, error)
+
     def _dispatch(self, message: Message) -> None:
         if not self._authenticated:
             self._advance_handshake(message)
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -64,6 +64,7 @@
         self.calls: list[Call] = []
         self.rejected: list[str] = []
         self.unfinished: list[tuple[str, int, bool]] = []
+        self.errors: list[Exception] = []
 
     def on_call(self, link, call):
         self.calls.append(call)
@@ -71,6 +72,9 @@
     def on_unfinished(self, link, reason, runs, unsent):
         self.unfinished.append((reason, runs, unsent > 0))
 
+    def on_error(self, link, error):
+        self.errors.append(error)
+
     def on_bad_frame(self, reason):
         self.rejected.append(reason)
 
@@ -330,3 +334,29 @@
     assert far.unsent_bytes > 0
     far.close("this node stops")
     assert pair.handlers[1].unfinished == [("this node stops", 0, True)]
+
+
+@pytest.mark.parametrize("error", [ValueError("x"), RuntimeError("x")])
+def test_error_in_the_handling_of_a_message_costs_no_other_run(error):
+    """Guards against all runs of a link that are lost by a fault in one of them."""
+
+    def fail(link, call):
+        raise error
+
+    async def play() -> None:
+        pair = LinkPair()
+        pair.deliver()
+        near, far = pair.links
+        pair.handlers[1].on_call = fail
+        near.ask(CALL)
+        replies = []
+        near.send_run(RUN, replies.append)
+        await asyncio.sleep(0)
+        pair.deliver()
+        far.send(RUN_REPLY)
+        pair.deliver()
+        assert (near.closed, far.closed) == (False, False)
+        assert pair.handlers[1].errors == [error]
+        assert replies == [RUN_REPLY]
+
+    uvloop.run(play())
