--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -18,6 +18,7 @@
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
+from rattanfork_node.http1.request_head import HeaderFilter
 from rattanfork_node.http1.server_connection import ServerConnection
 from rattanfork_node.http1.upload import UploadResources
 
@@ -77,10 +78,7 @@
         self.requests = RequestBudget(_MAX_REQUEST_BYTES)
         if requests is not None:
             self.requests = requests
-        self.stripped = names.stripped_from_requests()
-        self.request_id_name = names.request_id.lower()
-        self.deadline_name = names.deadline.lower()
-        self.key_name = names.key.lower()
+        self.header_filter = HeaderFilter(names)
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
         #: Called with each exception that the handler raises.
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -8,8 +8,7 @@
 
 import httptools
 from rattanfork_core.connections import ResponseHolder
-from rattanfork_core.parsing import parse_whole_number
-from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
+from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES
 
 from rattanfork_node.http1.connection_end import (
     CloseReason,
@@ -24,6 +23,7 @@
 from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response, render_response_head
 from rattanfork_node.http1.request_body import HeldBody
+from rattanfork_node.http1.request_head import RequestHead
 from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 from rattanfork_node.kernel_queues import undelivered_bytes, unread_bytes
@@ -39,8 +39,6 @@
 _RETRY_LINE = b"Retry-After: 1\r\n"
 #: Seconds for which a client may leave responses unread.
 _SLOW_READER_TIMEOUT_S = 20.0
-#: Longest timeout of a client in milliseconds; a longer one is ignored.
-_MAX_TIMEOUT_MS = 86_400_000
 #: Bytes of trailers and of the framing of chunks that a request may have for each byte
 #: of its body, besides twice the maximum size of a head.
 _MAX_FRAMING_FACTOR = 8
@@ -180,7 +178,7 @@
             except httptools.HttpParserUpgrade as offer:
                 [parsed] = offer.args
                 self._parser, head = make_parser_without_upgrade(
-                    self._parser, self, bytes(self._framing)
+                    self._parser, self, bytes(self._head.framing)
                 )
                 data = head + data[parsed:]
 
@@ -193,49 +191,26 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._target += url
+        self._head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
         if not self._reading_head:
             return
-        lower = name.lower()
-        server = self._server
-        self._head_size += len(name) + len(value)
-        if lower == server.request_id_name:
-            self._request_id = value
-        elif lower == server.deadline_name:
-            self._client_timeout = _parse_timeout(value)
-        elif lower == server.key_name:
-            self._keys.append(value)
-        elif lower == b"host":
-            self._hosts.append(value)
-        elif lower == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        if lower not in server.stripped:
-            self._block += name + b": " + value + b"\r\n"
-        elif lower == b"content-length":
-            self._framing += name + b": " + value + b"\r\n"
-            if is_large_body(value):
-                self._has_large_body = True
-                self._declared_length = int(value)
-        elif lower == b"transfer-encoding":
-            self._framing += name + b": " + value + b"\r\n"
-            self._has_large_body = True
-            self._declared_length = None
+        self._head.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check size, Host header and target; begin an upload or permit the body."""
         self._reading_head = False
         self._head_since = None
-        if self._head_size + len(self._target) > self._limits.max_head_bytes:
+        head = self._head
+        if head.size + len(head.target) > self._limits.max_head_bytes:
             self._fail_parsing(431)
-        if len(self._hosts) != 1 or not self._target.startswith(b"/"):
-            # Without a unique Host header nodes could choose different routes.
+        if not head.is_unambiguous:
             self._fail_parsing(400)
-        if self._has_large_body and self._begin_upload():
+        if head.has_large_body and self._begin_upload():
             return
-        if self._expects_continue and not self.pending:
+        if head.expects_continue and not self.pending:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -416,7 +391,7 @@
         """Refuse the request that is not received whole, and close after it."""
         self._server.count_refusal()
         self._body = bytearray()
-        self._block = bytearray()
+        self._head.block = bytearray()
         self._reject(_NOT_RUN_STATUS)
         self._count_incomplete()
 
@@ -442,23 +417,12 @@
         return self._server.limits
 
     def _reset_request(self) -> None:
-        self._target = b""
-        self._block = bytearray()
-        #: Header lines that declare the body.
-        self._framing = bytearray()
-        self._hosts: list[bytes] = []
-        self._keys: list[bytes] = []
-        self._request_id = b""
-        self._client_timeout: float | None = None
+        self._head = RequestHead(self._server.header_filter)
         self._body = bytearray()
         #: Bytes of the body, also of one that is passed on as it is received.
         self._body_bytes = 0
-        self._head_size = 0
+        #: Bytes received since the end of the previous request.
         self._head_bytes = 0
-        self._expects_continue = False
-        self._has_large_body = False
-        #: Content-Length of a large body; None if it is chunked.
-        self._declared_length: int | None = None
         self._reading_head = False
         self._error_status = 0
 
@@ -480,7 +444,7 @@
         size = 0
         is_upload = self._uploads is not None and self._uploads.current is not None
         if self._receiving and not (is_upload or self._drop_requests):
-            size = len(self._block) + len(self._target) + len(self._body)
+            size = len(self._head.block) + len(self._head.target) + len(self._body)
         self.usage.set_incomplete(size)
         if size and self._server.requests.is_exhausted:
             self._server.refuse_incomplete()
@@ -488,23 +452,24 @@
     def _refusal_block(self) -> bytes:
         """Return the headers of a response that a request was not run."""
         block = _RETRY_LINE
-        if self._request_id:
-            name = self._server.names.request_id
-            block += name + b": " + self._request_id + b"\r\n"
+        request_id = self._head.request_id
+        if request_id:
+            block += self._server.names.request_id + b": " + request_id + b"\r\n"
         return block
 
     def _make_exchange(self, body: bytes) -> Exchange:
+        head = self._head
         return Exchange(
             self,
             self._parser.get_method(),
-            self._target,
-            _strip_port(self._hosts[0]),
-            bytes(self._block),
+            head.target,
+            head.host,
+            bytes(head.block),
             body,
-            self._request_id,
-            self._client_timeout,
+            head.request_id,
+            head.client_timeout,
             self._parser.should_keep_alive() and not self._server.leaving,
-            tuple(self._keys),
+            tuple(head.keys),
         )
 
     def _begin_upload(self) -> bool:
@@ -512,13 +477,14 @@
         server = self._server
         if server.uploads is None or self._closing or self._drop_requests:
             return False
-        known_size = max(len(self._body), self._declared_length or 0)
+        head = self._head
+        known_size = max(len(self._body), head.declared_length or 0)
         if self._uploads is None:
             self._uploads = UploadReceiver(self, server, self._transport)
         return self._uploads.begin(
             self._make_exchange(b""),
-            self._declared_length,
-            self._expects_continue and self._parser.get_http_version() != "1.0",
+            head.declared_length,
+            head.expects_continue and self._parser.get_http_version() != "1.0",
             known_size > MAX_UNCOUNTED_BODY_BYTES,
         )
 
@@ -543,7 +509,9 @@
             is_start_of_request=self._error_status != 0
         ):
             return
-        exchange = Exchange(self, b"", b"", "", b"", b"", self._request_id, None, False)
+        exchange = Exchange(
+            self, b"", b"", "", b"", b"", self._head.request_id, None, False
+        )
         self.pending.append(exchange)
         block = self._refusal_block()
         if status != _NOT_RUN_STATUS:
@@ -581,22 +549,3 @@
         elif self._paused:
             self._paused = False
             self._transport.resume_reading()
-
-
-def _parse_timeout(milliseconds: bytes) -> float | None:
-    """Return a client's timeout in seconds; None if it is malformed.
-
-    A negative one means that the client no longer waits.
-    """
-    is_negative = milliseconds.startswith(b"-")
-    try:
-        number = parse_whole_number(milliseconds.removeprefix(b"-"), 0, _MAX_TIMEOUT_MS)
-    except ValueError:
-        return None
-    return 0.0 if is_negative else number / 1000
-
-
-def _strip_port(host: bytes) -> str:
-    if b":" in host and not host.endswith(b"]"):
-        host = host.rpartition(b":")[0]
-    return host.decode("latin-1").lower()
