Keep a closed connection open until its client has read

Callers that use a stream with a buffer of its own lost a response that their kernel had acknowledged: at the next thing they sent the node's kernel reset the connection, and the client's transport reported that before it read on.

If there are too many connections, those with responses or requests in the kernel go last, which counted as idle before.

--- a/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
@@ -28,7 +28,8 @@
     transport : asyncio.Transport
         The connection.
     close : callable
-        Closes the connection once its responses are delivered.
+        Closes the connection once its responses were read; the argument is whether
+        more may be received until then.
     events : Counter
         Counts how drains end.
     """
@@ -39,7 +40,7 @@
         self,
         clock: Clock,
         transport: asyncio.Transport,
-        close: Callable[[], None],
+        close: Callable[[bool], None],
         events: Counter[str],
     ) -> None:
         self._bound = DrainBound(clock)
@@ -73,7 +74,7 @@
         """Close the connection: the body has ended."""
         self._events["upload.drained"] += 1
         self.cancel()
-        self._close()
+        self._close(True)
 
     def cancel(self) -> None:
         """Stop waiting, as the connection is closed."""
@@ -82,4 +83,4 @@
     def _cut(self) -> None:
         self._events["upload.drain-cut"] += 1
         self.cancel()
-        self._transport.close()
+        self._close(False)
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -144,6 +144,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject what is malformed or too large."""
         if self._closing or self._drop_requests:
+            self._ending.discard(len(data))
             if self._uploads is not None:
                 self._parser = self._uploads.discard(data, self._parser)
             return
@@ -347,9 +348,9 @@
         else:
             self._closes_once_sent = True
 
-    def close_delivered(self) -> None:
-        """Close the connection once the client has all that the transport was given."""
-        self._ending.begin(self._server.clock.now())
+    def close_delivered(self, may_receive: bool = True) -> None:
+        """Close the connection once the client has read what was written."""
+        self._ending.begin(self._server.clock.now(), may_receive)
 
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
@@ -370,8 +371,8 @@
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
         """Place in the order in which connections without pending requests close."""
-        is_read = self._output.is_writable and not self._ending.is_ending
-        return not is_read, self._receiving, self._last_active
+        is_receiving = self._receiving or unread_bytes(self._transport) > 0
+        return self.undelivered_bytes > 0, is_receiving, self._last_active
 
     def drop(self) -> None:
         """Abort the connection, which has no request that was received whole."""
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/fakes.py
@@ -15,7 +15,10 @@
 
 
 class FakeTransport(asyncio.Transport):
-    """Transport that records the written bytes."""
+    """Transport that records the written bytes.
+
+    ``closed`` tells whether the client sees the end of the responses.
+    """
 
     def __init__(self) -> None:
         super().__init__()
@@ -31,6 +34,9 @@
     def close(self) -> None:
         self.closed = True
 
+    def write_eof(self) -> None:
+        self.closed = True
+
     def abort(self) -> None:
         self.aborted = True
 
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_closing.py
@@ -73,6 +73,10 @@
         self.server.stop()
         self._socket.close()
 
+    async def leave(self) -> None:
+        self._socket.close()
+        await asyncio.sleep(0.05)
+
     async def send(self, data: bytes) -> None:
         await asyncio.get_running_loop().sock_sendall(self._socket, data)
         await asyncio.sleep(0.05)
@@ -85,13 +89,20 @@
         loop = asyncio.get_running_loop()
         self._received = await loop.sock_recv(self._socket, 1000)
 
-    async def read_body(self) -> bytes:
-        """Return what is received until the connection ends."""
+    async def read_body(self, size: int | None = None) -> bytes:
+        """Return what follows the first head, up to a size or the end."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(_WAIT_LIMIT_S):
-            while part := await loop.sock_recv(self._socket, 20_000):
+            while size is None or len(self._body) < size:
+                part = await loop.sock_recv(self._socket, 20_000)
+                if not part:
+                    break
                 self._received += part
                 await asyncio.sleep(0.001)
+        return self._body[:size]
+
+    @property
+    def _body(self) -> bytes:
         return self._received.partition(b"\r\n\r\n")[2]
 
 
@@ -157,8 +168,7 @@
             client.send_unread(request())
             client.server.leave()
             assert await client.read_body() == _BODY
-            client.server.sweep()
-            await asyncio.sleep(0.05)
+            await client.leave()
             assert not client.server.connections
 
     uvloop.run(play())
