Count the responses of the own interface that are being sent as in flight

Callers of the own interface that read slowly got a truncated response from a node that stops: a request ended in the count when its response began to be sent, so that the node exited. Responses being sent count now, and take no place of a request, so that slow readers keep nobody out.

--- a/packages/rattanfork-node/rattanfork_node/edge/server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/server.py
@@ -91,6 +91,8 @@
         self._counters = counters
         self._metrics = metrics
         self._in_flight = 0
+        #: Responses that are being sent; they take no place of a request.
+        self._sending = 0
         self._body_bytes = 0
         self._unread = ResponseBudget(_MAX_HELD_BYTES, clock=clock)
         self._draining = False
@@ -99,8 +101,8 @@
 
     @property
     def in_flight(self) -> int:
-        """Number of requests being served."""
-        return self._in_flight
+        """Number of requests being served, and of responses being sent."""
+        return self._in_flight + self._sending
 
     async def start(self, host: str, port: int) -> None:
         """Start listening.
@@ -155,11 +157,13 @@
     ) -> web.Response:
         """Send a response, which counts as unread until its caller has read it."""
         unread = _UnreadResponse(request)
+        self._sending += 1
         self._unread.hold(unread, len(response.body or b""))
         try:
             await response.prepare(request)
             await response.write_eof()
         finally:
+            self._sending -= 1
             self._unread.release(unread)
         return response
 
