Let a node that stops wait until clients and peers have read

The node now waits for connections whose clients may still read until requests are given up. - The wait could end at once, as the watch of unsent bytes was not asked while requests ran. The node takes turns until nothing new is accepted, also before the exit after giving up. - A reply whose body waits for room at its caller's node was dropped after a second, which that node answered 502. It counts as in flight. - A reply in the kernel of its caller's node was lost if that node wrote on the aborted link before it read. Links are ended like connections of clients: the sending side first, and the other node closes.

Connections that the exit cuts off are reported with the reason stopped.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -517,13 +517,14 @@
             self._gate,
             self._callers,
             lambda: self._relay.give_up(self._callers.pending),
-            lambda: self._handler.undelivered_bytes,
+            self._handler,
         )
         self._upstream_monitor.close()
         ends_at = shutdown.begin()
         self._relay.drain(DrainPolicy(self._clock, ends_at, shutdown.serves_until))
         removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
+        await shutdown.finish_links()
         removal.cancel()
         return status
 
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -9,6 +9,7 @@
 from rattanfork_node.app.unsent_watch import UnsentWatch
 from rattanfork_node.http1 import HttpServer
 from rattanfork_node.member import GossipTask
+from rattanfork_node.peer import BasePeerHandler
 from rattanfork_node.relay import Gate
 from rattanfork_node.telemetry import log_change
 
@@ -33,6 +34,8 @@
 _POLL_INTERVAL_S = 0.05
 #: The same for requests that were given up, whose gates reply within that time.
 _RESPONSE_POLL_INTERVAL_S = 0.01
+#: Seconds for other nodes to read the end of their links.
+_LINKS_S = 0.3
 #: Turns of the event loop in which new connections are accepted, sockets read, and
 #: batched messages written.
 _SETTLING_TURNS = 4
@@ -50,8 +53,10 @@
 
     Requests that are in flight near the end of the grace period are given up: their
     callers receive 503 if it is proved that they have not run, and 502 otherwise.
-    Responses that are ready are delivered, unless their clients have stopped reading:
-    what the kernel still holds at the exit is lost if the client sends anything more.
+    Responses that are ready are delivered for as long as the grace period lasts, and
+    connections stay open until their clients have closed them or had the time to read:
+    what a kernel still holds at the exit is lost if the client sends anything.  Other
+    nodes read at once, so that one that does not for a second is taken for lost.
     After a stall of the event loop its timers run before its sockets are read, so that
     nothing is known to be in flight before it had some turns for both.
 
@@ -70,8 +75,8 @@
         Server for callers, which holds their requests in flight.
     give_up : callable
         Called once, to end the requests that are still in flight.
-    peer_bytes : callable
-        Returns the bytes of replies that other nodes have not acknowledged.
+    peers : BasePeerHandler
+        Knows the replies that other nodes have not received.
     """
 
     def __init__(
@@ -82,7 +87,7 @@
         gate: Gate,
         callers: HttpServer,
         give_up: Callable[[], None],
-        peer_bytes: Callable[[], int],
+        peers: BasePeerHandler,
     ) -> None:
         self._clock = clock
         self._grace = grace
@@ -90,7 +95,7 @@
         self._gate = gate
         self._callers = callers
         self._give_up = give_up
-        self._peer_bytes = peer_bytes
+        self._peers = peers
         self._unsent = UnsentWatch()
 
     @property
@@ -123,6 +128,8 @@
                 if not self._is_busy(now):
                     break
             await asyncio.sleep(_POLL_INTERVAL_S)
+        else:
+            await self._settle()
         status = 0
         if self._in_flight:
             status = 1
@@ -140,16 +147,31 @@
             log_change("cut_off", undelivered_bytes=self._undelivered_bytes)
         return status
 
+    async def finish_links(self) -> None:
+        """Close the links of other nodes, which read what is left and close them."""
+        ends_at = self._clock.now() + _LINKS_S
+        ends_at = min(ends_at, self._began_at + self._time_until(0.0))
+        self._peers.finish_links()
+        while self._peers.links and self._clock.now() < ends_at:
+            await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
+
     async def _settle(self) -> None:
-        for _ in range(_SETTLING_TURNS):
-            await asyncio.sleep(0)
+        """Let the event loop read what waits in sockets, new connections included."""
+        accepted = -1
+        ends_at = self._began_at + self._time_until(_CLOSE_S)
+        while accepted != self._callers.accepted and self._clock.now() < ends_at:
+            accepted = self._callers.accepted
+            for _ in range(_SETTLING_TURNS):
+                await asyncio.sleep(0)
 
     async def _wait_for_responses(self) -> None:
         """Wait until requests that were given up have their final responses."""
         ends_at = self._began_at + self._time_until(_CLOSE_S)
         while (now := self._clock.now()) < ends_at:
-            if not self._callers.in_flight and not self._is_undelivered(now):
-                return
+            if not self._is_busy_with_callers and not self._is_unread_by_peers(now):
+                await self._settle()
+                if not self._is_busy_with_callers:
+                    return
             await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
 
     @property
@@ -162,14 +184,23 @@
 
     @property
     def _in_flight(self) -> int:
-        return self._callers.in_flight + self._gate.outstanding
+        runs = self._gate.outstanding + self._peers.waiting_replies
+        return self._callers.in_flight + runs
 
     @property
     def _undelivered_bytes(self) -> int:
-        return self._callers.undelivered_bytes + self._peer_bytes()
+        return self._callers.undelivered_bytes + self._peers.undelivered_bytes
 
     def _is_busy(self, now: float) -> bool:
-        return self._in_flight > 0 or self._is_undelivered(now)
+        if self._in_flight:
+            self._unsent.restart()
+            return True
+        return self._is_unread_by_peers(now) or self._callers.unread_connections > 0
+
+    def _is_unread_by_peers(self, now: float) -> bool:
+        return self._unsent.update(now, self._peers.undelivered_bytes)
 
-    def _is_undelivered(self, now: float) -> bool:
-        return self._unsent.update(now, self._undelivered_bytes)
+    @property
+    def _is_busy_with_callers(self) -> bool:
+        callers = self._callers
+        return callers.in_flight > 0 or callers.unread_connections > 0
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -25,6 +25,14 @@
         return self.seconds - 100.0
 
 
+class StoppedPeers:
+    """What other nodes have not received yet."""
+
+    def __init__(self) -> None:
+        self.waiting_replies = 0
+        self.undelivered_bytes = 0
+
+
 class DrainingNode:
     """Gate, server and gossip of a node; records when they begin to leave."""
 
@@ -37,7 +45,8 @@
         #: Bytes that clients have not read, and how many they read each second.
         self.unread_bytes = 0
         self.read_rate = 0
-        self.peer_bytes = 0
+        self.peers = StoppedPeers()
+        self.accepted = 0
         self.events: dict[str, float] = {}
 
     @property
@@ -54,6 +63,10 @@
     def undelivered_bytes(self) -> int:
         return max(0, self.unread_bytes - int(self.read_rate * self.clock.elapsed))
 
+    @property
+    def unread_connections(self) -> int:
+        return int(self.undelivered_bytes > 0)
+
     def give_up(self) -> None:
         assert "given up" not in self.events
         self.events["given up"] = self.clock.elapsed
@@ -68,7 +81,7 @@
 
     def shut_down(self) -> int:
         shutdown = Shutdown(
-            self.clock, GRACE, self, self, self, self.give_up, lambda: self.peer_bytes
+            self.clock, GRACE, self, self, self, self.give_up, self.peers
         )
         shutdown.begin()
         return asyncio.run(shutdown.finish())
@@ -135,15 +148,23 @@
 
 def test_reply_is_sent_to_a_peer_that_reads_slowly():
     node = DrainingNode()
-    node.peer_bytes = 100
+    node.peers.undelivered_bytes = 100
     assert node.shut_down() == 0
     assert node.clock.elapsed > 3.5
 
 
-def test_client_that_never_reads_delays_the_exit_by_a_second():
+def test_client_that_never_reads_delays_the_exit_within_the_grace_period():
+    """Guards against an exit while a client that pauses has seconds left to read."""
     node = DrainingNode()
     node.unread_bytes = 4000
     assert node.shut_down() == 0
+    assert 5.0 < node.clock.elapsed < GRACE - EXIT_MARGIN_S
+
+
+def test_peer_that_never_reads_delays_the_exit_by_a_second():
+    node = DrainingNode()
+    node.peers.undelivered_bytes = 4000
+    assert node.shut_down() == 0
     assert 3.5 < node.clock.elapsed < 4.5
 
 
--- a/packages/rattanfork-node/rattanfork_node/app/unsent_watch.py
+++ b/packages/rattanfork-node/rattanfork_node/app/unsent_watch.py
@@ -1,14 +1,14 @@
-"""Decides how long a stopping node waits for clients that read their responses."""
+"""Decides how long a stopping node waits for other nodes to read their replies."""
 
 from math import inf
 
-#: Seconds without progress after which clients are taken not to read any more.  A
-#: client that lost packets resumes after a retransmission, some 0.2 s later.
+#: Seconds without progress after which other nodes are taken not to read any more.  One
+#: that lost packets resumes after a retransmission, some 0.2 s later.
 _NO_PROGRESS_S = 1.0
 
 
 class UnsentWatch:
-    """Tells whether unsent bytes of responses are still being read.
+    """Tells whether unsent bytes of replies are still being read.
 
     Examples
     ========
@@ -24,6 +24,10 @@
         self._unsent = -1
         self._changed_at = -inf
 
+    def restart(self) -> None:
+        """Begin anew, as replies are still to come."""
+        self._unsent = -1
+
     def update(self, now: float, unsent: int) -> bool:
         """Return whether to wait for unsent bytes.
 
@@ -33,7 +37,7 @@
         now : float
             Present time in seconds.
         unsent : int
-            Bytes of all responses that were not sent yet.
+            Bytes of all replies that were not sent yet.
         """
         if unsent != self._unsent:
             self._unsent, self._changed_at = unsent, now
--- a/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
@@ -4,7 +4,8 @@
 
 from rattanfork_node.kernel_queues import undelivered_bytes
 
-#: Seconds for which a connection stays open after the client has acknowledged all.
+#: Seconds for which a connection stays open after the last sign of its client, if the
+#: client has acknowledged all.
 #: What it has acknowledged may wait unread in its kernel, and many clients drop that at
 #: a reset.
 _LINGER_S = 5.0
@@ -21,9 +22,9 @@
     Bytes that arrive at a closed socket, or wait unread in one that is being closed,
     make the kernel reset the connection.  A reset discards what the client has not
     received yet, although the process counts it as sent.  Therefore the sending side
-    is closed first, which tells the client that no more responses follow, and what it
-    still sends is read and discarded until it closes, or for some seconds after it has
-    acknowledged all that was sent (RFC 9112, section 9.6).
+    is closed first, which tells the client that no more responses follow.  What it
+    still sends is read and discarded until it closes, or has had some seconds to read
+    what it has acknowledged (RFC 9112, section 9.6).
 
     Parameters
     ==========
@@ -52,14 +53,14 @@
         """Whether the sending side was closed and the connection is still open."""
         return self._is_ending
 
-    def begin(self, now: float, may_receive: bool = True) -> None:
+    def begin(self, active_at: float, may_receive: bool = True) -> None:
         """Close the sending side once all was sent.
 
         Parameters
         ==========
 
-        now : float
-            Present time in seconds.
+        active_at : float
+            When something was last received or sent, in seconds of the clock.
         may_receive : bool
             Whether what the client still sends is read.
         """
@@ -67,8 +68,13 @@
             return
         self._is_ending = True
         self._undelivered = self._measure()
-        self._progress_at = now
-        self._transport.write_eof()
+        self._progress_at = active_at
+        try:
+            self._transport.write_eof()
+        except OSError:
+            # The client has reset the connection, and the loop does not know it yet.
+            self._transport.close()
+            return
         if may_receive:
             self._transport.resume_reading()
         else:
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -86,6 +86,8 @@
         #: Is told of connections that end with something unfinished.
         self.ends: ConnectionEndObserver = IgnoredEnds()
         self.connections: set[ServerConnection] = set()
+        #: Number of connections that were accepted.
+        self.accepted = 0
         self.leaving = False
         self._listener: asyncio.Server | None = None
 
@@ -126,6 +128,11 @@
         """Bytes of responses that clients have not acknowledged."""
         return sum(c.undelivered_bytes for c in self.connections)
 
+    @property
+    def unread_connections(self) -> int:
+        """Number of connections whose clients may still read a response."""
+        return sum(c.may_be_read for c in self.connections)
+
     def admit(self, connection: ServerConnection) -> None:
         """Register a new connection; close others if there are too many.
 
@@ -134,6 +141,7 @@
         longest inactive first.  If all others wait for a response, the new one is
         closed.
         """
+        self.accepted += 1
         self.connections.add(connection)
         if len(self.connections) > self.max_connections():
             self._close_excess(connection)
@@ -157,7 +165,7 @@
         if self._listener is not None:
             self._listener.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.stop()
 
     def refuse_incomplete(self) -> None:
         """Refuse requests that are not received whole, until there is room again."""
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -70,6 +70,7 @@
         #: Bytes that the client had not acknowledged, and that were not read, when
         #: this side closed the connection.
         self._undelivered = self._unread = 0
+        self._is_reported = False
         #: Whether further requests of this connection are dropped.
         self._drop_requests = False
         self._leaving = False
@@ -348,9 +349,16 @@
         else:
             self._closes_once_sent = True
 
+    def stop(self) -> None:
+        """Close the connection as the process ends, and report what is left on it."""
+        self.close(CloseReason.STOPPED)
+        self._close_reason = CloseReason.STOPPED
+        self._undelivered = self.undelivered_bytes
+        self._report_unfinished()
+
     def close_delivered(self, may_receive: bool = True) -> None:
         """Close the connection once the client has read what was written."""
-        self._ending.begin(self._server.clock.now(), may_receive)
+        self._ending.begin(self._last_active, may_receive)
 
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
@@ -406,6 +414,11 @@
         """Bytes of responses that the client has not acknowledged."""
         return self._output.unsent_bytes + undelivered_bytes(self._transport)
 
+    @property
+    def may_be_read(self) -> bool:
+        """Whether the client may still read a response."""
+        return self._ending.is_ending or self.undelivered_bytes > 0
+
     @property
     def _is_idle(self) -> bool:
         """Whether no request is pending, in part or in the socket."""
@@ -526,7 +539,10 @@
         self._transport.abort()
 
     def _report_unfinished(self) -> None:
-        """Report requests without a response, and bytes left in the queues."""
+        """Report requests without a response, and bytes left in the queues, once."""
+        if self._is_reported:
+            return
+        self._is_reported = True
         unanswered = [
             UnansweredRequest(exchange.request_id, RequestStage.of(exchange))
             for exchange in self.pending
--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -72,11 +72,21 @@
         """Bytes that the peers of accepted connections have not read yet."""
         return sum(link.unsent_bytes for link in self._links)
 
+    @property
+    def waiting_replies(self) -> int:
+        """Number of replies whose bodies the peers have not asked for in full."""
+        return sum(link.waiting_bodies for link in self._links)
+
     @property
     def undelivered_bytes(self) -> int:
         """Bytes that the peers of accepted connections have not acknowledged."""
         return sum(link.undelivered_bytes for link in self._links)
 
+    def finish_links(self) -> None:
+        """End the sending side of all accepted connections."""
+        for link in list(self._links):
+            link.finish()
+
     def on_open(self, link: PeerLink) -> None:
         """Register an authenticated connection and create its call log."""
         if link.connection_id in self._call_logs:
--- a/packages/rattanfork-node/rattanfork_node/peer/body_sender.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/body_sender.py
@@ -58,6 +58,11 @@
         """Whether the connection takes more data."""
         return self._is_writable
 
+    @property
+    def count(self) -> int:
+        """Number of bodies of which not all was sent."""
+        return len(self._bodies)
+
     @property
     def remaining_bytes(self) -> int:
         """Bytes of all bodies that were not sent yet."""
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -137,6 +137,7 @@
         self._peer_data_centre = ""
         self._authenticated = False
         self._closed = False
+        self._is_finished = False
         self._last_number = 0
         #: Highest number of a request that was written to the transport.
         self._last_written = 0
@@ -213,6 +214,11 @@
         unsent = self._transport.get_write_buffer_size() + sum(map(len, self._unsent))
         return unsent + self._bodies.remaining_bytes
 
+    @property
+    def waiting_bodies(self) -> int:
+        """Number of bodies of which not all was sent."""
+        return 0 if self._closed else self._bodies.count
+
     @property
     def undelivered_bytes(self) -> int:
         """Bytes that the peer has not acknowledged, with the bodies that it will get.
@@ -243,7 +249,7 @@
 
     def send(self, message: Message) -> None:
         """Send a message; ignored if the connection is closed."""
-        if self._closed or self._transport is None:
+        if self._closed or self._is_finished or self._transport is None:
             return
         self._unsent.append(encode_message(message))
         self._flush()
@@ -254,7 +260,7 @@
         Under load, system calls cost more CPU time than encoding; one write per
         iteration avoids most of them.  Messages keep their order.
         """
-        if self._closed or self._transport is None:
+        if self._closed or self._is_finished or self._transport is None:
             return
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
@@ -357,6 +363,18 @@
             self._transport.abort()
         self._mark_lost(reason)
 
+    def finish(self) -> None:
+        """Send no more, and drop what is received until the peer closes as well.
+
+        Closed at once, the connection would be reset by the peer's next message, and
+        the peer may fail to read replies that its kernel holds.
+        """
+        if self._closed or self._is_finished:
+            return
+        self._flush()
+        self._is_finished = True
+        self._transport.write_eof()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake."""
         self._transport = transport
@@ -382,6 +400,8 @@
     def data_received(self, data: bytes) -> None:
         """Decode frames and dispatch their messages."""
         self._last_received = self._clock.now()
+        if self._is_finished:
+            return
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
