Find requests that are lost at nodes under planned work

The soak counted a request as lost only if a worker ran it, its node had SIGTERM and nothing had disturbed the node for 3 s; own responses in place of a run, requests sent later than 3 s after SIGTERM, and requests that were read and not passed on were excused. Its clients sent one request at a time.

Clients pipeline, read 200 to 400 kB in 1 to 3 s with receive buffers of 4 to 16 KiB while they send further requests, send bodies in chunks and uploads, idle, and use connections until the process is gone; workers call two further services.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 50
 FIRST ?= 0
 .PHONY: demo test bench speed hops starts shared matrix slopes confirmations reports \
-    accounts connections fair retries soak lint format fuzz clean
+    accounts connections fair retries soak stops lint format fuzz clean
 
 $(READY): requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -60,6 +60,10 @@
 soak: $(READY)
 	$(BIN)/python -m rattanfork_soak --seeds $(SEEDS) --first $(FIRST) --side-by-side 2
 
+# Nodes that are stopped under load; finds accepted requests that are lost.
+stops: $(READY)
+	$(BIN)/python -m rattanfork_soak.stops --seeds $(SEEDS) --first $(FIRST)
+
 confirmations: $(READY)
 	$(BIN)/python bench/confirmations.py
 
