Take no interim response for the final one when the upstream closes

What callers saw: an upstream that closed its connection after an interim (1xx) response and before the final one was taken for one that had answered 103. The node passed the 103 on with a Content-Length; its caller waited for the final response, and took the response to its next request on that connection for it. The caller of the own interface got the 103 in the same way.

Cause: after an interim response the connection still counted as within a body, one without a length, which an orderly close completes. Only a response to the first request of a connection, or one that echoed its ID, got that far; others were dropped as a response without an ID, and answered 502.

The fix leaves the body when the interim response ends, as a final one does, so that a close before the next response begins completes nothing.

--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -333,6 +333,9 @@
         """Complete a final response; interim (1xx) ones are ignored."""
         if self._status >= 200:
             self._complete(self._parser.should_keep_alive())
+        else:
+            # The final response has not begun, so a close does not complete it.
+            self._in_body = False
 
     def evict(self) -> None:
         """Abort the connection, whose response exceeds the budget of the node."""
