Show that responses broken off elsewhere are not taken for whole ones

- health probes, 1,064 cases: no health
- replies and requests on a link between nodes, after each byte of four messages: nothing is delivered, and the sender learns that the link was lost
- responses of a node that ends within one, 28,278 cases: every one that has a body states its length, so that no client takes a part for the whole

It did not happen in any of them on the code as it is.

--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_prober.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_prober.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_node.app.prober import UpstreamProber
 from rattanfork_node.http1 import HeaderNames
+from rattanfork_node.http1.tests.breaking_server import BreakingServer
+from rattanfork_node.http1.tests.broken_responses import RESPONSES, BreakableResponse
 
 _HEALTHY = b"HTTP/1.1 200 OK\r\nRattanfork-Upstream: u1\r\nContent-Length: 0\r\n\r\n"
 _LEAVING = b"HTTP/1.1 503 Leaving\r\nContent-Length: 0\r\n\r\n"
@@ -46,3 +49,28 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    "name", ["length", "chunks", "until close", "interim", "two interim"]
+)
+def test_response_that_is_broken_off_is_no_health(name):
+    """Guards against an upstream that is attached while it crashes."""
+    response = RESPONSES[name]
+    head = response.head.replace(b"Id: r1", b"Rattanfork-Upstream: u1")
+    response = BreakableResponse(
+        head, response.body, is_until_close=response.is_until_close
+    )
+
+    async def run() -> None:
+        server = BreakingServer()
+        await server.start()
+        prober = UpstreamProber(MonotonicClock(), *server.address, HeaderNames())
+        for size in server.breaks(response):
+            assert await prober.ask("/health") is None, size
+        server.resets, server.data = False, response.data
+        assert await prober.ask("/health") == "u1"
+        prober.close()
+        server.stop()
+
+    asyncio.run(run())
--- a/packages/rattanfork-node/rattanfork_node/call_gate/tests/test_upstream_client.py
+++ b/packages/rattanfork-node/rattanfork_node/call_gate/tests/test_upstream_client.py
@@ -11,12 +11,30 @@
     UpstreamConnectError,
     UpstreamShedError,
 )
+from rattanfork_node.http1.tests.breaking_server import BreakingServer
+from rattanfork_node.http1.tests.broken_responses import RESPONSES, BreakableResponse
 
 _ID_LINE = b"Rattanfork-Request-Id: %b\r\n"
 _SHED = b"HTTP/1.1 503 Busy\r\nRattanfork-Not-Run: 1\r\nContent-Length: 0\r\n"
 _MAX_BODY_BYTES = 100_000
 
 
+def _rename(data: bytes) -> bytes:
+    """Replace the names of headers by those of the call path."""
+    data = data.replace(b"Id: ", b"Rattanfork-Request-Id: ")
+    return data.replace(b"Not-Run: ", b"Rattanfork-Not-Run: ")
+
+
+#: Responses that an upstream breaks off.
+BROKEN_RESPONSES = {
+    name: BreakableResponse(
+        _rename(response.head), response.body, is_until_close=response.is_until_close
+    )
+    for name, response in RESPONSES.items()
+    if not response.is_for_head
+}
+
+
 def with_upstream(test):
     """Run a test with an upstream on loopback and the client that calls it."""
 
@@ -149,3 +167,27 @@
         await client.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", BROKEN_RESPONSES)
+def test_response_that_is_broken_off_is_neither_a_response_nor_a_proof(name):
+    """Guards against a broken response that callers receive as a whole one.
+
+    Callers may send a request again if it is certain that it has not run.
+    """
+    response = BROKEN_RESPONSES[name]
+
+    async def run() -> None:
+        server = BreakingServer()
+        await server.start()
+        host, port = server.address
+        client = UpstreamClient(MonotonicClock(), f"http://{host}:{port}", 4, 1000)
+        for number, size in enumerate(server.breaks(response), 1):
+            with pytest.raises(ConnectionError) as raised:
+                await post(client, "r1")
+            assert not isinstance(raised.value, UpstreamConnectError), size
+            assert server.requests == number
+        await client.close()
+        server.stop()
+
+    asyncio.run(run())
--- a/packages/rattanfork-node/rattanfork_node/edge/tests/test_server.py
+++ b/packages/rattanfork-node/rattanfork_node/edge/tests/test_server.py
@@ -8,10 +8,11 @@
 import pytest
 from aiohttp.test_utils import make_mocked_request
 from rattanfork_core.clock import ManualClock, MonotonicClock
-from rattanfork_core.request import CallResult, Outcome
+from rattanfork_core.request import CallResult, Outcome, Reason
 from rattanfork_core.settings import LimitSettings
 from rattanfork_node.call_ingress import IncomingRequest
 from rattanfork_node.edge.server import CallServer
+from rattanfork_node.http1.tests.test_broken_own_responses import assert_never_whole
 from rattanfork_node.telemetry import Counters
 
 
@@ -145,3 +146,49 @@
         await server.stop()
 
     asyncio.run(run())
+
+
+class FixedIngress:
+    """Answers each request with the same result."""
+
+    def __init__(self, result: CallResult) -> None:
+        self._result = result
+
+    async def serve(self, incoming: IncomingRequest) -> CallResult:
+        return self._result
+
+
+@pytest.mark.parametrize(
+    "result",
+    [
+        CallResult(Outcome.ANSWERED, status=200, body=b"whole"),
+        CallResult(Outcome.ANSWERED, status=200),
+        CallResult(Outcome.ANSWERED, status=204),
+        CallResult(Outcome.ANSWERED, status=304),
+        CallResult(Outcome.UNKNOWN, Reason.CONNECTION),
+        CallResult(Outcome.NOT_RUN, Reason.SHED),
+    ],
+    ids=["body", "empty body", "no content", "not modified", "unknown", "not run"],
+)
+@pytest.mark.parametrize("request_line", ["GET 1.1", "HEAD 1.1", "GET 1.0"])
+@pytest.mark.parametrize("draining", [False, True])
+def test_response_of_a_node_that_ends_is_not_framed_as_whole(
+    result, request_line, draining
+):
+    """Guards against a broken response that callers take for a whole one."""
+    method, version = request_line.split()
+
+    async def run() -> None:
+        server, port = await _start(FixedIngress(result), LimitSettings())
+        if draining:
+            server.drain()
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(
+            f"{method} /claims/get HTTP/{version}\r\nHost: h\r\n"
+            "Rattanfork-Context: c\r\nConnection: close\r\n\r\n".encode()
+        )
+        assert_never_whole(await reader.read(), method == "HEAD")
+        writer.close()
+        await server.stop()
+
+    asyncio.run(run())
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -309,3 +309,69 @@
     send_run()
     near.close("lost")
     assert written == [True, False]
+
+
+PARTS = [b"0123456789abcdef" * 60, b"the end"]
+
+
+@pytest.mark.parametrize("error", [None, ConnectionResetError()])
+@pytest.mark.parametrize("kind", ["reply", "run", "run with a large body"])
+def test_link_that_ends_within_a_reply_delivers_nothing(kind, error):
+    """Guards against a broken reply that callers receive as a whole one."""
+
+    async def receive(size: int) -> int:
+        """Receive some bytes of a reply; return how many it has in all."""
+        pair = LinkPair()
+        pair.deliver()
+        near, far = pair.links
+        delivered: list[RunReply | None] = []
+        if kind == "reply":
+            future = near.ask(CALL)
+            future.add_done_callback(
+                lambda f: delivered.append(None if f.exception() else f.result())
+            )
+            pair.deliver()
+            far.send(REPLY)
+        else:
+            near.send_run(RUN, delivered.append)
+            await asyncio.sleep(0)
+            pair.deliver()
+            if kind == "run":
+                far.send(RUN_REPLY)
+            else:
+                far.send_reply(RUN_REPLY._replace(body=b""), list(PARTS))
+                await asyncio.sleep(0)
+                near.data_received(pair.transports[1].take())
+                far.data_received(pair.transports[0].take())
+        data = pair.transports[1].take()
+        near.data_received(data[:size])
+        near.connection_lost(error)
+        await asyncio.sleep(0)
+        assert len(delivered) == 1
+        assert (delivered == [None]) is (size < len(data)), size
+        assert not near.usable
+        return len(data)
+
+    async def run() -> None:
+        total = await receive(0)
+        assert total > len(REPLY.body)
+        for size in range(1, total + 1):
+            assert await receive(size) == total
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("error", [None, ConnectionResetError()])
+def test_request_that_a_link_breaks_off_is_not_handled(error):
+    """Guards against a run with a part of its request."""
+
+    async def run() -> None:
+        data = encode_message(CALL)
+        for size in range(len(data) + 1):
+            pair = LinkPair()
+            pair.deliver()
+            pair.links[1].data_received(data[:size])
+            pair.links[1].connection_lost(error)
+            assert pair.handlers[1].calls == [CALL] * (size == len(data))
+
+    asyncio.run(run())
