Refuse claims about a member that it could not refute

What callers see: one row under a key of its own, with the record of a running node and the incarnation 2^62 - 1, and any start in the fleet: the worker of that node gets 503 from all others, and with such a row for two nodes no way between nodes is served, until both have been restarted.

Cause: the starting node merges the row, the claimed member raises its incarnation above it, and 2^62 is more than a message may hold: each of its datagrams is refused from then on, and others hold the claim for good.

Now a row only says where a member may be found: it has to have the key of its instance and is read as incarnation 0, while nodes begin at 1, so that whatever a member says overrides its row. A claim by others than the member is refused by all nodes if it is above 2^61 and not close to what is known; what a member states itself is accepted up to the bound of messages, so that there is room above any claim. A row or a claim that is refused has a counter (row.malformed, gossip.claim-refused) and a bounded number of lines.

--- a/packages/rattanfork-core/rattanfork_core/membership/membership.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/membership.py
@@ -26,6 +26,11 @@
 #: leaving member still forwards requests to it, and a joining node that is killed
 #: before others know its address cannot be found by them when it restarts.
 _JOIN_LEAVE_FANOUT_FACTOR = 4
+#: Largest incarnation that is accepted from others than the member itself, far below
+#: the largest that a message carries, so that the member can raise its own above it.
+MAX_CLAIMED_INCARNATION = 1 << 61
+#: Largest step above the known incarnation that is accepted from others in any case.
+_MAX_INCARNATION_STEP = 1 << 20
 
 
 @dataclass(slots=True)
@@ -53,6 +58,10 @@
     health of Lifeguard) and uses longer time-outs, so that a process that was
     suspended for a while does not declare all others dead.
 
+    A member refutes a claim by a larger incarnation, which others must accept.  So a
+    claim by others than the member itself is refused, by all nodes alike, if its
+    incarnation is close to the largest that a message carries.
+
     This class does no I/O: methods return the datagrams to send.
 
     Parameters
@@ -122,6 +131,8 @@
         #: Called for each member that is new or changes its status, with its
         #: previous status; None for a new one.
         self.on_status: Callable[[Member, MemberStatus | None], None] = _ignore
+        #: Called with each refused claim.
+        self.on_refused: Callable[[Member], None] = _ignore_claim
         self._set_record(me)
 
     @property
@@ -195,14 +206,14 @@
         self._push_pending = True
 
     def merge(self, members: Iterable[Member]) -> None:
-        """Merge records from a datagram or from another node's view."""
+        """Merge records that others than their members have sent or stored."""
         for member in members:
-            if member.name == self._me.name:
+            if not self._is_plausible(member):
+                self.on_refused(member)
+            elif member.name == self._me.name:
                 self._refute(member)
-                continue
-            known = self._members.get(member.name)
-            if known is None or member.overrides(known):
-                self._apply(member)
+            else:
+                self._apply_if_newer(member)
 
     def records_in_buckets(self, buckets: Iterable[int]) -> list[Member]:
         """Return the records in the given buckets of the digest."""
@@ -241,7 +252,10 @@
 
     def on_message(self, message: GossipMessage, source: tuple[str, int]) -> list[Send]:
         """Process a datagram and return the datagrams to send in response."""
-        self.merge([message.sender])
+        if message.sender.name == self._me.name:
+            self.merge([message.sender])
+        else:
+            self._apply_if_newer(message.sender)
         self.merge(message.updates)
         if isinstance(message, Ping):
             return self._on_ping(message)
@@ -368,6 +382,19 @@
         if member is not None and status > member.status:
             self._apply(member.replace(status=status))
 
+    def _is_plausible(self, member: Member) -> bool:
+        if member.incarnation <= MAX_CLAIMED_INCARNATION:
+            return True
+        known = self._members.get(member.name)
+        if known is None:
+            return False
+        return member.incarnation <= known.incarnation + _MAX_INCARNATION_STEP
+
+    def _apply_if_newer(self, member: Member) -> None:
+        known = self._members.get(member.name)
+        if known is None or member.overrides(known):
+            self._apply(member)
+
     def _refute(self, update: Member) -> None:
         own = self._me
         if update.incarnation < own.incarnation or update == own:
@@ -428,3 +455,7 @@
 
 def _ignore(member: Member, previous: MemberStatus | None) -> None:
     pass
+
+
+def _ignore_claim(member: Member) -> None:
+    pass
--- a/packages/rattanfork-node/rattanfork_node/app/node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/node.py
@@ -100,6 +100,8 @@
             settings.gossip_port,
             upstream.slots if upstream else 0,
             ready=False,
+            # Rows of the store are read as incarnation 0.
+            incarnation=1,
         )
         self._membership = Membership(self._clock, self._random, me)
         self._membership.cached_versions = lambda: CachedVersions(
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -193,6 +193,8 @@
             port,
             0,
             ready=False,
+            # Rows of the store are read as incarnation 0.
+            incarnation=1,
         )
         self._configuration = ConfigurationHolder(decode)
         self._rules = RevisionState(min(_RULES_QUORUM, settings.data_centres))
--- a/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
+++ b/packages/rattanfork-node/rattanfork_node/app/store_tasks.py
@@ -99,6 +99,7 @@
             on_dependencies,
             retirements.merge_record,
             retirements.on_joined,
+            counters,
         )
         self._configuration_task = ConfigurationTask(
             clock,
--- a/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
@@ -78,6 +78,7 @@
         self._counters = counters
         self._transport: asyncio.DatagramTransport | None = None
         self._schedule = SyncSchedule(clock, random, seeds)
+        membership.on_refused = self._on_refused_claim
         self._background: set[asyncio.Task] = set()
         self._sent_bytes = 0
         #: Newest versions that any gossip message has reported.
@@ -212,6 +213,19 @@
         self.on_cached_versions(versions)
         self.on_confirmation_age(sender, versions.confirmation_age_ms)
 
+    def _on_refused_claim(self, claim: Member) -> None:
+        self._counters.events["gossip.claim-refused"] += 1
+        count = self._counters.events["gossip.claim-refused"]
+        # Nodes that believe a claim repeat it on each of their datagrams, so that only
+        # counts 1, 10, 100 and so on are logged.
+        if str(count).strip("0") == "1":
+            log_change(
+                "claim_refused",
+                member=claim.name,
+                incarnation=claim.incarnation,
+                times=count,
+            )
+
     def _send_all(self, sends: Iterable[Send]) -> None:
         for send in sends:
             self._send(encode_gossip(send.message, self._key), send.address)
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -14,14 +14,18 @@
     MEMBERS_TABLE,
     QUARANTINE_PREFIX,
     RETIREMENT_PREFIX,
-    decode_record,
+    decode_row,
     record_key,
 )
-from rattanfork_node.telemetry import log_change
+from rattanfork_node.telemetry import Counters, log_change
 
 #: Bounds of the exponential back-off while the store does not answer.
 _MIN_RETRY_DELAY_S = 0.1
 _MAX_RETRY_DELAY_S = 2.0
+#: Malformed rows of one scan that get a log line each.
+_MAX_LOGGED_ROWS = 16
+#: Characters of a key or an error in a log line.
+_MAX_LOGGED_CHARACTERS = 200
 
 
 def _ignore(value: object) -> None:
@@ -64,6 +68,8 @@
         Receives the value of each row of a retirement.
     on_joined : callable
         Called once this node is recorded and has read all rows.
+    counters : Counters or None
+        Counts malformed rows as ``row.malformed``.
     """
 
     def __init__(
@@ -76,6 +82,7 @@
         on_dependencies: Callable[[object], None] = _ignore,
         on_retirement: Callable[[object], None] = _ignore,
         on_joined: Callable[[], None] = _do_nothing,
+        counters: Counters | None = None,
     ) -> None:
         self._random = random
         self._platform = platform
@@ -85,6 +92,7 @@
         self._on_dependencies = on_dependencies
         self._on_retirement = on_retirement
         self._on_joined = on_joined
+        self._counters = counters or Counters()
         self._task: asyncio.Task | None = None
         self._joined = False
 
@@ -133,6 +141,7 @@
     def _apply_rows(self, rows: Rows) -> None:
         me = self._membership.me
         members = []
+        malformed: list[tuple[str, ValueError]] = []
         # What keeps only the newest of the rows has to get them in their order.
         by_version = sorted(rows.rows.items(), key=lambda item: item[1].version)
         for key, row in by_version:
@@ -146,15 +155,27 @@
                 if key == DEPENDENCIES_ROW:
                     self._on_dependencies(orjson.loads(row.value))
                     continue
-                member = decode_record(row.value)
+                member = decode_row(key, row.value)
             except ValueError as error:
-                log_change("record_malformed", error=str(error))
+                malformed.append((key, error))
                 continue
             if member.instance != me.instance:
                 members.append(member)
+        self._report_malformed(malformed)
         self._membership.merge(members)
         self._gossip_task.add_seeds([(m.host, m.peer_port) for m in members])
         self._gossip_task.introduce()
 
+    def _report_malformed(self, rows: list[tuple[str, ValueError]]) -> None:
+        """Count the rows that another program has written, and log the first ones."""
+        self._counters.events["row.malformed"] += len(rows)
+        for key, error in rows[:_MAX_LOGGED_ROWS]:
+            log_change(
+                "record_malformed",
+                key=key[:_MAX_LOGGED_CHARACTERS],
+                error=str(error)[:_MAX_LOGGED_CHARACTERS],
+                rows=len(rows),
+            )
+
     def _row_key(self) -> str:
         return record_key(self._membership.me.instance)
--- a/packages/rattanfork-node/rattanfork_node/member/records.py
+++ b/packages/rattanfork-node/rattanfork_node/member/records.py
@@ -46,16 +46,22 @@
     return f"{MEMBERS_TABLE}/{RETIREMENT_PREFIX}{retirement.instance}:{name:016x}"
 
 
-def decode_record(value: bytes) -> Member:
-    """Decode a member record.
+def decode_row(key: str, value: bytes) -> Member:
+    """Return the member that a row of the table names.
+
+    The row says where the member may be found.  Its state is known from gossip only:
+    no member has the incarnation 0, so that whatever it says overrides the row.
 
     Raises
     ======
 
     ValueError
-        If the value is not a member record.
+        If the value is not a member record, or not that of the row's key.
     """
-    return Member.from_fields(orjson.loads(value))
+    member = Member.from_fields(orjson.loads(value))
+    if member.instance != key:
+        raise ValueError(f"member record: instance {member.instance!r} is not the key")
+    return member.replace(incarnation=0, status=MemberStatus.ALIVE)
 
 
 def missing_records(
@@ -75,16 +81,16 @@
         member
         for member in present
         if member.status == MemberStatus.ALIVE
-        and _stored_boot(rows.get(member.instance)) < member.boot
+        and _stored_boot(member.instance, rows.get(member.instance)) < member.boot
     ]
 
 
-def _stored_boot(row: Row | None) -> str:
+def _stored_boot(key: str, row: Row | None) -> str:
     """Return the boot of a stored record; boots sort by time, "" before all."""
     if row is None:
         return ""
     try:
-        return decode_record(row.value).boot
+        return decode_row(key, row.value).boot
     except ValueError:
         # Malformed row of another writer; the member's record replaces it.
         return ""
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_join.py
@@ -6,14 +6,16 @@
 
 import orjson
 from rattanfork_core.clock import MonotonicClock
-from rattanfork_core.membership import Membership
+from rattanfork_core.membership import Member, Membership, MemberStatus
 from rattanfork_node.config.tests.fakes import (
     FakePlatform,
     encode_rows,
     member,
     wait_until,
 )
+from rattanfork_node.member import join
 from rattanfork_node.member.join import JoinTask
+from rattanfork_node.telemetry import Counters
 
 
 def node(platform: FakePlatform, name: str) -> tuple[JoinTask, Membership]:
@@ -186,3 +188,60 @@
         assert merged == [[number] for number in range(40)]
 
     asyncio.run(run())
+
+
+def joined_with(*rows: tuple[str, Member], counters: Counters) -> Membership:
+    """Return the view of node n1 after it has read the given rows."""
+
+    async def run():
+        platform = FakePlatform()
+        encode_rows(platform)
+        for key, record in rows:
+            platform.put("members", key, list(record))
+        membership = Membership(MonotonicClock(), Random(1), member("n1"))
+        task = JoinTask(
+            Random(1), platform, membership, FakeGossipTask(), counters=counters
+        )
+        task.start()
+        await wait_until(lambda: task.joined)
+        return membership
+
+    return asyncio.run(run())
+
+
+def test_record_under_another_key_is_skipped():
+    """Guards against rows that replace the record of a running node."""
+    counters = Counters()
+    claim = member("n2").replace(incarnation=2**62 - 1)
+    membership = joined_with(
+        ("n2", member("n2")), ("x", claim), ("n3", member("n1")), counters=counters
+    )
+    assert {m.instance for m in membership.present()} == {"n1", "n2"}
+    assert membership.members[claim.name].incarnation == 0
+    assert counters.events["row.malformed"] == 2
+
+
+def test_member_overrides_what_its_row_states():
+    """Guards against a row whose incarnation its member can't exceed."""
+    claim = member("n2").replace(
+        incarnation=2**62 - 1, status=MemberStatus.DEAD, slots=1
+    )
+    membership = joined_with(("n2", claim), counters=Counters())
+    assert membership.members[claim.name].status == MemberStatus.ALIVE
+    membership.merge([member("n2").replace(incarnation=1, slots=8)])
+    assert membership.members[claim.name].slots == 8
+
+
+def test_few_of_many_malformed_rows_are_logged(monkeypatch):
+    """Guards against a table of another program that uses up the line budget."""
+    lines = []
+    monkeypatch.setattr(
+        join, "log_change", lambda what, **fields: lines.append((what, fields))
+    )
+    counters = Counters()
+    rows = [(f"x{i}", member("n2")) for i in range(500)]
+    joined_with(*rows, counters=counters)
+    malformed = [fields for what, fields in lines if what == "record_malformed"]
+    assert len(malformed) == 16
+    assert malformed[0]["key"] == "x0"
+    assert counters.events["row.malformed"] == 500
