Drop a head into which another response's has run

What callers could see: a 200 with an empty body, framed as whole, or with the body of another response, where their worker had answered 500 or had not run the request. An upstream that fails within a head and then sends another response on the same connection produces this, if the first head ended within its reason phrase or within the value of a header. The status line of the second response is then a part of that line, and the rest one well-formed head.

Cause: only the parser judged a head, and for it the two are one.

The fix takes a status line in a reason phrase or in the value of a header or trailer field for the beginning of another response, and aborts the connection: the request may have run, nothing else is known, and the caller gets 502 or another attempt. The new counter is `upstream.dropped.joined-heads`.

--- a/packages/rattanfork-node/rattanfork_node/http1/tests/broken_responses.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/broken_responses.py
@@ -6,6 +6,17 @@
 _ID = b"Id: r1\r\nStamp: s1\r\n"
 _INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
 
+#: What an upstream may send on the same connection after it broke off a response.
+FURTHER_RESPONSES = {
+    "success": b"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 5\r\n\r\nother",
+    "without an ID": b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    "failure": b"HTTP/1.1 500 Error\r\nId: r1\r\nContent-Length: 0\r\n\r\n",
+    "rejection": (
+        b"HTTP/1.1 503 Busy\r\nId: r1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    ),
+    "to another request": b"HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 0\r\n\r\n",
+}
+
 
 @dataclass(frozen=True)
 class BreakableResponse:
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_broken_heads.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_broken_heads.py
@@ -10,6 +10,7 @@
 
 from rattanfork_node.http1 import UpstreamConnection
 from rattanfork_node.http1.tests.broken_responses import (
+    FURTHER_RESPONSES,
     MALFORMED,
     REQUEST_ID,
     RESPONSES,
@@ -121,3 +122,30 @@
         upstream.end(ending)
         assert upstream.received == [None], size
         assert upstream.idle == []
+
+
+@pytest.mark.parametrize("segment_bytes", _SEGMENT_BYTES)
+@pytest.mark.parametrize("further", FURTHER_RESPONSES)
+@pytest.mark.parametrize("name", RESPONSES)
+@on_loop
+def test_head_that_another_response_follows_is_no_response(
+    name, further, segment_bytes
+):
+    """Guards against the status of one response with the body of another.
+
+    An upstream breaks off a head and sends another response on the same connection.
+    """
+    response = RESPONSES[name]
+    for size in _sizes_within_heads(response.head):
+        upstream = BrokenUpstream(response.is_for_head)
+        upstream.receive(response.data[:size], segment_bytes)
+        upstream.receive(FURTHER_RESPONSES[further], segment_bytes)
+        upstream.end("close")
+        assert upstream.received == [None], size
+        assert upstream.idle == []
+
+
+def _sizes_within_heads(head: bytes) -> list[int]:
+    """Return the sizes at which a head, or an interim one before it, is incomplete."""
+    ends = {0} | {n for n in range(len(head)) if head[:n].endswith(b"\r\n\r\n")}
+    return [size for size in range(len(head)) if size not in ends]
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -1,6 +1,7 @@
 """Client side of one HTTP/1.1 connection to an upstream."""
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable
 from itertools import count
@@ -36,6 +37,7 @@
 _MAX_DROPPED = 16
 #: Status from which a response may lead to another attempt at the same request.
 _MIN_ERROR_STATUS = 400
+_STATUS_LINE = re.compile(rb"HTTP/1\.\d [1-5]\d\d(?:[ \r]|$)")
 #: Number of requests answered with an error after which a connection is closed.  It
 #: bounds the memory for their IDs.
 _MAX_ERROR_IDS = 128
@@ -53,6 +55,8 @@
     - A response that echoes another ID than that of the pending request is dropped, and
       so is one without an ID on a connection whose responses have echoed IDs before.
     - Bytes that arrive without a pending request close the connection.
+    - An upstream may break off a head and send another response.  A head with a status
+      line in its reason phrase or in the value of a header belongs to neither.
     - All attempts at a request have one ID, so a connection carries only one of them,
       see :meth:`may_carry`.
 
@@ -298,9 +302,14 @@
             self._unexpected = True
         self._reset()
 
+    def on_status(self, reason: bytes) -> None:
+        """Add to the reason phrase."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
         if self._in_body:
+            self._check_lines(value)
             return
         lower = name.lower()
         if lower not in NOT_FORWARDED:
@@ -312,12 +321,17 @@
                 self._headers[lower] = value if known is None else known + b", " + value
         elif lower == b"content-length" or lower == b"transfer-encoding":
             self._until_close = False
-        elif lower == b"keep-alive" and value != self._keep_alive_value:
+        elif lower != b"keep-alive":
+            self._check_lines(value)
+        elif value != self._keep_alive_value:
+            self._check_lines(value)
             self._keep_alive_value = value
             self.keep_alive_timeout = keep_alive_timeout(value)
 
     def on_headers_complete(self) -> None:
         """Record the status; complete the response if it answers a HEAD request."""
+        self._check_lines(self._reason)
+        self._check_lines(self._block)
         self._in_body = True
         self._received_at = self._clock.now()
         self._status = self._parser.get_status_code()
@@ -353,6 +367,20 @@
         if not body.remaining:
             self._request_body = None
 
+    def _check_lines(self, lines: bytes) -> None:
+        """Check lines of a head, or parts of them, for a status line.
+
+        Raises
+        ======
+
+        ValueError
+            If they contain one; the parser then reports a malformed response.
+        """
+        # Faster than a search for the expression, or "in".
+        if lines.find(b"HTTP/1.") >= 0 and _STATUS_LINE.search(lines):
+            self._events["upstream.dropped.joined-heads"] += 1
+            raise ValueError("status line within a line of a head")
+
     def _add_response_id(self, value: bytes) -> None:
         if not self._response_id:
             self._response_id = value
@@ -382,6 +410,7 @@
 
     def _reset(self) -> None:
         self._release_budget()
+        self._reason = b""
         self._response_id = b""
         self._headers: dict[bytes, bytes] = {}
         self._block = bytearray()
