Send a leaving again to members that are met after it

A process of 0.07 s had not read the members yet, knew none, and sent it to none; the row was stored and the leaving acknowledged 12 ms later. No other node ever learned of it, so the row was its only copy. Lost datagrams have the same effect.

Two tests failed before: members that are met after the leaving, and lost datagrams.

The fix sends what was stated to a process again once it has read the members, and every 0.3 s for 3 s. Receivers forward only what is new to them, so that this costs at most 88 datagrams a leaving.

--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -27,6 +27,10 @@
 #: each node that receives it for the first time.
 _FIRST_FANOUT = 8
 _FANOUT = 4
+#: Seconds for which a leaving is sent again, and between two times: datagrams are lost,
+#: and a process that has just started knows few members.
+_RESEND_FOR_S = 3.0
+_RESEND_INTERVAL_S = 0.3
 #: Members whose complete tables stand for the store while it does not answer, as one
 #: may have missed a datagram.
 _COMPLETE_REPLIES = 3
@@ -99,6 +103,9 @@
         self._writer = RetirementWriter(random, platform, self._request_write, counters)
         self._started_at = clock.now()
         self._known = False
+        #: When leavings were stated to this process, the oldest first.
+        self._stated: dict[Retirement, float] = {}
+        self._next_resend = 0.0
         #: When the store had been read; None before.
         self._read_at: float | None = None
         #: Members that have replied with a complete table, and those that have not.
@@ -128,6 +135,8 @@
         retirement = Retirement(self._instance, upstream, born)
         if self._table.add(retirement):
             self._send(retirement, _FIRST_FANOUT)
+        if retirement not in self._stated:
+            self._stated[retirement] = self._clock.now()
         self._writer.start(retirement)
 
     def retired_start(self, upstream: str) -> int | None:
@@ -161,7 +170,7 @@
 
     def on_joined(self) -> None:
         """Record that all rows of the store have been merged."""
-        self._read_at = self._clock.now()
+        self._read_at = self._next_resend = self._clock.now()
         self._check_known()
         self.tick()
 
@@ -171,7 +180,8 @@
             self._send(retirement, _FANOUT)
 
     def tick(self) -> None:
-        """Request tables of peers until all is known; call ten times a second."""
+        """Send and request what is due; call ten times a second."""
+        self._resend()
         if self._known:
             return
         self._check_known()
@@ -234,6 +244,18 @@
     def _send(self, retirement: Retirement, fanout: int) -> None:
         self._gossip_task.send_to_random(RetirementUpdate((retirement,)), fanout)
 
+    def _resend(self) -> None:
+        """Send what was stated shortly before, if it is time."""
+        now = self._clock.now()
+        if now < self._next_resend:
+            return
+        self._next_resend = now + _RESEND_INTERVAL_S
+        for retirement, stated_at in list(self._stated.items()):
+            if now - stated_at < _RESEND_FOR_S:
+                self._send(retirement, _FIRST_FANOUT)
+            else:
+                del self._stated[retirement]
+
     def _check_known(self) -> None:
         others = {member.name for member in self._other_members()}
         if self._read_at is not None:
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -57,6 +57,8 @@
         self.level = 2
         #: Whether it accepts requests without a response.
         self.hangs = False
+        #: Seconds until it responds.
+        self.delay = 0.0
         self.task = RetirementTask(
             MonotonicClock(),
             Random(1),
@@ -92,6 +94,7 @@
         """Reply as the peer handler does."""
         if self.hangs:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.delay)
         if isinstance(request, PersistRequest):
             stored = await self.task.write_for_peer(request)
             return SimpleNamespace(stored=stored)
@@ -105,15 +108,25 @@
 
 
 class FakeGossipTask:
-    """Delivers updates to all nodes but the sender."""
+    """Delivers updates to all nodes but the sender, or to those that it has met."""
 
     def __init__(self, node: FakeNode) -> None:
         self._node = node
+        self.reaches_all = True
+        #: Updates that are lost before the next is delivered.
+        self.lost = 0
         self.on_retirement_update = None
 
     def send_to_random(self, update: RetirementUpdate, count: int) -> None:
+        met = {member.name for member in self._node.membership.present()}
         for other in self._node.fleet.nodes:
-            if other is not self._node:
+            if other is self._node:
+                continue
+            if not self.reaches_all and other.membership.me.name not in met:
+                continue
+            if self.lost:
+                self.lost -= 1
+            else:
                 other.gossip.on_retirement_update(update)
 
     def add_seeds(self, seeds: list) -> None:
@@ -233,3 +246,56 @@
     node.join_task.start()
     await wait_until(lambda: node.task.known)
     assert node.task.own == [Retirement("n0", "u1", 1000)]
+
+
+async def _tick(node: FakeNode, seconds: float = 1.5) -> None:
+    for _ in range(int(seconds / 0.1)):
+        node.task.tick()
+        await asyncio.sleep(0.01)
+
+
+async def _rejoin(fleet: FakeFleet) -> FakeNode:
+    """Restart the first node, which reads the store; return it."""
+    node = fleet.restart(0)
+    node.meet(*fleet.nodes[1:])
+    node.join_task.start()
+    await asyncio.wait_for(node.learn(), 5.0)
+    return node
+
+
+@on_loop
+async def test_retirement_reaches_nodes_that_are_met_after_it():
+    """Guards against a leaving that no other node knows, as its own had just started.
+
+    The store is restored without it, and the node is killed.
+    """
+    fleet = FakeFleet(3)
+    first, *others = fleet.nodes
+    for other in others:
+        other.task.on_joined()
+    first.gossip.reaches_all = False
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    first.meet(*others)
+    first.task.on_joined()
+    await _tick(first)
+    fleet.tables.clear()
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_retirement_reaches_other_nodes_though_datagrams_are_lost():
+    """Guards against the same where the first datagrams are lost."""
+    fleet = FakeFleet(3)
+    first, *others = fleet.nodes
+    first.meet(*others)
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.gossip.lost = 4
+    first.task.retire("u1", 1000)
+    await asyncio.sleep(0.01)
+    for _ in range(20):
+        first.task.tick()
+        await asyncio.sleep(0.1)
+    fleet.tables.clear()
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
