Take no single reply for the tables of all nodes after a restore

What callers could see: requests at an upstream whose leaving was acknowledged, after a restored store had lost the row and its node had started again, though nodes that had run all the while knew of the leaving.

Cause: a started node that has read a store which may have been restored also requests the tables of up to five members, took the first complete reply as the confirmation and cancelled the other requests. A node that has itself started after the restore replies with a complete table that lacks the leaving.

Two tests failed before: one in which the first reply comes from a node that started later and the nodes that ran on reply 0.05 s after it, and one in which the records of ended processes lead to that node. The second passes only if replies of one instance count once.

The fix waits for the tables of three instances, as where the store is away, at most for a round of requests or 0.3 s as before, and merges replies that come later.

--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -31,8 +31,8 @@
 #: and a process that has just started knows few members.
 _RESEND_FOR_S = 3.0
 _RESEND_INTERVAL_S = 0.3
-#: Members whose complete tables stand for the store while it does not answer, as one
-#: may have missed a datagram.
+#: Members whose complete tables stand for the store while it does not answer, or may
+#: have been restored.  One may have missed a datagram, or have started later.
 _COMPLETE_REPLIES = 3
 #: Members whose tables are requested at once, as some of them may have failed.
 _REQUESTS_IN_ROUND = 5
@@ -61,7 +61,7 @@
 
     A node that the store does not answer lets a peer write for it.  A store that can be
     restored from an older copy may have lost a row, so that a node which has read it
-    also requests the table of one other node, for a short time.
+    also requests the tables of a few others, for a short time.
 
     Parameters
     ==========
@@ -108,8 +108,9 @@
         self._next_resend = 0.0
         #: When the store had been read; None before.
         self._read_at: float | None = None
-        #: Members that have replied with a complete table, and those that have not.
-        self._replied: set[str] = set()
+        #: Members that have replied with a complete table, with their instances, and
+        #: those that have not.
+        self._replied: dict[str, str] = {}
         self._requested: set[str] = set()
         #: Whether a round of requests has ended, whatever the replies.
         self._confirmed = False
@@ -232,6 +233,14 @@
     def _instance(self) -> str:
         return self._membership.me.instance
 
+    @property
+    def _enough_replied(self) -> bool:
+        """Whether enough processes have replied.
+
+        Records of several processes of one instance lead to the one that runs.
+        """
+        return len(set(self._replied.values())) >= _COMPLETE_REPLIES
+
     def _merge(self, retirements: list[Retirement]) -> list[Retirement]:
         new = self._table.merge(retirements)
         own = [entry for entry in new if entry.instance == self._instance]
@@ -260,12 +269,11 @@
         others = {member.name for member in self._other_members()}
         if self._read_at is not None:
             waited = self._clock.now() - self._read_at
-            confirmed = self._confirmed or self._replied or not others
+            confirmed = self._confirmed or self._enough_replied or not others
             if confirmed or not self._platform.era or waited >= _CONFIRM_WITHIN_S:
                 self._set_known("store")
         elif self._replied and (
-            len(self._replied) >= _COMPLETE_REPLIES
-            or others <= self._requested | self._replied
+            self._enough_replied or others <= self._requested | self._replied.keys()
         ):
             self._set_known("peers")
 
@@ -294,10 +302,9 @@
         requests = [asyncio.ensure_future(self._request_table(m)) for m in chosen]
         try:
             for reply in asyncio.as_completed(requests):
+                # Later replies are merged as well.
                 await reply
                 self._check_known()
-                if self._known:
-                    return
             self._confirmed |= bool(requests)
             self._requested.update(member.name for member in chosen)
         finally:
@@ -319,7 +326,7 @@
             self._counters.events["retirement.peer-lost"] += 1
             return
         if reply.complete:
-            self._replied.add(member.name)
+            self._replied[member.name] = member.instance
 
     async def _request_write(self, retirement: Retirement) -> bool:
         """Let a random peer write a retirement; return whether the store holds it."""
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -299,3 +299,67 @@
         await asyncio.sleep(0.1)
     fleet.tables.clear()
     assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_nodes_that_ran_on_are_heard_though_another_replies_first():
+    """Guards against a leaving that only nodes which ran on remember.
+
+    The store is restored without it, and the first reply comes from a node that has
+    started since, whose table is complete and lacks it.
+    """
+    fleet = FakeFleet(4)
+    first, restarted, *others = fleet.nodes
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    restarted = fleet.restart(1)
+    restarted.task.on_joined()
+    for other in others:
+        other.delay = 0.05
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_replies_of_one_process_count_once():
+    """Guards against the same where several records lead to one process."""
+    fleet = FakeFleet(4)
+    first, restarted, *others = fleet.nodes
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    restarted = fleet.restart(1)
+    restarted.task.on_joined()
+    for other in others:
+        other.delay = 0.05
+    node = fleet.restart(0)
+    records = [
+        restarted.membership.me.replace(boot=f"b{boot}", peer_port=2)
+        for boot in range(2)
+    ]
+    node.membership.merge(records)
+    node.meet(restarted, *others)
+    node.join_task.start()
+    await asyncio.wait_for(node.learn(), 5.0)
+    assert node.task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_slow_reply_is_merged_after_the_upstream_was_attached():
+    """Guards against a leaving that is known too late and then ignored."""
+    fleet = FakeFleet(2)
+    for node in fleet.nodes:
+        node.task.on_joined()
+    fleet.nodes[0].task.retire("u1", 1000)
+    assert await fleet.nodes[0].task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    fleet.nodes[1].delay = 0.45
+    node = await _rejoin(fleet)
+    learned = []
+    node.task.on_learned = lambda: learned.append(node.task.own)
+    await wait_until(lambda: learned)
+    assert learned == [[Retirement("n0", "u1", 1000)]]
