Keep documents of other programs from ending a node's feeds

What callers see: a retirement in the table of members whose name is a list nested 1,000 deep, and a node that starts never joins; two nested versions of the configuration, and no later one comes into force; a nested announcement gets no answer; a version of 17 digits, and all nine ways between three nodes are lost.

Cause: the JSON libraries raise RecursionError at some depths and decode others, whose text our own error then could not show; readers expect ValueError, and the task that reads ended without a trace. int() accepts versions of any length, and no datagram can carry one of 65 bits, so that the gossip step failed at each tick.

--- a/packages/rattanfork-core/rattanfork_core/retirement/retirement.py
+++ b/packages/rattanfork-core/rattanfork_core/retirement/retirement.py
@@ -52,10 +52,14 @@
             raise ValueError("retirement: instance, upstream and start expected")
         instance, upstream, born = fields
         for text in (instance, upstream):
-            if not isinstance(text, str) or not 0 < len(text) <= _MAX_NAME_CHARACTERS:
+            if not isinstance(text, str):
+                raise ValueError(
+                    f"retirement: names expected, got {type(text).__name__}"
+                )
+            if not 0 < len(text) <= _MAX_NAME_CHARACTERS:
                 raise ValueError(
                     "retirement: names of 1 to 200 characters expected, got "
-                    f"{str(text)[:_MAX_NAME_CHARACTERS]!r}"
+                    f"{text[:_MAX_NAME_CHARACTERS]!r}"
                 )
         if type(born) is not int or not 0 <= born < _BORN_LIMIT:
             raise ValueError("retirement: start as integer from 0 on expected")
