--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -1,7 +1,6 @@
 """Protocol of one connection between two nodes, for either side."""
 
 import asyncio
-import os
 from collections.abc import Callable
 from typing import Any
 
@@ -16,20 +15,18 @@
 from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
-from rattanfork_node.peer.handshake import check_proof, make_proof, make_unpacker
+from rattanfork_node.peer.handshake import make_unpacker
+from rattanfork_node.peer.link_handshake import LinkHandshake
 from rattanfork_node.peer.messages import (
     MESSAGE_LEVEL,
-    PROTOCOL_VERSION,
     REPLIES,
     BurnRequest,
     Call,
     Cancel,
-    Challenge,
     ConfigurationRequest,
     EpochRequest,
     Fence,
     FenceKey,
-    Hello,
     Message,
     Ping,
     Pong,
@@ -37,7 +34,6 @@
     Run,
     RunReply,
     SyncRequest,
-    Welcome,
     decode_message,
     encode_message,
 )
@@ -124,18 +120,11 @@
     ) -> None:
         self._responses = ResponseBudget() if responses is None else responses
         self._clock = clock
-        self._key = key
-        self._node = node
-        self._data_centre = data_centre
+        self._handshake = LinkHandshake(key, node, data_centre, connecting)
         self._handler = handler
         self._max_body_bytes = max_body_bytes
         self._is_client = connecting
         self._transport: asyncio.Transport | None = None
-        self._nonce = os.urandom(16)
-        self._connection_id = os.urandom(8).hex()
-        self._peer = ""
-        self._peer_data_centre = ""
-        self._authenticated = False
         self._closed = False
         self._is_finished = False
         self._last_number = 0
@@ -164,17 +153,17 @@
     @property
     def connection_id(self) -> str:
         """ID of this connection, known to both sides."""
-        return self._connection_id
+        return self._handshake.connection_id
 
     @property
     def peer(self) -> str:
         """Member name of the peer, covered by its proof."""
-        return self._peer
+        return self._handshake.peer
 
     @property
     def peer_data_centre(self) -> str:
         """Data centre that the peer reported."""
-        return self._peer_data_centre
+        return self._handshake.peer_data_centre
 
     @property
     def peer_level(self) -> int:
@@ -184,7 +173,7 @@
     @property
     def usable(self) -> bool:
         """Whether requests may be sent."""
-        return self._authenticated and not self._closed
+        return self._handshake.is_complete and not self._closed
 
     @property
     def closed(self) -> bool:
@@ -380,7 +369,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         if not self._is_client:
-            self.send(Challenge(PROTOCOL_VERSION, self._nonce))
+            self.send(self._handshake.challenge())
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending requests."""
@@ -426,12 +415,12 @@
         except FrameError:
             raise
         except Exception as error:
-            if not self._authenticated:
+            if not self._handshake.is_complete:
                 raise
             self._handler.on_error(self, error)
 
     def _dispatch(self, message: Message) -> None:
-        if not self._authenticated:
+        if not self._handshake.is_complete:
             self._advance_handshake(message)
         elif type(message) is RunReply:
             self._bodies.drop(message.number)
@@ -499,47 +488,13 @@
         getattr(self._handler, method)(self, message)
 
     def _advance_handshake(self, message: Message) -> None:
-        if self._is_client and isinstance(message, Challenge):
-            if message.version != PROTOCOL_VERSION:
-                raise FrameError(
-                    "protocol version of the peer differs from this node's"
-                )
-            proof = self._proof(b"hello", message.nonce, self._nonce, self._node)
-            self.send(
-                Hello(
-                    PROTOCOL_VERSION,
-                    self._node,
-                    self._connection_id,
-                    self._nonce,
-                    proof,
-                )
-            )
-        elif self._is_client and isinstance(message, Welcome):
-            expected = self._proof(b"welcome", self._nonce, b"", message.node)
-            check_proof(message.proof, expected)
-            self._peer, self._peer_data_centre = message.node, message.data_centre
-            self._complete_handshake()
-        elif not self._is_client and isinstance(message, Hello):
-            if message.version != PROTOCOL_VERSION:
-                raise FrameError(
-                    "protocol version of the peer differs from this node's"
-                )
-            expected = self._proof(b"hello", self._nonce, message.nonce, message.node)
-            check_proof(message.proof, expected)
-            self._peer, self._connection_id = message.node, message.connection_id
-            proof = self._proof(b"welcome", message.nonce, b"", self._node)
-            self.send(Welcome(self._node, self._data_centre, proof))
+        reply = self._handshake.advance(message)
+        if reply is not None:
+            self.send(reply)
+        if self._handshake.is_complete:
             self._complete_handshake()
-        else:
-            raise FrameError("message is not valid in this state of the handshake")
-
-    def _proof(
-        self, role: bytes, first_nonce: bytes, second_nonce: bytes, node: str
-    ) -> bytes:
-        return make_proof(self._key, role, first_nonce, second_nonce, node)
 
     def _complete_handshake(self) -> None:
-        self._authenticated = True
         # Each handshake message waits for the previous one, so the small
         # unpacker that is replaced here holds no unread data.
         self._unpacker = make_unpacker(self._max_body_bytes + _FRAME_OVERHEAD_BYTES)
