Let the exit guard act later, so that a node that stood still can answer

The guard acted 0.5 s before the kill, although the steps of a shutdown end by then anyway. It acts 0.2 s before now, so that the loop has the time between for what waits. Evidence: test_stall_beyond_the_exit_guard failed 3 of 3 before (connections end), and passes.

--- a/packages/rattanfork-node/rattanfork_node/app/exit_guard.py
+++ b/packages/rattanfork-node/rattanfork_node/app/exit_guard.py
@@ -3,8 +3,11 @@
 import faulthandler
 import sys
 
-#: Seconds before the end of the grace period at which the process ends itself.
+#: Seconds before the end of the grace period by which the steps of a shutdown end.
 EXIT_MARGIN_S = 0.5
+#: Seconds before the end of the grace period at which the guard acts.  An event loop
+#: that stood still has the time between for the responses that wait.
+_GUARD_MARGIN_S = 0.2
 
 
 class ExitGuard:
@@ -41,5 +44,5 @@
             return
         self._armed = True
         # Half of the time at least, if the grace period is as short as the margin.
-        seconds = max(self._grace / 2, self._grace - EXIT_MARGIN_S)
+        seconds = max(self._grace / 2, self._grace - _GUARD_MARGIN_S)
         faulthandler.dump_traceback_later(seconds, exit=True, file=sys.stderr)
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_exit_guard.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_exit_guard.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-#: Grace period of the processes in seconds; the guard ends them half a second earlier.
+#: Grace period of the processes in seconds; the guard ends them shortly before.
 GRACE_S = 1.2
 _START = f"""
 import asyncio, time
