Wait for the replies of a gate that stands still

Cause: after 0.6 s without a reply to a ping a link counts as lost, with all replies that may still come over it.

A silent link takes no new requests, runs that may be repeated go elsewhere, and the others are fenced over a new connection, as before. If the gate does not answer the fence either, it stands still or is cut off: the connection then stays open, within 5 s and the time of the request, and its late reply decides. A gate that answers the fence is alive, so that its verdict decides at once, as before: a connection that a device has forgotten costs no more time than it did.

--- a/packages/rattanfork-core/rattanfork_core/request/state_machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/state_machine.py
@@ -150,6 +150,14 @@
             self._record_loss(attempt, result)
         return self._retry_or_finish(attempt, result)
 
+    def on_late_result(self, number: int, result: CallResult) -> list[Command]:
+        """Handle the guard's result of an attempt whose fence it did not answer."""
+        attempt = self._attempts[number - 1]
+        if self._finished or attempt.state is not AttemptState.FENCING:
+            return []
+        attempt.state = AttemptState.SENT
+        return self.on_result(number, result)
+
     def on_connection_lost(self, number: int) -> list[Command]:
         """Retry or fence an attempt whose connection was lost or does not respond."""
         attempt = self._attempts[number - 1]
--- a/packages/rattanfork-core/rattanfork_core/request/tests/test_state_machine.py
+++ b/packages/rattanfork-core/rattanfork_core/request/tests/test_state_machine.py
@@ -72,6 +72,23 @@
         assert finish.result.outcome is Outcome.UNKNOWN
 
 
+def test_write_whose_gate_stood_still_is_answered_by_its_late_reply():
+    """Guards against 502 for a run whose reply comes after an unanswered fence."""
+    request = machine(idempotent=False)
+    request.start()
+    request.on_connection_lost(1)
+    [finish] = request.on_late_result(1, CallResult(Outcome.ANSWERED, status=200))
+    assert finish.result.status == 200
+
+
+def test_late_reply_to_an_attempt_that_was_decided_on_has_no_effect():
+    request = machine(idempotent=False)
+    request.start()
+    request.on_connection_lost(1)
+    request.on_fence_verdict(1, FenceVerdict.NOT_RUN)
+    assert request.on_late_result(1, CallResult(Outcome.ANSWERED, status=200)) == []
+
+
 def test_read_on_lost_connection_is_retried_without_fence():
     request = machine()
     request.start()
--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -8,7 +8,7 @@
 from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
-from rattanfork_node.peer.link import PeerLink
+from rattanfork_node.peer.link import LateReply, PeerLink
 from rattanfork_node.peer.messages import (
     BODY_PARTS_LEVEL,
     MAX_UNPAUSED_BYTES,
@@ -70,6 +70,7 @@
     "FrameError",
     "Hello",
     "BasePeerHandler",
+    "LateReply",
     "LinkLostError",
     "PeerHandler",
     "PeerLink",
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -63,10 +64,29 @@
 _HANDSHAKE_BUFFER_BYTES = 2048
 #: Maximum bytes of a frame besides the body, such as headers.
 _FRAME_OVERHEAD_BYTES = 256 << 10
+#: Seconds for which replies of a silent peer are waited for.
+_MAX_SILENCE_S = 5.0
 #: Bytes that wait to be written at which no more parts of bodies are sent.
 _WRITE_BUFFER_BYTES = 128 << 10
 
 
+@dataclass(frozen=True, slots=True)
+class LateReply:
+    """Reply to a run that came after its connection was silent.
+
+    Parameters
+    ==========
+
+    reply : RunReply
+        The reply.
+    body : list of bytes or None
+        Its body, if it came in parts.
+    """
+
+    reply: RunReply
+    body: list[bytes] | None
+
+
 class PeerLink(asyncio.Protocol):
     """Protocol of one connection between two nodes, for either side.
 
@@ -81,7 +101,7 @@
     A late reply, or one on an old connection, matches no pending request and is
     dropped, so it can't reach another caller.
 
-    The connecting side sends pings and closes the connection if no data *arrives*
+    The connecting side sends pings and uses the connection no more if no data *arrives*
     within the silence timeout although a request or ping is pending.  Successful
     writes prove nothing: the kernel accepts them even if a device between the two
     ends has dropped the state of the connection.
@@ -131,6 +151,10 @@
         #: Highest number of a request that was written to the transport.
         self._last_written = 0
         self._reply_futures: dict[int, asyncio.Future] = {}
+        #: When the peer became silent; None before.
+        self._silent_since: float | None = None
+        #: Futures of replies that a silent peer may still send, by number.
+        self._late: dict[int, asyncio.Future[LateReply | None]] = {}
         self._run_callbacks: dict[int, Callable[[RunReply | None], None]] = {}
         self._unsent: list[bytes] = []
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -173,7 +197,8 @@
     @property
     def usable(self) -> bool:
         """Whether requests may be sent."""
-        return self._handshake.is_complete and not self._closed
+        is_open = not self._closed and self._silent_since is None
+        return is_open and self._handshake.is_complete
 
     @property
     def closed(self) -> bool:
@@ -307,8 +332,20 @@
         """
         return number <= self._last_written
 
+    def keep(self, number: int) -> asyncio.Future[LateReply | None]:
+        """Return the reply to a run that a silent peer may still send, or None."""
+        future = asyncio.get_running_loop().create_future()
+        if self._silent_since is None or self._closed:
+            future.set_result(None)
+        else:
+            self._late[number] = future
+        return future
+
     def forget(self, number: int) -> None:
         """Remove a pending request; its reply is dropped as late."""
+        late = self._late.pop(number, None)
+        if late is not None and not late.done():
+            late.set_result(None)
         self._reply_futures.pop(number, None)
         self._run_callbacks.pop(number, None)
         self._bodies.drop(number)
@@ -326,6 +363,8 @@
         idle : float
             Seconds between pings while no request is pending.
         """
+        if self._silent_since is not None:
+            self._end_silence()
         if not self.usable or not self._is_client:
             return
         now = self._clock.now()
@@ -337,7 +376,7 @@
             self._ping_sent_at = 0.0
         if self._ping_sent_at:
             if now - self._ping_sent_at > 0.75 * silence:
-                self.close("no reply to a ping within the silence timeout")
+                self._suspend("no reply to a ping within the silence timeout")
         elif now - self._last_received > (silence / 4 if self.has_pending else idle):
             # A request may take longer than the silence timeout.  A ping is
             # answered at once, which distinguishes a busy peer from a lost one.
@@ -427,7 +466,7 @@
             if not self._reply_bodies.on_reply(message):
                 self._deliver(message)
         elif self._is_client and type(message) is BodyStart:
-            if message.number in self._run_callbacks:
+            if message.number in self._run_callbacks or message.number in self._late:
                 self._reply_bodies.on_start(message)
             else:
                 self.send(Cancel(message.number))
@@ -455,10 +494,14 @@
 
     def _deliver(self, reply: RunReply) -> None:
         done = self._run_callbacks.pop(reply.number, None)
-        if done is None:
+        if done is not None:
+            done(reply)
+            return
+        late = self._late.pop(reply.number, None)
+        if late is None or late.done():
             self._late_replies += 1
         else:
-            done(reply)
+            late.set_result(LateReply(reply, self.take_reply_body()))
 
     def _deliver_without_body(self, reply: RunReply) -> None:
         """Report a run whose response found no room: it ran, and has no response."""
@@ -524,6 +567,15 @@
         error = LinkLostError(reason)
         if not self._ready.done():
             self._ready.set_exception(error)
+        late, self._late = self._late, {}
+        for future in late.values():
+            if not future.done():
+                future.set_result(None)
+        self._fail_requests(reason)
+        if not self._is_client:
+            self._handler.on_closed(self)
+
+    def _fail_requests(self, reason: str) -> None:
         reply_futures, self._reply_futures = self._reply_futures, {}
         for future in reply_futures.values():
             if not future.done():
@@ -531,8 +583,23 @@
         run_callbacks, self._run_callbacks = self._run_callbacks, {}
         for done in run_callbacks.values():
             done(None)
-        if not self._is_client:
-            self._handler.on_closed(self)
+
+    def _suspend(self, reason: str) -> None:
+        """Send no more requests and fail the runs; keep the connection for replies.
+
+        The peer may stand still rather than be lost.
+        """
+        self._report_unfinished(reason)
+        self._silent_since = self._clock.now()
+        self._fail_requests(reason)
+        self._end_silence()
+
+    def _end_silence(self) -> None:
+        """Close a silent connection once no reply is waited for any more."""
+        self._late = {n: f for n, f in self._late.items() if not f.done()}
+        silence = self._clock.now() - self._silent_since
+        if not self._late or silence > _MAX_SILENCE_S:
+            self.close("no reply to a ping within the silence timeout")
 
 
 def _consume_exception(future: asyncio.Future) -> None:
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -57,6 +57,8 @@
         self._silence = silence
         self._max_links = max_links
         self._links: dict[Address, PeerLink] = {}
+        #: Connections whose peers are silent, kept for replies that may still come.
+        self._silent: set[PeerLink] = set()
         self._connecting: dict[Address, asyncio.Task[PeerLink]] = {}
         self._silent_closed = 0
 
@@ -158,15 +160,21 @@
         """Ping or close connections as needed; call several times a second."""
         for address, link in list(self._links.items()):
             link.heartbeat(self._silence, self.IDLE_PING_INTERVAL_S)
-            if link.closed:
+            if not link.usable:
                 self._silent_closed += 1
                 self._links.pop(address, None)
+                self._silent.add(link)
+        for link in list(self._silent):
+            link.heartbeat(self._silence, self.IDLE_PING_INTERVAL_S)
+            if link.closed:
+                self._silent.discard(link)
 
     def close(self) -> None:
         """Close all connections and cancel pending connects."""
-        for link in list(self._links.values()):
+        for link in [*self._links.values(), *self._silent]:
             link.close("this node is stopping")
         self._links.clear()
+        self._silent.clear()
         for task in list(self._connecting.values()):
             task.cancel()
 
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -426,3 +426,45 @@
             assert pair.handlers[1].calls == [CALL] * (size == len(data))
 
     asyncio.run(run())
+
+
+def silence(pair: LinkPair, seconds: float = 1.0) -> None:
+    """Let the accepting side of a pair stand still."""
+    for _ in range(int(seconds * 10)):
+        pair.clock.advance(0.1)
+        pair.links[0].heartbeat(silence=0.6, idle=5.0)
+
+
+@on_event_loop
+def test_reply_of_a_peer_that_stood_still_is_delivered():
+    """Guards against a lost reply to a run that only one gate can have run."""
+    pair = LinkPair()
+    pair.deliver()
+    near, far = pair.links
+    late, replies = [], []
+
+    def done(reply):
+        replies.append(reply)
+        late.append(near.keep(RUN.number))
+
+    near.send_run(RUN, done)
+    silence(pair)
+    assert (replies, near.usable, near.closed) == ([None], False, False)
+    far.send(RUN_REPLY)
+    pair.deliver()
+    assert late[0].result().reply == RUN_REPLY
+    silence(pair, 0.1)
+    assert near.closed
+
+
+@on_event_loop
+def test_silent_peer_is_waited_for_within_a_bound():
+    """Guards against connections to lost peers that are kept for good."""
+    pair = LinkPair()
+    pair.deliver()
+    near = pair.links[0]
+    late = []
+    near.send_run(RUN, lambda reply: late.append(near.keep(RUN.number)))
+    silence(pair, 10.0)
+    assert near.closed
+    assert late[0].result() is None
--- a/packages/rattanfork-node/rattanfork_node/relay/fencing.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/fencing.py
@@ -25,8 +25,8 @@
     member: Member | None,
     link: PeerLink | None,
     number: int,
-) -> FenceVerdict:
-    """Fence an attempt at its gate; return the verdict, "unknown" without a reply.
+) -> FenceVerdict | None:
+    """Fence an attempt at its gate; return the verdict, None without a reply.
 
     Parameters
     ==========
@@ -49,5 +49,5 @@
             [verdict] = await pool.fence_calls(member, link.connection_id, [number])
     except (LinkLostError, TimeoutError, ValueError):
         counters.events["relay.fence-unanswered"] += 1
-        return FenceVerdict.UNKNOWN
+        return None
     return verdict
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -9,6 +9,7 @@
 from rattanfork_core.budgets import LocalRequestBudget
 from rattanfork_core.request import (
     CallResult,
+    FenceVerdict,
     Finish,
     Outcome,
     Proof,
@@ -505,11 +506,26 @@
         relay, link, number = self._relay, self._link, self._number
         member = relay.directory.member(instance)
 
+        # From now on, as the reply may come while the fence is pending.
+        reply = None if link is None else link.keep(number)
+
         async def fence() -> None:
             verdict = await fence_attempt(
                 relay.pool, relay.counters, member, link, number
             )
-            self._execute(self._machine.on_fence_verdict(attempt, verdict))
+            late = None
+            if verdict is None:
+                # The gate stands still or is cut off; its reply may still come.
+                late = None if reply is None else await reply
+                verdict = FenceVerdict.UNKNOWN
+            elif link is not None:
+                link.forget(number)
+            if late is None:
+                self._execute(self._machine.on_fence_verdict(attempt, verdict))
+            else:
+                relay.counters.events["relay.late-reply"] += 1
+                result = result_from_reply(late.reply, late.body)
+                self._execute(self._machine.on_late_result(attempt, result))
 
         relay.spawn(fence())
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/fakes.py
@@ -186,12 +186,15 @@
     is_writable = True
     #: Whether runs were written to the transport before the link was lost.
     written = True
+    #: Whether the peer is silent, so that its replies may still come.
+    is_silent = False
 
     def __init__(self, peer: str) -> None:
         self.peer = peer
         self.runs: list[tuple[Run, object]] = []
         self.sent: list = []
         self.forgotten: list[int] = []
+        self.kept: dict[int, asyncio.Future] = {}
         self.number = 0
 
     def next_number(self) -> int:
@@ -210,6 +213,13 @@
     def was_written(self, number) -> bool:
         return self.written
 
+    def keep(self, number) -> asyncio.Future:
+        future = asyncio.get_running_loop().create_future()
+        if not self.is_silent:
+            future.set_result(None)
+        self.kept[number] = future
+        return future
+
     def forget(self, number) -> None:
         self.forgotten.append(number)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/tests/test_relay.py
@@ -7,7 +7,7 @@
 from rattanfork_core.request import FenceVerdict, Outcome, Reason
 
 from rattanfork_node.http1 import Exchange
-from rattanfork_node.peer import Cancel
+from rattanfork_node.peer import Cancel, LateReply, RunReply
 from rattanfork_node.relay import DrainPolicy, Job
 from rattanfork_node.relay.tests.fakes import RelayHarness, on_loop
 
@@ -74,6 +74,39 @@
     assert exchange.output[0] == 200
 
 
+async def lose_run_of_silent_gate() -> tuple[RelayHarness, Exchange, asyncio.Future]:
+    """Return a request whose gate answers neither the run nor the fence for a while."""
+    harness = RelayHarness(peers=1, idempotent=False)
+    harness.pool.verdicts = [None]
+    exchange = harness.send_request()
+    [(link, index)] = harness.runs
+    link.is_silent = True
+    link.lose(index)
+    await settle()
+    [late] = link.kept.values()
+    return harness, exchange, late
+
+
+@on_loop
+async def test_request_is_answered_by_the_late_reply_of_a_gate_that_stood_still():
+    """Guards against 502 for a run at which its upstream is at work."""
+    harness, exchange, late = await lose_run_of_silent_gate()
+    assert exchange.output is None
+    run, _ = harness.links[0].runs[0]
+    fields = (run.number, ANSWERED, 0, 200, b"", b"late", False, 5.0, 1, [])
+    late.set_result(LateReply(RunReply(*fields), None))
+    await settle()
+    assert exchange.output == (200, b"", b"late")
+
+
+@on_loop
+async def test_request_of_a_gate_that_stays_silent_is_answered_502():
+    _, exchange, late = await lose_run_of_silent_gate()
+    late.set_result(None)
+    await settle()
+    assert exchange.output[0] == 502
+
+
 @on_loop
 async def test_upstream_failure_is_retried_once_and_then_returned():
     harness = RelayHarness(peers=2, most_upstreams=2)
