Write acknowledged leavings again when the store is restored

What callers could see: requests at an upstream whose leaving was acknowledged, after the store had been restored without the row and the node was killed.

Cause: two, of one kind. After a restore only the first three readers wrote rows again, 0.8 s apart, so that a process which had acknowledged a leaving and still ran left its row lost. And what the store had confirmed counted as stored for good: a repeated announcement, or a peer's request to write, was acknowledged in the new era without a row.

Three tests failed before: the process that was told, the same after it had learned the leaving from its predecessor, and the acknowledgement in a new era.

The fix ties what is stored to the era of the store that confirmed it, rejects a write during which the era changed, and lets a process write at once what was stated to it in the last minute. The readers write the rest as before, so that a restore costs few calls more in a large fleet.

--- a/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
+++ b/packages/rattanfork-node/rattanfork_node/config/tests/fakes.py
@@ -29,6 +29,8 @@
         self.version = 0
         self.down = False
         self.history_lost = False
+        #: The era that the store states.
+        self.stated_era = 1
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
@@ -42,7 +44,7 @@
 
     @property
     def era(self) -> int:
-        return 1
+        return self.stated_era
 
     @property
     def seconds_since_answer(self) -> float:
--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -31,6 +31,9 @@
 #: and a process that has just started knows few members.
 _RESEND_FOR_S = 3.0
 _RESEND_INTERVAL_S = 0.3
+#: Seconds for which a process writes what its upstream has stated to a restored store
+#: itself: longer than an upstream serves after it.
+_REWRITE_FOR_S = 60.0
 #: Members whose complete tables stand for the store while it does not answer, or may
 #: have been restored.  One may have missed a datagram, or have started later.
 _COMPLETE_REPLIES = 3
@@ -61,7 +64,8 @@
 
     A node that the store does not answer lets a peer write for it.  A store that can be
     restored from an older copy may have lost a row, so that a node which has read it
-    also requests the tables of a few others, for a short time.
+    also requests the tables of a few others, for a short time, and a node that has
+    acknowledged leavings writes them again.
 
     Parameters
     ==========
@@ -106,6 +110,7 @@
         #: When leavings were stated to this process, the oldest first.
         self._stated: dict[Retirement, float] = {}
         self._next_resend = 0.0
+        self._era = 0
         #: When the store had been read; None before.
         self._read_at: float | None = None
         #: Members that have replied with a complete table, with their instances, and
@@ -181,8 +186,9 @@
             self._send(retirement, _FANOUT)
 
     def tick(self) -> None:
-        """Send and request what is due; call ten times a second."""
+        """Send, write and request what is due; call ten times a second."""
         self._resend()
+        self._write_again()
         if self._known:
             return
         self._check_known()
@@ -262,9 +268,16 @@
         for retirement, stated_at in list(self._stated.items()):
             if now - stated_at < _RESEND_FOR_S:
                 self._send(retirement, _FIRST_FANOUT)
-            else:
+            elif now - stated_at > _REWRITE_FOR_S:
                 del self._stated[retirement]
 
+    def _write_again(self) -> None:
+        """Write what was stated to this process if the store was restored."""
+        before, self._era = self._era, self._platform.era
+        if before and self._era != before:
+            for retirement in self._stated:
+                self._writer.start(retirement)
+
     def _check_known(self) -> None:
         others = {member.name for member in self._other_members()}
         if self._read_at is not None:
--- a/packages/rattanfork-node/rattanfork_node/member/retirement_writer.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_writer.py
@@ -47,10 +47,19 @@
         self._request_peer_write = request_peer_write
         self._counters = counters
         self._stored = RetirementTable()
+        #: Era of the store that holds them.
+        self._era = 0
         self._tasks: dict[Retirement, asyncio.Task] = {}
 
     def is_stored(self, retirement: Retirement) -> bool:
-        """Return whether the store is known to hold a retirement."""
+        """Return whether the store is known to hold a retirement.
+
+        Nothing is known of a store that was restored from an older copy since.
+        """
+        if self._platform.era != self._era:
+            if self._era:
+                self._stored = RetirementTable()
+            self._era = self._platform.era
         return self._stored.covers(retirement)
 
     def mark_stored(self, retirement: Retirement) -> None:
@@ -97,10 +106,13 @@
         ======
 
         PlatformDownError
-            If the store does not answer.
+            If the store does not answer, or was restored meanwhile.
         """
         rows = {retirement_key(entry): list(entry) for entry in retirements}
+        era = self._platform.era
         await self._platform.transact({}, rows)
+        if era and self._platform.era != era:
+            raise PlatformDownError("store restored during the write")
         for entry in retirements:
             self.mark_stored(entry)
 
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -363,3 +363,38 @@
     node.task.on_learned = lambda: learned.append(node.task.own)
     await wait_until(lambda: learned)
     assert learned == [[Retirement("n0", "u1", 1000)]]
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@on_loop
+async def test_node_writes_its_acknowledged_retirements_after_a_restore(restarted):
+    """Guards against a leaving that a restore removes while its own node runs."""
+    fleet = FakeFleet(1)
+    [node] = fleet.nodes
+    node.task.on_joined()
+    node.task.retire("u1", 1000)
+    assert await node.task.wait_stored("u1", 1000, 5.0)
+    if restarted:
+        node = await _rejoin(fleet)
+        node.task.retire("u1", 1000)
+    node.task.tick()
+    fleet.tables.clear()
+    node.platform.stated_era += 1
+    await _tick(node)
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_leaving_is_not_acknowledged_for_what_a_restore_has_removed():
+    """Guards against an acknowledgement for a row that a restore has removed."""
+    fleet = FakeFleet(2)
+    first, second = fleet.nodes
+    first.task.retire("u1", 1000)
+    assert await second.task.write_for_peer(PersistRequest(1, "n0", "u1", 1000))
+    for node in fleet.nodes:
+        node.task.tick()
+        node.platform.stated_era += 1
+        node.platform.down = True
+    fleet.tables.clear()
+    assert not await second.task.write_for_peer(PersistRequest(1, "n0", "u1", 1000))
+    assert not first.task.is_stored("u1", 1000)
