Let no odd rules row or unexpected error end the feeds of a node

What callers see: two rows of rules whose text is invalid, one after the other, and nodes follow neither rules nor configuration any more; a row of rules with a revision that no datagram can carry, and nodes lose each other.

Cause: the error of invalid rules isn't a ValueError, so that it ended the watch, and the polls at the second row; asyncio shows nothing when a task ends. Revision and era of a row were not bounded above.

Now invalid rules are a ValueError to those who follow them; revision and era are bounded so that messages can carry their order, in rows and replies of peers; the tasks that follow the store, their polls and the repair after a restore run again a second after an unexpected error (task_failed, at most one line a second and task, counter task.failed); and of a scan at the start only the row is lost at which a receiver fails.

--- a/packages/rattanfork-core/rattanfork_core/revision/record.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/record.py
@@ -4,8 +4,12 @@
 
 #: Key of the row that names the newest revision.
 HEAD_KEY = "rules/head"
+#: Fields of a row, and of a reply that holds the rules.
+ROW_FIELDS = ("revision", "operation", "author", "comment", "text", "era")
 #: Factor of the era in the order of revisions; above any revision number.
 _REVISIONS_PER_ERA = 1 << 32
+#: Largest number of eras, so that messages can carry the order of any revision.
+_MAX_ERAS = 1 << 30
 
 
 def history_key(revision: int) -> str:
@@ -65,14 +69,7 @@
 
     def as_row(self) -> dict[str, object]:
         """Return the record as a row of the table."""
-        return {
-            "revision": self.revision,
-            "operation": self.operation,
-            "author": self.author,
-            "comment": self.comment,
-            "text": self.text,
-            "era": self.era,
-        }
+        return {name: getattr(self, name) for name in ROW_FIELDS}
 
     @classmethod
     def from_row(cls, row: object) -> "RulesRecord":
@@ -82,15 +79,22 @@
         ======
 
         ValueError
-            If the row is not a map, or a field is missing or has a wrong type.
+            If the row is not a map, or a field is missing, of a wrong type or out of
+            range.
         """
         if not isinstance(row, dict):
             raise ValueError("rules row: map expected")
         revision, era = row.get("revision"), row.get("era", 0)
         texts = [row.get(k) for k in ("operation", "author", "comment", "text")]
-        numbers = type(revision) is int and type(era) is int and era >= 0
+        numbers = (
+            type(revision) is int
+            and 0 <= revision < _REVISIONS_PER_ERA
+            and type(era) is int
+            and 0 <= era < _MAX_ERAS
+        )
         if not numbers or not all(isinstance(t, str) for t in texts):
             raise ValueError(
-                "rules row: integer revision, era from 0 and four texts expected"
+                "rules row: integer revision and era from 0 to 2**32 - 1 and "
+                "2**30 - 1, and four texts expected"
             )
         return cls(revision, *texts, era)
--- a/packages/rattanfork-core/rattanfork_core/revision/state.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/state.py
@@ -10,6 +10,7 @@
     from rattanfork_core.rules import RuleSet
 
 _NO_RULES = "rules: []"
+_MAX_ERROR_CHARACTERS = 500
 
 
 class RevisionState:
@@ -88,6 +89,12 @@
 
         ``record`` is None if the table has no rules, or only the revision in force.
         ``rules`` are the parsed rules of the record, if the caller has them.
+
+        Raises
+        ======
+
+        ValueError
+            If the text of the record is malformed.
         """
         self._ready = True
         return self._apply_if_newer(record, rules)
@@ -118,6 +125,9 @@
 def _parse(text: str, name: str) -> RuleSet:
     # Imported here: validation of rules loads a library of 20 MB, which a node
     # without rules does not need.
-    from rattanfork_core.rules import load_rules
+    from rattanfork_core.rules import FindingsError, load_rules
 
-    return load_rules(text, name)
+    try:
+        return load_rules(text, name)
+    except (FindingsError, RecursionError) as error:
+        raise ValueError(f"{name}: {str(error)[:_MAX_ERROR_CHARACTERS]}") from error
--- a/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
+++ b/packages/rattanfork-core/rattanfork_core/revision/tests/test_revision.py
@@ -1,7 +1,15 @@
 """Accepted changes stay in force through store faults and concurrent commits."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from rattanfork_core.membership import (
+    CachedVersions,
+    Member,
+    Ping,
+    decode_gossip,
+    encode_gossip,
+)
 from rattanfork_core.revision import (
     CommitMachine,
     CommitOutcome,
@@ -169,3 +177,24 @@
     row = RulesRecord(3, "op", "ann", "", TEXT).as_row()
     del row["era"]
     assert RulesRecord.from_row(row).order == 3
+
+
+def row(revision: int, era: int) -> dict[str, object]:
+    """Return a row of the table of rules."""
+    return RulesRecord(revision, "op", "ann", "", "rules: []", era).as_row()
+
+
+@pytest.mark.parametrize(
+    ("revision", "era"), [(2**32, 0), (10**400, 0), (-1, 0), (1, 2**30), (1, 10**400)]
+)
+def test_order_that_no_message_can_carry_is_rejected(revision, era):
+    """Guards against nodes that lose each other because they can't send gossip."""
+    with pytest.raises(ValueError, match="revision and era"):
+        RulesRecord.from_row(row(revision, era))
+
+
+def test_largest_order_fits_into_a_datagram():
+    order = RulesRecord.from_row(row(2**32 - 1, 2**30 - 1)).order
+    me = Member("n1", "b", "s", "z", "127.0.0.1", 1, 1, 8)
+    ping = Ping(1, me, "n2@b", CachedVersions(rules=order), ())
+    assert decode_gossip(encode_gossip(ping, b"k"), b"k") == ping
--- a/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/configuration_task.py
@@ -10,6 +10,7 @@
 from rattanfork_platform import PlatformDownError, Rows, WatchedPlatform
 
 from rattanfork_node.config.holder import ConfigurationHolder
+from rattanfork_node.config.kept_task import keep_running
 from rattanfork_node.config.peer_selector import PeerSelector
 from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.config.store_replica import StoreReplica
@@ -116,8 +117,8 @@
     def start(self) -> None:
         """Start watching the store and polling peers."""
         self._tasks = [
-            asyncio.ensure_future(self._run_store_watch()),
-            asyncio.ensure_future(self._run_peer_polling()),
+            keep_running(self._run_store_watch, self._counters.events),
+            keep_running(self._run_peer_polling, self._counters.events),
         ]
 
     def close(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/confirmation_task.py
@@ -8,6 +8,7 @@
 from rattanfork_core.revision import ConfirmationSchedule
 from rattanfork_platform import PlatformDownError
 
+from rattanfork_node.config.kept_task import keep_running
 from rattanfork_node.config.store_replica import StoreReplica
 from rattanfork_node.member import GossipTask
 from rattanfork_node.telemetry import Counters, log_change
@@ -78,7 +79,7 @@
 
     def start(self) -> None:
         """Start the background task."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = keep_running(self._run, self._counters.events)
 
     def close(self) -> None:
         """Cancel the background task."""
--- a/packages/rattanfork-node/rattanfork_node/config/restore_task.py
+++ b/packages/rattanfork-node/rattanfork_node/config/restore_task.py
@@ -10,6 +10,7 @@
 from rattanfork_core.revision.record import HEAD_KEY
 from rattanfork_platform import PlatformDownError, WatchedPlatform
 
+from rattanfork_node.config.kept_task import keep_running
 from rattanfork_node.member.records import MEMBERS_TABLE, missing_records, record_key
 from rattanfork_node.telemetry import Counters, log_change
 from rattanfork_node.ticks import sleep_ticks
@@ -81,7 +82,7 @@
 
     def start(self) -> None:
         """Start the background task."""
-        self._task = asyncio.ensure_future(self._run())
+        self._task = keep_running(self._run, self._counters.events)
 
     def close(self) -> None:
         """Cancel the background task."""
--- a/packages/rattanfork-node/rattanfork_node/config/rules_poller.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_poller.py
@@ -7,7 +7,7 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.membership import Member, Membership, holds_role
 from rattanfork_core.revision import PollSchedule, RevisionState, RulesRecord
-from rattanfork_core.revision.record import HEAD_KEY, history_key
+from rattanfork_core.revision.record import HEAD_KEY, ROW_FIELDS, history_key
 from rattanfork_core.rules import FindingsError, RuleSet, load_rules
 from rattanfork_core.settings import RulesSettings
 from rattanfork_platform import Platform, PlatformDownError
@@ -157,7 +157,7 @@
                 succeeded = True
         except LinkLostError:
             self._counters.events["rules.peer-lost"] += 1
-        except FindingsError as error:
+        except (ValueError, FindingsError) as error:
             log_change("bad_rules_from_peer", error=str(error))
         finally:
             self._peer_schedule.end(succeeded)
@@ -174,16 +174,9 @@
         if not reply.ready:
             # The peer has not loaded any rules yet either.
             return
-        record = RulesRecord(
-            reply.revision,
-            reply.operation,
-            reply.author,
-            reply.comment,
-            reply.text,
-            reply.era,
-        )
         # A reply without text confirms the revision that this node holds.
-        newer = record if reply.text else None
+        fields = {name: getattr(reply, name) for name in ROW_FIELDS}
+        newer = RulesRecord.from_row(fields) if reply.text else None
         rules = await self._parse_rules(newer)
         self._report_change(
             self._state.receive_from_peer(data_centre, newer, rules), "peer"
--- a/packages/rattanfork-node/rattanfork_node/config/rules_watcher.py
+++ b/packages/rattanfork-node/rattanfork_node/config/rules_watcher.py
@@ -7,7 +7,7 @@
 import orjson
 from rattanfork_core.membership import Member, Membership
 from rattanfork_core.revision import RevisionState, RulesRecord
-from rattanfork_core.revision.record import HEAD_KEY, history_key
+from rattanfork_core.revision.record import HEAD_KEY, ROW_FIELDS, history_key
 from rattanfork_platform import (
     PlatformDownError,
     Row,
@@ -15,6 +15,7 @@
     WatchedPlatform,
 )
 
+from rattanfork_node.config.kept_task import keep_running
 from rattanfork_node.config.peer_selector import PeerSelector
 from rattanfork_node.config.row_watch import RowWatch
 from rattanfork_node.config.store_replica import StoreReplica
@@ -86,8 +87,8 @@
     def start(self) -> None:
         """Start watching the store and polling peers."""
         self._tasks = [
-            asyncio.ensure_future(self._run_store_watch()),
-            asyncio.ensure_future(self._run_peer_polling()),
+            keep_running(self._run_store_watch, self._counters.events),
+            keep_running(self._run_peer_polling, self._counters.events),
         ]
 
     def close(self) -> None:
@@ -150,13 +151,15 @@
         record = self._decode_record(text.value)
         return record is not None and self._apply_record("store", record)
 
-    def _decode_record(self, value: object) -> RulesRecord | None:
+    def _decode_record(
+        self, value: object, source: str = "store"
+    ) -> RulesRecord | None:
         """Decode the value of a row; count it and return None if malformed."""
         try:
             fields = orjson.loads(value) if isinstance(value, bytes) else value
             return RulesRecord.from_row(fields)
         except ValueError as error:
-            self._report_malformed("store", error)
+            self._report_malformed(source, error)
             return None
 
     def _report_malformed(self, source: str, error: ValueError) -> None:
@@ -179,14 +182,10 @@
             return
         record = None
         if reply.text:
-            record = RulesRecord(
-                reply.revision,
-                reply.operation,
-                reply.author,
-                reply.comment,
-                reply.text,
-                reply.era,
-            )
+            fields = {name: getattr(reply, name) for name in ROW_FIELDS}
+            record = self._decode_record(fields, "peer")
+            if record is None:
+                return
         if self._apply_record("peer", record, data_centre):
             self._watch.restart()
 
--- a/packages/rattanfork-node/rattanfork_node/member/join.py
+++ b/packages/rattanfork-node/rattanfork_node/member/join.py
@@ -141,7 +141,7 @@
     def _apply_rows(self, rows: Rows) -> None:
         me = self._membership.me
         members = []
-        malformed: list[tuple[str, ValueError]] = []
+        malformed: list[tuple[str, Exception]] = []
         # What keeps only the newest of the rows has to get them in their order.
         by_version = sorted(rows.rows.items(), key=lambda item: item[1].version)
         for key, row in by_version:
@@ -156,7 +156,8 @@
                     self._on_dependencies(orjson.loads(row.value))
                     continue
                 member = decode_row(key, row.value)
-            except ValueError as error:
+            except Exception as error:
+                # Whatever one row makes a receiver raise, the others are read.
                 malformed.append((key, error))
                 continue
             if member.instance != me.instance:
@@ -166,14 +167,14 @@
         self._gossip_task.add_seeds([(m.host, m.peer_port) for m in members])
         self._gossip_task.introduce()
 
-    def _report_malformed(self, rows: list[tuple[str, ValueError]]) -> None:
+    def _report_malformed(self, rows: list[tuple[str, Exception]]) -> None:
         """Count the rows that another program has written, and log the first ones."""
         self._counters.events["row.malformed"] += len(rows)
         for key, error in rows[:_MAX_LOGGED_ROWS]:
             log_change(
                 "record_malformed",
                 key=key[:_MAX_LOGGED_CHARACTERS],
-                error=str(error)[:_MAX_LOGGED_CHARACTERS],
+                error=repr(error)[:_MAX_LOGGED_CHARACTERS],
                 rows=len(rows),
             )
 
