Forget a reported version that no node reports any more

What callers see: nothing at first; one message with a version that nobody holds, and each node that gets it counts as outdated for good: it asks peers ten times a second, adopts no confirmation and polls the store itself.

Cause: the newest version that any message had reported was kept for good, whatever came after it.

Now it counts for 30 s after the last report. A node that holds it reports it on each of its datagrams, so that a version in force anywhere is kept.

Evidence: test_report_of_a_version_that_nobody_holds_is_forgotten failed before (2^63 instead of 7, after 32 s of other reports).

--- a/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
@@ -21,12 +21,16 @@
     decode_gossip,
     encode_gossip,
 )
+from rattanfork_core.quota import WindowedMaximum
 
 from rattanfork_node.peer import LinkLostError, PeerPool, SyncRequest
 from rattanfork_node.telemetry import Counters, log_change
 
 #: Most records of one anti-entropy reply; the next round transfers the rest.
 MAX_SYNC_RECORDS = 1000
+#: Seconds for which a version counts as the newest that no message reports any more.
+#: Each node that holds it reports it on each of its datagrams.
+_REPORT_VALID_S = 30.0
 
 
 class GossipTask(asyncio.DatagramProtocol):
@@ -81,9 +85,8 @@
         membership.on_refused = self._on_refused_claim
         self._background: set[asyncio.Task] = set()
         self._sent_bytes = 0
-        #: Newest versions that any gossip message has reported.
-        self.newest_configuration = 0
-        self.newest_rules = 0
+        self._configurations = WindowedMaximum(clock, _REPORT_VALID_S, 0)
+        self._rules = WindowedMaximum(clock, _REPORT_VALID_S, 0)
         #: Members that reported them last.
         self.configuration_source: Member | None = None
         self.rules_source: Member | None = None
@@ -102,6 +105,16 @@
         #: Called with retirements of upstreams from other nodes.
         self.on_retirement_update: Callable[[RetirementUpdate], None] = _ignore
 
+    @property
+    def newest_configuration(self) -> int:
+        """Newest version of the configuration that messages have reported lately."""
+        return self._configurations.value
+
+    @property
+    def newest_rules(self) -> int:
+        """Newest order of the rules that messages have reported lately."""
+        return self._rules.value
+
     @property
     def sent_bytes(self) -> int:
         """Total payload bytes of the UDP messages sent."""
@@ -198,18 +211,18 @@
 
     def observe_configuration(self, version: int) -> None:
         """Record that some node holds a version of the configuration."""
-        self.newest_configuration = max(self.newest_configuration, version)
+        self._configurations.update(version)
 
     def _record_cached_versions(self, sender: Member, versions: CachedVersions) -> None:
         if (
             versions.configuration
             and versions.configuration >= self.newest_configuration
         ):
-            self.newest_configuration = versions.configuration
             self.configuration_source = sender
         if versions.rules and versions.rules >= self.newest_rules:
-            self.newest_rules = versions.rules
             self.rules_source = sender
+        self._configurations.update(versions.configuration)
+        self._rules.update(versions.rules)
         self.on_cached_versions(versions)
         self.on_confirmation_age(sender, versions.confirmation_age_ms)
 
