Send to the other members beside one whose host is no address

What callers see: one row of a member whose host is a text that is no address, and a node that starts never joins, and its steps of gossip fail; an update for all members may reach none of those behind that one.

Cause: the event loop refuses to send to a host that is no address with a ValueError, which ended whatever was sending: the join task, the step, the handler of an announcement. Connections to such a host fail with a UnicodeError that no caller expects.

Now a datagram that can't be sent costs that datagram (address_unusable, the 1st, 10th, 100th time; gossip.unusable-address), and a connection to such a host is lost like any other that can't be opened.

--- a/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/gossip_task.py
@@ -31,6 +31,7 @@
 #: Seconds for which a version counts as the newest that no message reports any more.
 #: Each node that holds it reports it on each of its datagrams.
 _REPORT_VALID_S = 30.0
+_MAX_LOGGED_CHARACTERS = 200
 
 
 class GossipTask(asyncio.DatagramProtocol):
@@ -245,8 +246,25 @@
 
     def _send(self, data: bytes, address: tuple[str, int]) -> None:
         self._sent_bytes += len(data)
-        if self._transport is not None and not self._transport.is_closing():
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
             self._transport.sendto(data, address)
+        except (ValueError, OSError) as error:
+            # Raised for a host that is no address; other members get their datagrams.
+            self._on_unusable_address(address, error)
+
+    def _on_unusable_address(self, address: tuple[str, int], error: Exception) -> None:
+        self._counters.events["gossip.unusable-address"] += 1
+        count = self._counters.events["gossip.unusable-address"]
+        if str(count).strip("0") == "1":
+            log_change(
+                "address_unusable",
+                host=address[0][:_MAX_LOGGED_CHARACTERS],
+                port=address[1],
+                error=repr(error)[:_MAX_LOGGED_CHARACTERS],
+                times=count,
+            )
 
     async def _sync(self, address: tuple[str, int] | None) -> None:
         membership = self._membership
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -183,7 +183,8 @@
             async with asyncio.timeout(self.CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(self._make_link, host, port)
                 await link.wait_ready()
-        except (TimeoutError, OSError) as error:
+        except (TimeoutError, OSError, ValueError) as error:
+            # The last one is raised for a host that is neither address nor name.
             raise LinkLostError(f"could not connect to {host}:{port}") from error
         if len(self._links) >= self._max_links:
             longest_idle = max(self._links, key=lambda a: self._links[a].idle_seconds)
