Accept announcements that come later than any can be late

What callers see: one heartbeat in the name of a worker with the largest sequence or start, and all later ones of the worker count as late: its slots, and a leaving whose start is lower, are not heard any more.

Cause: the order of announcements was that of sequences alone, for good.

Now an announcement that comes more than 10 s after the current one, which is as late as any can be, was sent after it and is newer, whatever both state. What has left stays retired.

--- a/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/retired_incarnations.py
@@ -12,7 +12,7 @@
 #: that leaves: it goes on serving for at least that long, before its ID is used again.
 _SERVING_S = 2.0
 #: Seconds by which an announcement may be late.
-_MAX_LATENESS_S = 10.0
+MAX_LATENESS_S = 10.0
 
 
 @dataclass(slots=True)
@@ -127,7 +127,7 @@
             retired.born = min(born, retired.announced)
             return born == retired.born
         retired.announced = born
-        if age < _MAX_LATENESS_S:
+        if age < MAX_LATENESS_S:
             return True
         # The retired one started before this one, whenever that was.
         retired.born = born - 1
--- a/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tests/test_tracker.py
@@ -226,3 +226,22 @@
             assert sequence > last.get(upstream, 0)
             last[upstream] = sequence
             assert tracker.current.upstream == upstream
+
+
+def test_largest_sequence_does_not_hold_for_good():
+    """Guards against an upstream whose announcements all count as late after one."""
+    clock = ManualClock()
+    for born, sequence in ((1000, 2**62 - 1), (2**62 - 1, 1)):
+        tracker = AnnouncementTracker(clock)
+        assert tracker.accept(announce("a", 5, born=1000))
+        assert tracker.accept(announce("a", sequence, born=born))
+        for number in (6, 11, 16):
+            assert not tracker.accept(announce("a", number, born=1000))
+            clock.advance(5.0)
+        assert tracker.accept(announce("a", 17, born=1000))
+        assert tracker.current.sequence == 17
+        assert tracker.accept(announce("a", 18, True, born=1000))
+        assert tracker.current.leaving
+        clock.advance(20.0)
+        assert not tracker.accept(announce("a", 19, born=1000))
+        assert tracker.current.leaving
--- a/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
+++ b/packages/rattanfork-core/rattanfork_core/announcements/tracker.py
@@ -1,7 +1,10 @@
 """Rejects late announcements and those of incarnations that have ended."""
 
 from rattanfork_core.announcements.announcement import Announcement
-from rattanfork_core.announcements.retired_incarnations import RetiredIncarnations
+from rattanfork_core.announcements.retired_incarnations import (
+    MAX_LATENESS_S,
+    RetiredIncarnations,
+)
 from rattanfork_core.clock import Clock
 
 
@@ -14,8 +17,10 @@
     Announcements may arrive late.  One sent before the upstream began to drain would
     revert it to accepting requests, and one of a crashed incarnation would replace its
     successor at the same address.  Within an incarnation, announcements are ordered by
-    sequence.  An incarnation that has been succeeded, or has stated that it leaves, is
-    retired: its announcements are ignored from then on, whatever they state.
+    sequence.  An announcement that comes longer after the current one than any can be
+    late was sent after it, whatever both state.  An incarnation that has been
+    succeeded, or has stated that it leaves, is retired: its announcements are ignored
+    from then on, whatever they state.
 
     An upstream may restart with the same ID.  Its sequence restarts as well, so of two
     incarnations with one ID the one with the later start is the newer.  Starts of
@@ -47,7 +52,9 @@
     """
 
     def __init__(self, clock: Clock) -> None:
+        self._clock = clock
         self._current: Announcement | None = None
+        self._accepted_at = clock.now()
         self._retired = RetiredIncarnations(clock)
         #: The last upstream that was succeeded without having stated that it leaves.
         self._succeeded: Announcement | None = None
@@ -72,7 +79,7 @@
         current = self._current
         if current is not None:
             if current.upstream == name:
-                if (born, announcement.sequence) <= (current.born, current.sequence):
+                if not self._is_newer(announcement, current):
                     return False
             elif announcement.leaving:
                 # It may be a late one of a predecessor.
@@ -80,6 +87,7 @@
             else:
                 self._succeed(current)
         self._current = announcement
+        self._accepted_at = self._clock.now()
         return True
 
     def reinstate(self, upstream: str) -> bool:
@@ -163,6 +171,12 @@
         """Return the latest retired start of an ID; 0 if unknown."""
         return self._retired.start_of(upstream)
 
+    def _is_newer(self, announcement: Announcement, current: Announcement) -> bool:
+        stated = (announcement.born, announcement.sequence)
+        if stated > (current.born, current.sequence):
+            return True
+        return self._clock.now() - self._accepted_at > MAX_LATENESS_S
+
     def _succeed(self, current: Announcement) -> None:
         left = self.is_retired(current.upstream)
         self._succeeded = None if left else current
