--- a/packages/rattanfork-core/rattanfork_core/membership/tests/test_odd_claims.py
+++ b/packages/rattanfork-core/rattanfork_core/membership/tests/test_odd_claims.py
@@ -131,3 +131,11 @@
     view.merge([claim])
     assert refused == [claim]
     assert view.me.incarnation < MAX_CLAIMED_INCARNATION
+
+
+def test_refuting_member_keeps_its_record():
+    """Guards against a member that takes over what another states about it."""
+    view = Fleet(1).views[0]
+    me = view.me
+    view.merge([me.replace(incarnation=7, succession=_MAX_NUMBER, slots=1)])
+    assert view.me == me.replace(incarnation=8)
