--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -27,6 +27,7 @@
 
 from rattanfork_node.app.account_tasks import ClientAccountTasks
 from rattanfork_node.app.budgets import NodeBudgets
+from rattanfork_node.app.connection_end_log import ConnectionEndLog
 from rattanfork_node.app.memory_gauges import memory_gauges
 from rattanfork_node.app.metrics_handler import MetricsHandler
 from rattanfork_node.app.periodic_steps import PeriodicSteps
@@ -58,6 +59,7 @@
     Counters,
     LineWriter,
     RequestLog,
+    UnexpectedErrors,
     log_change,
 )
 from rattanfork_node.ticks import TICK_SECONDS, sleep_ticks
@@ -193,6 +195,8 @@
             port,
             0,
             ready=False,
+            # Rows of the store are read as incarnation 0.
+            incarnation=1,
         )
         self._configuration = ConfigurationHolder(decode)
         self._rules = RevisionState(min(_RULES_QUORUM, settings.data_centres))
@@ -382,6 +386,9 @@
             (address, self._create_server(handler)) for address, handler in handlers
         ]
         self._callers = self._servers[0][1]
+        errors = UnexpectedErrors(self._counters.events)
+        self._callers.on_error = partial(errors.report, "request")
+        self._callers.ends = ConnectionEndLog(self._counters, self._log)
         self._callers.limits = RequestLimits()
         self._callers.max_connections = self._max_caller_connections
         self._callers.uploads = UploadResources(
@@ -512,13 +519,14 @@
             self._gate,
             self._callers,
             lambda: self._relay.give_up(self._callers.pending),
-            lambda: self._handler.unsent_bytes,
+            self._handler,
         )
         self._upstream_monitor.close()
         ends_at = shutdown.begin()
         self._relay.drain(DrainPolicy(self._clock, ends_at, shutdown.serves_until))
         removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
+        await shutdown.finish_links()
         removal.cancel()
         return status
 
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -10,10 +10,15 @@
 from rattanfork_core.clock import Clock
 from rattanfork_core.connections import RequestBudget, ResponseBudget
 
+from rattanfork_node.http1.connection_end import (
+    ConnectionEndObserver,
+    IgnoredEnds,
+)
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
 from rattanfork_node.http1.limits import RequestLimits
+from rattanfork_node.http1.request_head import HeaderFilter
 from rattanfork_node.http1.server_connection import ServerConnection
 from rattanfork_node.http1.upload import UploadResources
 
@@ -22,6 +27,8 @@
 #: paused: of 300 at once, 24 MB with the system's default and with 64 KiB, at most
 #: 14 MB with 32 KiB.  32 KiB per round trip of 1 ms exceed a link of 100 Mbit/s.
 _RECEIVE_BUFFER_BYTES = 32 << 10
+#: Status of a request whose handler failed.
+_FAILED_STATUS = 502
 #: Bytes of connections and requests without a memory limit.
 _MAX_REQUEST_BYTES = 128 << 20
 #: Part of the connections that is closed at once if there are too many, 1 / the
@@ -71,13 +78,16 @@
         self.requests = RequestBudget(_MAX_REQUEST_BYTES)
         if requests is not None:
             self.requests = requests
-        self.stripped = names.stripped_from_requests()
-        self.request_id_name = names.request_id.lower()
-        self.deadline_name = names.deadline.lower()
-        self.key_name = names.key.lower()
+        self.header_filter = HeaderFilter(names)
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
+        #: Called with each exception that the handler raises.
+        self.on_error: Callable[[Exception], None] = _raise
+        #: Is told of connections that end with something unfinished.
+        self.ends: ConnectionEndObserver = IgnoredEnds()
         self.connections: set[ServerConnection] = set()
+        #: Number of connections that were accepted.
+        self.accepted = 0
         self.leaving = False
         self._listener: asyncio.Server | None = None
 
@@ -113,6 +123,16 @@
         """Bytes of responses that clients have not read yet."""
         return sum(c.unsent_bytes for c in self.connections)
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that clients have not acknowledged."""
+        return sum(c.undelivered_bytes for c in self.connections)
+
+    @property
+    def unread_connections(self) -> int:
+        """Number of connections whose clients may still read a response."""
+        return sum(c.may_be_read for c in self.connections)
+
     def admit(self, connection: ServerConnection) -> None:
         """Register a new connection; close others if there are too many.
 
@@ -121,6 +141,7 @@
         longest inactive first.  If all others wait for a response, the new one is
         closed.
         """
+        self.accepted += 1
         self.connections.add(connection)
         if len(self.connections) > self.max_connections():
             self._close_excess(connection)
@@ -144,7 +165,7 @@
         if self._listener is not None:
             self._listener.close()
         for connection in list(self.connections):
-            connection.close()
+            connection.stop()
 
     def refuse_incomplete(self) -> None:
         """Refuse requests that are not received whole, until there is room again."""
@@ -157,6 +178,15 @@
             excess -= connection.usage.incomplete
             connection.refuse_incomplete()
 
+    def handle(self, exchange: Exchange) -> None:
+        """Pass a request to the handler; answer it if that fails unexpectedly."""
+        try:
+            self.handler.on_request(exchange)
+        except Exception as error:
+            self.on_error(error)
+            # Whether it was passed on is unknown.
+            exchange.respond(_FAILED_STATUS)
+
     def count_refusal(self) -> None:
         """Count a request that is refused for want of memory."""
         self._count("callers.refused.memory")
@@ -181,3 +211,7 @@
     def _count(self, event: str) -> None:
         if self.uploads is not None:
             self.uploads.events[event] += 1
+
+
+def _raise(error: Exception) -> None:
+    raise error
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -8,17 +8,25 @@
 
 import httptools
 from rattanfork_core.connections import ResponseHolder
-from rattanfork_core.parsing import parse_whole_number
-from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES, is_large_body
-
+from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES
+
+from rattanfork_node.http1.connection_end import (
+    CloseReason,
+    ConnectionEnd,
+    RequestStage,
+    UnansweredRequest,
+)
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
+from rattanfork_node.http1.lingering_close import LingeringClose
 from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response, render_response_head
 from rattanfork_node.http1.request_body import HeldBody
+from rattanfork_node.http1.request_head import RequestHead
 from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
+from rattanfork_node.kernel_queues import undelivered_bytes, unread_bytes
 
 if TYPE_CHECKING:
     from rattanfork_node.http1.server import HttpServer
@@ -31,8 +39,6 @@
 _RETRY_LINE = b"Retry-After: 1\r\n"
 #: Seconds for which a client may leave responses unread.
 _SLOW_READER_TIMEOUT_S = 20.0
-#: Longest timeout of a client in milliseconds; a longer one is ignored.
-_MAX_TIMEOUT_MS = 86_400_000
 #: Bytes of trailers and of the framing of chunks that a request may have for each byte
 #: of its body, besides twice the maximum size of a head.
 _MAX_FRAMING_FACTOR = 8
@@ -59,12 +65,19 @@
         self.pending: deque[Exchange] = deque()
         self._closing = False
         self._lost = False
+        #: Why the connection ends; ``CLIENT`` until this side closes it.
+        self._close_reason = CloseReason.CLIENT
+        #: Bytes that the client had not acknowledged, and that were not read, when
+        #: this side closed the connection.
+        self._undelivered = self._unread = 0
+        self._is_reported = False
         #: Whether further requests of this connection are dropped.
         self._drop_requests = False
         self._leaving = False
         self._receiving = False
         self._paused = False
         self._output: Output | None = None
+        self._ending: LingeringClose | None = None
         self._closes_once_sent = False
         #: Whether unsent responses count against the budget of the server.
         self._is_counted = False
@@ -82,11 +95,13 @@
         """Register the connection with its server."""
         self._transport = transport
         self._output = Output(transport)
+        self._ending = LingeringClose(transport)
         self._server.admit(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handlers of unanswered requests that the client disconnected."""
         self._lost = True
+        self._report_unfinished()
         self._server.connections.discard(self)
         self._server.unsent.release(self)
         self.usage.clear()
@@ -130,6 +145,7 @@
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; reject what is malformed or too large."""
         if self._closing or self._drop_requests:
+            self._ending.discard(len(data))
             if self._uploads is not None:
                 self._parser = self._uploads.discard(data, self._parser)
             return
@@ -164,7 +180,7 @@
             except httptools.HttpParserUpgrade as offer:
                 [parsed] = offer.args
                 self._parser, head = make_parser_without_upgrade(
-                    self._parser, self, bytes(self._framing)
+                    self._parser, self, bytes(self._head.framing)
                 )
                 data = head + data[parsed:]
 
@@ -177,49 +193,26 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._target += url
+        self._head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
         if not self._reading_head:
             return
-        lower = name.lower()
-        server = self._server
-        self._head_size += len(name) + len(value)
-        if lower == server.request_id_name:
-            self._request_id = value
-        elif lower == server.deadline_name:
-            self._client_timeout = _parse_timeout(value)
-        elif lower == server.key_name:
-            self._keys.append(value)
-        elif lower == b"host":
-            self._hosts.append(value)
-        elif lower == b"expect" and value.lower() == b"100-continue":
-            self._expects_continue = True
-        if lower not in server.stripped:
-            self._block += name + b": " + value + b"\r\n"
-        elif lower == b"content-length":
-            self._framing += name + b": " + value + b"\r\n"
-            if is_large_body(value):
-                self._has_large_body = True
-                self._declared_length = int(value)
-        elif lower == b"transfer-encoding":
-            self._framing += name + b": " + value + b"\r\n"
-            self._has_large_body = True
-            self._declared_length = None
+        self._head.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check size, Host header and target; begin an upload or permit the body."""
         self._reading_head = False
         self._head_since = None
-        if self._head_size + len(self._target) > self._limits.max_head_bytes:
+        head = self._head
+        if head.size + len(head.target) > self._limits.max_head_bytes:
             self._fail_parsing(431)
-        if len(self._hosts) != 1 or not self._target.startswith(b"/"):
-            # Without a unique Host header nodes could choose different routes.
+        if not head.is_unambiguous:
             self._fail_parsing(400)
-        if self._has_large_body and self._begin_upload():
+        if head.has_large_body and self._begin_upload():
             return
-        if self._expects_continue and not self.pending:
+        if head.expects_continue and not self.pending:
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
@@ -257,7 +250,7 @@
             self._server.count_refusal()
             exchange.respond(_NOT_RUN_STATUS, self._refusal_block())
         else:
-            self._server.handler.on_request(exchange)
+            self._server.handle(exchange)
 
     def enqueue(self, exchange: Exchange) -> None:
         """Add a request to those that wait for their responses."""
@@ -294,6 +287,7 @@
                 parts.append(render_response(status, block, body, close, is_head))
             if close:
                 self._closing = True
+                self._close_reason = CloseReason.ANSWERED
                 break
         if parts:
             self.write(b"".join(parts))
@@ -341,42 +335,58 @@
         if self.pending:
             # Later requests would follow the response that closes the connection.
             self._drop_requests = True
-        elif not self._receiving:
-            self.close()
+        elif self._is_idle:
+            self.close(CloseReason.LEAVING)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason = CloseReason.STOPPED) -> None:
         """Close the connection once all that was written is sent."""
         self._closing = True
         if self._output is None:
             return
+        self._close_reason = reason
         if self._output.is_empty:
-            self._transport.close()
+            self.close_delivered()
         else:
             self._closes_once_sent = True
 
+    def stop(self) -> None:
+        """Close the connection as the process ends, and report what is left on it."""
+        self.close(CloseReason.STOPPED)
+        self._close_reason = CloseReason.STOPPED
+        self._undelivered = self.undelivered_bytes
+        self._report_unfinished()
+
+    def close_delivered(self, may_receive: bool = True) -> None:
+        """Close the connection once the client has read what was written."""
+        self._ending.begin(self._last_active, may_receive)
+
     def check_time(self, now: float) -> None:
         """Close the connection if it is idle or its client too slow."""
         limits = self._limits
-        if self._head_since is not None:
+        if self._ending.is_ending:
+            if self._ending.check(now) > _SLOW_READER_TIMEOUT_S:
+                self._abort_transport(CloseReason.SLOW_READER)
+        elif self._head_since is not None:
             if now - self._head_since > limits.head_timeout:
                 self._reject(408)
         elif not self._output.is_writable:
             self._count_unsent()
             if now - self._last_active > _SLOW_READER_TIMEOUT_S:
-                self._transport.abort()
-        elif not self.pending and now - self._last_active > limits.idle_timeout:
-            self.close()
+                self._abort_transport(CloseReason.SLOW_READER)
+        elif now - self._last_active > limits.idle_timeout and self._is_idle:
+            self.close(CloseReason.IDLE)
 
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
         """Place in the order in which connections without pending requests close."""
-        return not self._output.is_writable, self._receiving, self._last_active
+        is_receiving = self._receiving or unread_bytes(self._transport) > 0
+        return self.undelivered_bytes > 0, is_receiving, self._last_active
 
     def drop(self) -> None:
         """Abort the connection, which has no request that was received whole."""
         self._closing = self.is_dropped = True
         self._output.clear()
-        self._transport.abort()
+        self._abort_transport(CloseReason.DROPPED)
 
     def evict(self) -> None:
         """Abort the connection, whose client reads too slowly for the node's budget."""
@@ -384,13 +394,13 @@
             self._server.uploads.events["callers.exceeded.budget"] += 1
         self._closing = self.is_dropped = True
         self._output.clear()
-        self._transport.abort()
+        self._abort_transport(CloseReason.EVICTED)
 
     def refuse_incomplete(self) -> None:
         """Refuse the request that is not received whole, and close after it."""
         self._server.count_refusal()
         self._body = bytearray()
-        self._block = bytearray()
+        self._head.block = bytearray()
         self._reject(_NOT_RUN_STATUS)
         self._count_incomplete()
 
@@ -399,28 +409,34 @@
         """Bytes of responses that wait for the client to read."""
         return self._output.unsent_bytes
 
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes of responses that the client has not acknowledged."""
+        return self._output.unsent_bytes + undelivered_bytes(self._transport)
+
+    @property
+    def may_be_read(self) -> bool:
+        """Whether the client may still read a response."""
+        return self._ending.is_ending or self.undelivered_bytes > 0
+
+    @property
+    def _is_idle(self) -> bool:
+        """Whether no request is pending, in part or in the socket."""
+        return not (
+            self.pending or self._receiving or unread_bytes(self._transport) > 0
+        )
+
     @property
     def _limits(self) -> RequestLimits:
         return self._server.limits
 
     def _reset_request(self) -> None:
-        self._target = b""
-        self._block = bytearray()
-        #: Header lines that declare the body.
-        self._framing = bytearray()
-        self._hosts: list[bytes] = []
-        self._keys: list[bytes] = []
-        self._request_id = b""
-        self._client_timeout: float | None = None
+        self._head = RequestHead(self._server.header_filter)
         self._body = bytearray()
         #: Bytes of the body, also of one that is passed on as it is received.
         self._body_bytes = 0
-        self._head_size = 0
+        #: Bytes received since the end of the previous request.
         self._head_bytes = 0
-        self._expects_continue = False
-        self._has_large_body = False
-        #: Content-Length of a large body; None if it is chunked.
-        self._declared_length: int | None = None
         self._reading_head = False
         self._error_status = 0
 
@@ -442,7 +458,7 @@
         size = 0
         is_upload = self._uploads is not None and self._uploads.current is not None
         if self._receiving and not (is_upload or self._drop_requests):
-            size = len(self._block) + len(self._target) + len(self._body)
+            size = len(self._head.block) + len(self._head.target) + len(self._body)
         self.usage.set_incomplete(size)
         if size and self._server.requests.is_exhausted:
             self._server.refuse_incomplete()
@@ -450,23 +466,24 @@
     def _refusal_block(self) -> bytes:
         """Return the headers of a response that a request was not run."""
         block = _RETRY_LINE
-        if self._request_id:
-            name = self._server.names.request_id
-            block += name + b": " + self._request_id + b"\r\n"
+        request_id = self._head.request_id
+        if request_id:
+            block += self._server.names.request_id + b": " + request_id + b"\r\n"
         return block
 
     def _make_exchange(self, body: bytes) -> Exchange:
+        head = self._head
         return Exchange(
             self,
             self._parser.get_method(),
-            self._target,
-            _strip_port(self._hosts[0]),
-            bytes(self._block),
+            head.target,
+            head.host,
+            bytes(head.block),
             body,
-            self._request_id,
-            self._client_timeout,
+            head.request_id,
+            head.client_timeout,
             self._parser.should_keep_alive() and not self._server.leaving,
-            tuple(self._keys),
+            tuple(head.keys),
         )
 
     def _begin_upload(self) -> bool:
@@ -474,13 +491,14 @@
         server = self._server
         if server.uploads is None or self._closing or self._drop_requests:
             return False
-        known_size = max(len(self._body), self._declared_length or 0)
+        head = self._head
+        known_size = max(len(self._body), head.declared_length or 0)
         if self._uploads is None:
             self._uploads = UploadReceiver(self, server, self._transport)
         return self._uploads.begin(
             self._make_exchange(b""),
-            self._declared_length,
-            self._expects_continue and self._parser.get_http_version() != "1.0",
+            head.declared_length,
+            head.expects_continue and self._parser.get_http_version() != "1.0",
             known_size > MAX_UNCOUNTED_BODY_BYTES,
         )
 
@@ -505,13 +523,37 @@
             is_start_of_request=self._error_status != 0
         ):
             return
-        exchange = Exchange(self, b"", b"", "", b"", b"", self._request_id, None, False)
+        exchange = Exchange(
+            self, b"", b"", "", b"", b"", self._head.request_id, None, False
+        )
         self.pending.append(exchange)
         block = self._refusal_block()
         if status != _NOT_RUN_STATUS:
             block = block.removeprefix(_RETRY_LINE)
         exchange.respond(status, block)
 
+    def _abort_transport(self, reason: CloseReason) -> None:
+        self._close_reason = reason
+        self._undelivered = self.undelivered_bytes
+        self._unread = unread_bytes(self._transport)
+        self._transport.abort()
+
+    def _report_unfinished(self) -> None:
+        """Report requests without a response, and bytes left in the queues, once."""
+        if self._is_reported:
+            return
+        self._is_reported = True
+        unanswered = [
+            UnansweredRequest(exchange.request_id, RequestStage.of(exchange))
+            for exchange in self.pending
+        ]
+        if unanswered or self._undelivered or self._unread:
+            self._server.ends.on_unfinished(
+                ConnectionEnd(
+                    self._close_reason, unanswered, self._undelivered, self._unread
+                )
+            )
+
     def _close_once_sent(self) -> None:
         self._closes_once_sent = not self._output.is_empty
         if not self._closes_once_sent:
@@ -520,26 +562,7 @@
     def _close_after_response(self) -> None:
         """Close the connection, after the rest of a refused body was discarded."""
         if self._uploads is None or not self._uploads.start_drain():
-            self._transport.close()
+            self.close_delivered()
         elif self._paused:
             self._paused = False
             self._transport.resume_reading()
-
-
-def _parse_timeout(milliseconds: bytes) -> float | None:
-    """Return a client's timeout in seconds; None if it is malformed.
-
-    A negative one means that the client no longer waits.
-    """
-    is_negative = milliseconds.startswith(b"-")
-    try:
-        number = parse_whole_number(milliseconds.removeprefix(b"-"), 0, _MAX_TIMEOUT_MS)
-    except ValueError:
-        return None
-    return 0.0 if is_negative else number / 1000
-
-
-def _strip_port(host: bytes) -> str:
-    if b":" in host and not host.endswith(b"]"):
-        host = host.rpartition(b":")[0]
-    return host.decode("latin-1").lower()
--- a/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/base_handler.py
@@ -17,6 +17,8 @@
     SyncRequest,
 )
 from rattanfork_node.peer.rules import rules_reply
+from rattanfork_node.telemetry.log import log_change
+from rattanfork_node.telemetry.unexpected_errors import UnexpectedErrors
 
 if TYPE_CHECKING:
     from rattanfork_core.revision import RevisionState
@@ -50,6 +52,7 @@
 
     def __init__(self, rules: RevisionState, counters: Counters) -> None:
         self._rules = rules
+        self._errors = UnexpectedErrors(counters.events)
         self._counters = counters
         self._call_logs: OrderedDict[str, ConnectionCallLog] = OrderedDict()
         self._links: set[PeerLink] = set()
@@ -69,6 +72,21 @@
         """Bytes that the peers of accepted connections have not read yet."""
         return sum(link.unsent_bytes for link in self._links)
 
+    @property
+    def waiting_replies(self) -> int:
+        """Number of replies whose bodies the peers have not asked for in full."""
+        return sum(link.waiting_bodies for link in self._links)
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes that the peers of accepted connections have not acknowledged."""
+        return sum(link.undelivered_bytes for link in self._links)
+
+    def finish_links(self) -> None:
+        """End the sending side of all accepted connections."""
+        for link in list(self._links):
+            link.finish()
+
     def on_open(self, link: PeerLink) -> None:
         """Register an authenticated connection and create its call log."""
         if link.connection_id in self._call_logs:
@@ -93,6 +111,18 @@
         """Remove a closed connection; its call log is kept."""
         self._links.discard(link)
 
+    def on_unfinished(
+        self, link: PeerLink, reason: str, runs: int, unsent: int
+    ) -> None:
+        """Count and log a lost connection with unanswered runs or unsent messages."""
+        self._counters.events["links.lost.runs"] += runs
+        self._counters.events["links.lost.unsent"] += unsent > 0
+        log_change("link_lost", peer=link.peer, reason=reason, runs=runs, unsent=unsent)
+
+    def on_error(self, link: PeerLink, error: Exception) -> None:
+        """Record an exception that the handling of a message raised."""
+        self._errors.report("link", error)
+
     def on_bad_frame(self, reason: str) -> None:
         """Count a rejected frame."""
         self._counters.events["peer.bad-frame"] += 1
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -11,6 +11,7 @@
 from rattanfork_core.request import Outcome, Reason
 
 from rattanfork_node.http1 import BodyReader
+from rattanfork_node.kernel_queues import undelivered_bytes
 from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.errors import FrameError, LinkLostError
@@ -136,6 +137,7 @@
         self._peer_data_centre = ""
         self._authenticated = False
         self._closed = False
+        self._is_finished = False
         self._last_number = 0
         #: Highest number of a request that was written to the transport.
         self._last_written = 0
@@ -189,6 +191,11 @@
         """Whether the connection was lost or closed."""
         return self._closed
 
+    @property
+    def has_pending(self) -> bool:
+        """Whether a request of this node waits for its reply."""
+        return bool(self._reply_futures or self._run_callbacks)
+
     @property
     def late_replies(self) -> int:
         """Replies dropped because no request was pending for them."""
@@ -201,12 +208,29 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes that the peer has not read yet, with the bodies that it will get."""
+        """Bytes that the transport was not given or still holds, with all bodies."""
         if self._closed:
             return 0
-        unsent = self._transport.get_write_buffer_size()
+        unsent = self._transport.get_write_buffer_size() + sum(map(len, self._unsent))
         return unsent + self._bodies.remaining_bytes
 
+    @property
+    def waiting_bodies(self) -> int:
+        """Number of bodies of which not all was sent."""
+        return 0 if self._closed else self._bodies.count
+
+    @property
+    def undelivered_bytes(self) -> int:
+        """Bytes that the peer has not acknowledged, with the bodies that it will get.
+
+        Closing the connection may discard them.
+        """
+        return (
+            0
+            if self._closed
+            else self.unsent_bytes + undelivered_bytes(self._transport)
+        )
+
     @property
     def is_writable(self) -> bool:
         """Whether the peer reads what it is sent."""
@@ -225,7 +249,7 @@
 
     def send(self, message: Message) -> None:
         """Send a message; ignored if the connection is closed."""
-        if self._closed or self._transport is None:
+        if self._closed or self._is_finished or self._transport is None:
             return
         self._unsent.append(encode_message(message))
         self._flush()
@@ -236,7 +260,7 @@
         Under load, system calls cost more CPU time than encoding; one write per
         iteration avoids most of them.  Messages keep their order.
         """
-        if self._closed or self._transport is None:
+        if self._closed or self._is_finished or self._transport is None:
             return
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._flush)
@@ -325,7 +349,7 @@
         if self._ping_sent_at:
             if now - self._ping_sent_at > 0.75 * silence:
                 self.close("no reply to a ping within the silence timeout")
-        elif now - self._last_received > (silence / 4 if self._has_pending else idle):
+        elif now - self._last_received > (silence / 4 if self.has_pending else idle):
             # A request may take longer than the silence timeout.  A ping is
             # answered at once, which distinguishes a busy peer from a lost one.
             self._ping_sent_at = now
@@ -333,10 +357,24 @@
 
     def close(self, reason: str) -> None:
         """Abort the connection and fail all pending requests."""
+        if not self._closed:
+            self._report_unfinished(reason)
         if self._transport is not None:
             self._transport.abort()
         self._mark_lost(reason)
 
+    def finish(self) -> None:
+        """Send no more, and drop what is received until the peer closes as well.
+
+        Closed at once, the connection would be reset by the peer's next message, and
+        the peer may fail to read replies that its kernel holds.
+        """
+        if self._closed or self._is_finished:
+            return
+        self._flush()
+        self._is_finished = True
+        self._transport.write_eof()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the handshake."""
         self._transport = transport
@@ -346,7 +384,10 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending requests."""
-        self._mark_lost("closed by the peer" if error is None else str(error))
+        reason = "closed by the peer" if error is None else str(error)
+        if not self._closed:
+            self._report_unfinished(reason)
+        self._mark_lost(reason)
 
     def pause_writing(self) -> None:
         """Send no more parts of bodies: the peer does not read."""
@@ -359,10 +400,12 @@
     def data_received(self, data: bytes) -> None:
         """Decode frames and dispatch their messages."""
         self._last_received = self._clock.now()
+        if self._is_finished:
+            return
         try:
             self._unpacker.feed(data)
             for frame in self._unpacker:
-                self._dispatch(decode_message(frame))
+                self._handle(decode_message(frame))
                 if self._closed:
                     return
         except (FrameError, msgpack.exceptions.UnpackException, ValueError) as error:
@@ -370,16 +413,23 @@
             self._handler.on_bad_frame(str(error))
             self.close(f"bad frame: {error}")
 
-    @property
-    def _has_pending(self) -> bool:
-        return bool(self._reply_futures or self._run_callbacks)
-
     def _flush(self) -> None:
         unsent, self._unsent = self._unsent, []
         if unsent and not self._closed:
             self._last_written = self._last_number
             self._transport.write(b"".join(unsent))
 
+    def _handle(self, message: Message) -> None:
+        """Dispatch a message; an error in its handling costs no other message."""
+        try:
+            self._dispatch(message)
+        except FrameError:
+            raise
+        except Exception as error:
+            if not self._authenticated:
+                raise
+            self._handler.on_error(self, error)
+
     def _dispatch(self, message: Message) -> None:
         if not self._authenticated:
             self._advance_handshake(message)
@@ -504,6 +554,12 @@
         if not self._ready.done():
             self._ready.set_result(None)
 
+    def _report_unfinished(self, reason: str) -> None:
+        runs = len(self._run_callbacks)
+        unsent = 0 if self._transport is None else self.unsent_bytes
+        if runs or unsent:
+            self._handler.on_unfinished(self, reason, runs, unsent)
+
     def _mark_lost(self, reason: str) -> None:
         if self._closed:
             return
--- a/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/tests/test_link.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 from rattanfork_core.advertised import UpstreamReport
 from rattanfork_core.clock import ManualClock
+
 from rattanfork_node.peer import (
     Call,
     FrameError,
@@ -45,6 +46,9 @@
     def abort(self):
         self.aborted = True
 
+    def get_write_buffer_size(self):
+        return 0
+
     def set_write_buffer_limits(self, high=None, low=None):
         pass
 
@@ -59,10 +63,18 @@
     def __init__(self) -> None:
         self.calls: list[Call] = []
         self.rejected: list[str] = []
+        self.unfinished: list[tuple[str, int, bool]] = []
+        self.errors: list[Exception] = []
 
     def on_call(self, link, call):
         self.calls.append(call)
 
+    def on_unfinished(self, link, reason, runs, unsent):
+        self.unfinished.append((reason, runs, unsent > 0))
+
+    def on_error(self, link, error):
+        self.errors.append(error)
+
     def on_bad_frame(self, reason):
         self.rejected.append(reason)
 
@@ -309,3 +321,108 @@
     send_run()
     near.close("lost")
     assert written == [True, False]
+
+
+@on_event_loop
+def test_reply_that_is_batched_counts_as_unsent():
+    """Guards against a node that exits between a reply and the write of its batch."""
+    pair = LinkPair()
+    pair.deliver()
+    far = pair.links[1]
+    assert far.unsent_bytes == 0
+    far.send_batched(RUN_REPLY)
+    assert far.unsent_bytes > 0
+    far.close("this node stops")
+    assert pair.handlers[1].unfinished == [("this node stops", 0, True)]
+
+
+@pytest.mark.parametrize("error", [ValueError("x"), RuntimeError("x")])
+def test_error_in_the_handling_of_a_message_costs_no_other_run(error):
+    """Guards against all runs of a link that are lost by a fault in one of them."""
+
+    def fail(link, call):
+        raise error
+
+    async def play() -> None:
+        pair = LinkPair()
+        pair.deliver()
+        near, far = pair.links
+        pair.handlers[1].on_call = fail
+        near.ask(CALL)
+        replies = []
+        near.send_run(RUN, replies.append)
+        await asyncio.sleep(0)
+        pair.deliver()
+        far.send(RUN_REPLY)
+        pair.deliver()
+        assert (near.closed, far.closed) == (False, False)
+        assert pair.handlers[1].errors == [error]
+        assert replies == [RUN_REPLY]
+
+    uvloop.run(play())
+
+
+PARTS = [b"0123456789abcdef" * 60, b"the end"]
+
+
+@pytest.mark.parametrize("error", [None, ConnectionResetError()])
+@pytest.mark.parametrize("kind", ["reply", "run", "run with a large body"])
+def test_link_that_ends_within_a_reply_delivers_nothing(kind, error):
+    """Guards against a broken reply that callers receive as a whole one."""
+
+    async def receive(size: int) -> int:
+        """Receive some bytes of a reply; return how many it has in all."""
+        pair = LinkPair()
+        pair.deliver()
+        near, far = pair.links
+        delivered: list[RunReply | None] = []
+        if kind == "reply":
+            future = near.ask(CALL)
+            future.add_done_callback(
+                lambda f: delivered.append(None if f.exception() else f.result())
+            )
+            pair.deliver()
+            far.send(REPLY)
+        else:
+            near.send_run(RUN, delivered.append)
+            await asyncio.sleep(0)
+            pair.deliver()
+            if kind == "run":
+                far.send(RUN_REPLY)
+            else:
+                far.send_reply(RUN_REPLY._replace(body=b""), list(PARTS))
+                await asyncio.sleep(0)
+                near.data_received(pair.transports[1].take())
+                far.data_received(pair.transports[0].take())
+        data = pair.transports[1].take()
+        near.data_received(data[:size])
+        near.connection_lost(error)
+        await asyncio.sleep(0)
+        assert len(delivered) == 1
+        assert (delivered == [None]) is (size < len(data)), size
+        assert not near.usable
+        return len(data)
+
+    async def run() -> None:
+        total = await receive(0)
+        assert total > len(REPLY.body)
+        for size in range(1, total + 1):
+            assert await receive(size) == total
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("error", [None, ConnectionResetError()])
+def test_request_that_a_link_breaks_off_is_not_handled(error):
+    """Guards against a run with a part of its request."""
+
+    async def run() -> None:
+        data = encode_message(CALL)
+        for size in range(len(data) + 1):
+            pair = LinkPair()
+            pair.deliver()
+            pair.links[1].data_received(data[:size])
+            pair.links[1].connection_lost(error)
+            assert pair.handlers[1].calls == [CALL] * (size == len(data))
+
+    asyncio.run(run())
