--- a/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/retirement_task.py
@@ -27,8 +27,15 @@
 #: each node that receives it for the first time.
 _FIRST_FANOUT = 8
 _FANOUT = 4
-#: Members whose complete tables stand for the store while it does not answer, as one
-#: may have missed a datagram.
+#: Seconds for which a leaving is sent again, and between two times: datagrams are lost,
+#: and a process that has just started knows few members.
+_RESEND_FOR_S = 3.0
+_RESEND_INTERVAL_S = 0.3
+#: Seconds for which a process writes what its upstream has stated to a restored store
+#: itself: longer than an upstream serves after it.
+_REWRITE_FOR_S = 60.0
+#: Members whose complete tables stand for the store while it does not answer, or may
+#: have been restored.  One may have missed a datagram, or have started later.
 _COMPLETE_REPLIES = 3
 #: Members whose tables are requested at once, as some of them may have failed.
 _REQUESTS_IN_ROUND = 5
@@ -57,7 +64,8 @@
 
     A node that the store does not answer lets a peer write for it.  A store that can be
     restored from an older copy may have lost a row, so that a node which has read it
-    also requests the table of one other node, for a short time.
+    also requests the tables of a few others, for a short time, and a node that has
+    acknowledged leavings writes them again.
 
     Parameters
     ==========
@@ -99,10 +107,15 @@
         self._writer = RetirementWriter(random, platform, self._request_write, counters)
         self._started_at = clock.now()
         self._known = False
+        #: When leavings were stated to this process, the oldest first.
+        self._stated: dict[Retirement, float] = {}
+        self._next_resend = 0.0
+        self._era = 0
         #: When the store had been read; None before.
         self._read_at: float | None = None
-        #: Members that have replied with a complete table, and those that have not.
-        self._replied: set[str] = set()
+        #: Members that have replied with a complete table, with their instances, and
+        #: those that have not.
+        self._replied: dict[str, str] = {}
         self._requested: set[str] = set()
         #: Whether a round of requests has ended, whatever the replies.
         self._confirmed = False
@@ -128,6 +141,8 @@
         retirement = Retirement(self._instance, upstream, born)
         if self._table.add(retirement):
             self._send(retirement, _FIRST_FANOUT)
+        if retirement not in self._stated:
+            self._stated[retirement] = self._clock.now()
         self._writer.start(retirement)
 
     def retired_start(self, upstream: str) -> int | None:
@@ -161,7 +176,7 @@
 
     def on_joined(self) -> None:
         """Record that all rows of the store have been merged."""
-        self._read_at = self._clock.now()
+        self._read_at = self._next_resend = self._clock.now()
         self._check_known()
         self.tick()
 
@@ -171,7 +186,9 @@
             self._send(retirement, _FANOUT)
 
     def tick(self) -> None:
-        """Request tables of peers until all is known; call ten times a second."""
+        """Send, write and request what is due; call ten times a second."""
+        self._resend()
+        self._write_again()
         if self._known:
             return
         self._check_known()
@@ -222,6 +239,14 @@
     def _instance(self) -> str:
         return self._membership.me.instance
 
+    @property
+    def _enough_replied(self) -> bool:
+        """Whether enough processes have replied.
+
+        Records of several processes of one instance lead to the one that runs.
+        """
+        return len(set(self._replied.values())) >= _COMPLETE_REPLIES
+
     def _merge(self, retirements: list[Retirement]) -> list[Retirement]:
         new = self._table.merge(retirements)
         own = [entry for entry in new if entry.instance == self._instance]
@@ -234,16 +259,34 @@
     def _send(self, retirement: Retirement, fanout: int) -> None:
         self._gossip_task.send_to_random(RetirementUpdate((retirement,)), fanout)
 
+    def _resend(self) -> None:
+        """Send what was stated shortly before, if it is time."""
+        now = self._clock.now()
+        if now < self._next_resend:
+            return
+        self._next_resend = now + _RESEND_INTERVAL_S
+        for retirement, stated_at in list(self._stated.items()):
+            if now - stated_at < _RESEND_FOR_S:
+                self._send(retirement, _FIRST_FANOUT)
+            elif now - stated_at > _REWRITE_FOR_S:
+                del self._stated[retirement]
+
+    def _write_again(self) -> None:
+        """Write what was stated to this process if the store was restored."""
+        before, self._era = self._era, self._platform.era
+        if before and self._era != before:
+            for retirement in self._stated:
+                self._writer.start(retirement)
+
     def _check_known(self) -> None:
         others = {member.name for member in self._other_members()}
         if self._read_at is not None:
             waited = self._clock.now() - self._read_at
-            confirmed = self._confirmed or self._replied or not others
+            confirmed = self._confirmed or self._enough_replied or not others
             if confirmed or not self._platform.era or waited >= _CONFIRM_WITHIN_S:
                 self._set_known("store")
         elif self._replied and (
-            len(self._replied) >= _COMPLETE_REPLIES
-            or others <= self._requested | self._replied
+            self._enough_replied or others <= self._requested | self._replied.keys()
         ):
             self._set_known("peers")
 
@@ -272,10 +315,9 @@
         requests = [asyncio.ensure_future(self._request_table(m)) for m in chosen]
         try:
             for reply in asyncio.as_completed(requests):
+                # Later replies are merged as well.
                 await reply
                 self._check_known()
-                if self._known:
-                    return
             self._confirmed |= bool(requests)
             self._requested.update(member.name for member in chosen)
         finally:
@@ -297,7 +339,7 @@
             self._counters.events["retirement.peer-lost"] += 1
             return
         if reply.complete:
-            self._replied.add(member.name)
+            self._replied[member.name] = member.instance
 
     async def _request_write(self, retirement: Retirement) -> bool:
         """Let a random peer write a retirement; return whether the store holds it."""
--- a/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
+++ b/packages/rattanfork-node/rattanfork_node/member/tests/test_retirement_task.py
@@ -57,6 +57,8 @@
         self.level = 2
         #: Whether it accepts requests without a response.
         self.hangs = False
+        #: Seconds until it responds.
+        self.delay = 0.0
         self.task = RetirementTask(
             MonotonicClock(),
             Random(1),
@@ -92,6 +94,7 @@
         """Reply as the peer handler does."""
         if self.hangs:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.delay)
         if isinstance(request, PersistRequest):
             stored = await self.task.write_for_peer(request)
             return SimpleNamespace(stored=stored)
@@ -105,15 +108,25 @@
 
 
 class FakeGossipTask:
-    """Delivers updates to all nodes but the sender."""
+    """Delivers updates to all nodes but the sender, or to those that it has met."""
 
     def __init__(self, node: FakeNode) -> None:
         self._node = node
+        self.reaches_all = True
+        #: Updates that are lost before the next is delivered.
+        self.lost = 0
         self.on_retirement_update = None
 
     def send_to_random(self, update: RetirementUpdate, count: int) -> None:
+        met = {member.name for member in self._node.membership.present()}
         for other in self._node.fleet.nodes:
-            if other is not self._node:
+            if other is self._node:
+                continue
+            if not self.reaches_all and other.membership.me.name not in met:
+                continue
+            if self.lost:
+                self.lost -= 1
+            else:
                 other.gossip.on_retirement_update(update)
 
     def add_seeds(self, seeds: list) -> None:
@@ -233,3 +246,155 @@
     node.join_task.start()
     await wait_until(lambda: node.task.known)
     assert node.task.own == [Retirement("n0", "u1", 1000)]
+
+
+async def _tick(node: FakeNode, seconds: float = 1.5) -> None:
+    for _ in range(int(seconds / 0.1)):
+        node.task.tick()
+        await asyncio.sleep(0.01)
+
+
+async def _rejoin(fleet: FakeFleet) -> FakeNode:
+    """Restart the first node, which reads the store; return it."""
+    node = fleet.restart(0)
+    node.meet(*fleet.nodes[1:])
+    node.join_task.start()
+    await asyncio.wait_for(node.learn(), 5.0)
+    return node
+
+
+@on_loop
+async def test_retirement_reaches_nodes_that_are_met_after_it():
+    """Guards against a leaving that no other node knows, as its own had just started.
+
+    The store is restored without it, and the node is killed.
+    """
+    fleet = FakeFleet(3)
+    first, *others = fleet.nodes
+    for other in others:
+        other.task.on_joined()
+    first.gossip.reaches_all = False
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    first.meet(*others)
+    first.task.on_joined()
+    await _tick(first)
+    fleet.tables.clear()
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_retirement_reaches_other_nodes_though_datagrams_are_lost():
+    """Guards against the same where the first datagrams are lost."""
+    fleet = FakeFleet(3)
+    first, *others = fleet.nodes
+    first.meet(*others)
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.gossip.lost = 4
+    first.task.retire("u1", 1000)
+    await asyncio.sleep(0.01)
+    for _ in range(20):
+        first.task.tick()
+        await asyncio.sleep(0.1)
+    fleet.tables.clear()
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_nodes_that_ran_on_are_heard_though_another_replies_first():
+    """Guards against a leaving that only nodes which ran on remember.
+
+    The store is restored without it, and the first reply comes from a node that has
+    started since, whose table is complete and lacks it.
+    """
+    fleet = FakeFleet(4)
+    first, restarted, *others = fleet.nodes
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    restarted = fleet.restart(1)
+    restarted.task.on_joined()
+    for other in others:
+        other.delay = 0.05
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_replies_of_one_process_count_once():
+    """Guards against the same where several records lead to one process."""
+    fleet = FakeFleet(4)
+    first, restarted, *others = fleet.nodes
+    for node in fleet.nodes:
+        node.task.on_joined()
+    first.task.retire("u1", 1000)
+    assert await first.task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    restarted = fleet.restart(1)
+    restarted.task.on_joined()
+    for other in others:
+        other.delay = 0.05
+    node = fleet.restart(0)
+    records = [
+        restarted.membership.me.replace(boot=f"b{boot}", peer_port=2)
+        for boot in range(2)
+    ]
+    node.membership.merge(records)
+    node.meet(restarted, *others)
+    node.join_task.start()
+    await asyncio.wait_for(node.learn(), 5.0)
+    assert node.task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_slow_reply_is_merged_after_the_upstream_was_attached():
+    """Guards against a leaving that is known too late and then ignored."""
+    fleet = FakeFleet(2)
+    for node in fleet.nodes:
+        node.task.on_joined()
+    fleet.nodes[0].task.retire("u1", 1000)
+    assert await fleet.nodes[0].task.wait_stored("u1", 1000, 5.0)
+    fleet.tables.clear()
+    fleet.nodes[1].delay = 0.45
+    node = await _rejoin(fleet)
+    learned = []
+    node.task.on_learned = lambda: learned.append(node.task.own)
+    await wait_until(lambda: learned)
+    assert learned == [[Retirement("n0", "u1", 1000)]]
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+@on_loop
+async def test_node_writes_its_acknowledged_retirements_after_a_restore(restarted):
+    """Guards against a leaving that a restore removes while its own node runs."""
+    fleet = FakeFleet(1)
+    [node] = fleet.nodes
+    node.task.on_joined()
+    node.task.retire("u1", 1000)
+    assert await node.task.wait_stored("u1", 1000, 5.0)
+    if restarted:
+        node = await _rejoin(fleet)
+        node.task.retire("u1", 1000)
+    node.task.tick()
+    fleet.tables.clear()
+    node.platform.stated_era += 1
+    await _tick(node)
+    assert (await _rejoin(fleet)).task.own == [Retirement("n0", "u1", 1000)]
+
+
+@on_loop
+async def test_leaving_is_not_acknowledged_for_what_a_restore_has_removed():
+    """Guards against an acknowledgement for a row that a restore has removed."""
+    fleet = FakeFleet(2)
+    first, second = fleet.nodes
+    first.task.retire("u1", 1000)
+    assert await second.task.write_for_peer(PersistRequest(1, "n0", "u1", 1000))
+    for node in fleet.nodes:
+        node.task.tick()
+        node.platform.stated_era += 1
+        node.platform.down = True
+    fleet.tables.clear()
+    assert not await second.task.write_for_peer(PersistRequest(1, "n0", "u1", 1000))
+    assert not first.task.is_stored("u1", 1000)
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -1,8 +1,8 @@
 """Protocol of one connection between two nodes, for either side."""
 
 import asyncio
-import os
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -16,20 +16,18 @@
 from rattanfork_node.peer.body_sender import BodySender
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
-from rattanfork_node.peer.handshake import check_proof, make_proof, make_unpacker
+from rattanfork_node.peer.handshake import make_unpacker
+from rattanfork_node.peer.link_handshake import LinkHandshake
 from rattanfork_node.peer.messages import (
     MESSAGE_LEVEL,
-    PROTOCOL_VERSION,
     REPLIES,
     BurnRequest,
     Call,
     Cancel,
-    Challenge,
     ConfigurationRequest,
     EpochRequest,
     Fence,
     FenceKey,
-    Hello,
     Message,
     Ping,
     Pong,
@@ -37,7 +35,6 @@
     Run,
     RunReply,
     SyncRequest,
-    Welcome,
     decode_message,
     encode_message,
 )
@@ -67,10 +64,29 @@
 _HANDSHAKE_BUFFER_BYTES = 2048
 #: Maximum bytes of a frame besides the body, such as headers.
 _FRAME_OVERHEAD_BYTES = 256 << 10
+#: Seconds for which replies of a silent peer are waited for.
+_MAX_SILENCE_S = 5.0
 #: Bytes that wait to be written at which no more parts of bodies are sent.
 _WRITE_BUFFER_BYTES = 128 << 10
 
 
+@dataclass(frozen=True, slots=True)
+class LateReply:
+    """Reply to a run that came after its connection was silent.
+
+    Parameters
+    ==========
+
+    reply : RunReply
+        The reply.
+    body : list of bytes or None
+        Its body, if it came in parts.
+    """
+
+    reply: RunReply
+    body: list[bytes] | None
+
+
 class PeerLink(asyncio.Protocol):
     """Protocol of one connection between two nodes, for either side.
 
@@ -85,7 +101,7 @@
     A late reply, or one on an old connection, matches no pending request and is
     dropped, so it can't reach another caller.
 
-    The connecting side sends pings and closes the connection if no data *arrives*
+    The connecting side sends pings and uses the connection no more if no data *arrives*
     within the silence timeout although a request or ping is pending.  Successful
     writes prove nothing: the kernel accepts them even if a device between the two
     ends has dropped the state of the connection.
@@ -124,24 +140,21 @@
     ) -> None:
         self._responses = ResponseBudget() if responses is None else responses
         self._clock = clock
-        self._key = key
-        self._node = node
-        self._data_centre = data_centre
+        self._handshake = LinkHandshake(key, node, data_centre, connecting)
         self._handler = handler
         self._max_body_bytes = max_body_bytes
         self._is_client = connecting
         self._transport: asyncio.Transport | None = None
-        self._nonce = os.urandom(16)
-        self._connection_id = os.urandom(8).hex()
-        self._peer = ""
-        self._peer_data_centre = ""
-        self._authenticated = False
         self._closed = False
         self._is_finished = False
         self._last_number = 0
         #: Highest number of a request that was written to the transport.
         self._last_written = 0
         self._reply_futures: dict[int, asyncio.Future] = {}
+        #: When the peer became silent; None before.
+        self._silent_since: float | None = None
+        #: Futures of replies that a silent peer may still send, by number.
+        self._late: dict[int, asyncio.Future[LateReply | None]] = {}
         self._run_callbacks: dict[int, Callable[[RunReply | None], None]] = {}
         self._unsent: list[bytes] = []
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -164,17 +177,17 @@
     @property
     def connection_id(self) -> str:
         """ID of this connection, known to both sides."""
-        return self._connection_id
+        return self._handshake.connection_id
 
     @property
     def peer(self) -> str:
         """Member name of the peer, covered by its proof."""
-        return self._peer
+        return self._handshake.peer
 
     @property
     def peer_data_centre(self) -> str:
         """Data centre that the peer reported."""
-        return self._peer_data_centre
+        return self._handshake.peer_data_centre
 
     @property
     def peer_level(self) -> int:
@@ -184,7 +197,8 @@
     @property
     def usable(self) -> bool:
         """Whether requests may be sent."""
-        return self._authenticated and not self._closed
+        is_open = not self._closed and self._silent_since is None
+        return is_open and self._handshake.is_complete
 
     @property
     def closed(self) -> bool:
@@ -318,8 +332,20 @@
         """
         return number <= self._last_written
 
+    def keep(self, number: int) -> asyncio.Future[LateReply | None]:
+        """Return the reply to a run that a silent peer may still send, or None."""
+        future = asyncio.get_running_loop().create_future()
+        if self._silent_since is None or self._closed:
+            future.set_result(None)
+        else:
+            self._late[number] = future
+        return future
+
     def forget(self, number: int) -> None:
         """Remove a pending request; its reply is dropped as late."""
+        late = self._late.pop(number, None)
+        if late is not None and not late.done():
+            late.set_result(None)
         self._reply_futures.pop(number, None)
         self._run_callbacks.pop(number, None)
         self._bodies.drop(number)
@@ -337,6 +363,8 @@
         idle : float
             Seconds between pings while no request is pending.
         """
+        if self._silent_since is not None:
+            self._end_silence()
         if not self.usable or not self._is_client:
             return
         now = self._clock.now()
@@ -348,7 +376,7 @@
             self._ping_sent_at = 0.0
         if self._ping_sent_at:
             if now - self._ping_sent_at > 0.75 * silence:
-                self.close("no reply to a ping within the silence timeout")
+                self._suspend("no reply to a ping within the silence timeout")
         elif now - self._last_received > (silence / 4 if self.has_pending else idle):
             # A request may take longer than the silence timeout.  A ping is
             # answered at once, which distinguishes a busy peer from a lost one.
@@ -380,7 +408,7 @@
         self._transport = transport
         transport.set_write_buffer_limits(high=_WRITE_BUFFER_BYTES)
         if not self._is_client:
-            self.send(Challenge(PROTOCOL_VERSION, self._nonce))
+            self.send(self._handshake.challenge())
 
     def connection_lost(self, error: Exception | None) -> None:
         """Fail all pending requests."""
@@ -426,19 +454,19 @@
         except FrameError:
             raise
         except Exception as error:
-            if not self._authenticated:
+            if not self._handshake.is_complete:
                 raise
             self._handler.on_error(self, error)
 
     def _dispatch(self, message: Message) -> None:
-        if not self._authenticated:
+        if not self._handshake.is_complete:
             self._advance_handshake(message)
         elif type(message) is RunReply:
             self._bodies.drop(message.number)
             if not self._reply_bodies.on_reply(message):
                 self._deliver(message)
         elif self._is_client and type(message) is BodyStart:
-            if message.number in self._run_callbacks:
+            if message.number in self._run_callbacks or message.number in self._late:
                 self._reply_bodies.on_start(message)
             else:
                 self.send(Cancel(message.number))
@@ -466,10 +494,14 @@
 
     def _deliver(self, reply: RunReply) -> None:
         done = self._run_callbacks.pop(reply.number, None)
-        if done is None:
+        if done is not None:
+            done(reply)
+            return
+        late = self._late.pop(reply.number, None)
+        if late is None or late.done():
             self._late_replies += 1
         else:
-            done(reply)
+            late.set_result(LateReply(reply, self.take_reply_body()))
 
     def _deliver_without_body(self, reply: RunReply) -> None:
         """Report a run whose response found no room: it ran, and has no response."""
@@ -499,47 +531,13 @@
         getattr(self._handler, method)(self, message)
 
     def _advance_handshake(self, message: Message) -> None:
-        if self._is_client and isinstance(message, Challenge):
-            if message.version != PROTOCOL_VERSION:
-                raise FrameError(
-                    "protocol version of the peer differs from this node's"
-                )
-            proof = self._proof(b"hello", message.nonce, self._nonce, self._node)
-            self.send(
-                Hello(
-                    PROTOCOL_VERSION,
-                    self._node,
-                    self._connection_id,
-                    self._nonce,
-                    proof,
-                )
-            )
-        elif self._is_client and isinstance(message, Welcome):
-            expected = self._proof(b"welcome", self._nonce, b"", message.node)
-            check_proof(message.proof, expected)
-            self._peer, self._peer_data_centre = message.node, message.data_centre
+        reply = self._handshake.advance(message)
+        if reply is not None:
+            self.send(reply)
+        if self._handshake.is_complete:
             self._complete_handshake()
-        elif not self._is_client and isinstance(message, Hello):
-            if message.version != PROTOCOL_VERSION:
-                raise FrameError(
-                    "protocol version of the peer differs from this node's"
-                )
-            expected = self._proof(b"hello", self._nonce, message.nonce, message.node)
-            check_proof(message.proof, expected)
-            self._peer, self._connection_id = message.node, message.connection_id
-            proof = self._proof(b"welcome", message.nonce, b"", self._node)
-            self.send(Welcome(self._node, self._data_centre, proof))
-            self._complete_handshake()
-        else:
-            raise FrameError("message is not valid in this state of the handshake")
-
-    def _proof(
-        self, role: bytes, first_nonce: bytes, second_nonce: bytes, node: str
-    ) -> bytes:
-        return make_proof(self._key, role, first_nonce, second_nonce, node)
 
     def _complete_handshake(self) -> None:
-        self._authenticated = True
         # Each handshake message waits for the previous one, so the small
         # unpacker that is replaced here holds no unread data.
         self._unpacker = make_unpacker(self._max_body_bytes + _FRAME_OVERHEAD_BYTES)
@@ -569,6 +567,15 @@
         error = LinkLostError(reason)
         if not self._ready.done():
             self._ready.set_exception(error)
+        late, self._late = self._late, {}
+        for future in late.values():
+            if not future.done():
+                future.set_result(None)
+        self._fail_requests(reason)
+        if not self._is_client:
+            self._handler.on_closed(self)
+
+    def _fail_requests(self, reason: str) -> None:
         reply_futures, self._reply_futures = self._reply_futures, {}
         for future in reply_futures.values():
             if not future.done():
@@ -576,8 +583,23 @@
         run_callbacks, self._run_callbacks = self._run_callbacks, {}
         for done in run_callbacks.values():
             done(None)
-        if not self._is_client:
-            self._handler.on_closed(self)
+
+    def _suspend(self, reason: str) -> None:
+        """Send no more requests and fail the runs; keep the connection for replies.
+
+        The peer may stand still rather than be lost.
+        """
+        self._report_unfinished(reason)
+        self._silent_since = self._clock.now()
+        self._fail_requests(reason)
+        self._end_silence()
+
+    def _end_silence(self) -> None:
+        """Close a silent connection once no reply is waited for any more."""
+        self._late = {n: f for n, f in self._late.items() if not f.done()}
+        silence = self._clock.now() - self._silent_since
+        if not self._late or silence > _MAX_SILENCE_S:
+            self.close("no reply to a ping within the silence timeout")
 
 
 def _consume_exception(future: asyncio.Future) -> None:
--- a/packages/rattanfork-node/rattanfork_node/peer/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/pool.py
@@ -57,6 +57,8 @@
         self._silence = silence
         self._max_links = max_links
         self._links: dict[Address, PeerLink] = {}
+        #: Connections whose peers are silent, kept for replies that may still come.
+        self._silent: set[PeerLink] = set()
         self._connecting: dict[Address, asyncio.Task[PeerLink]] = {}
         self._silent_closed = 0
 
@@ -158,15 +160,21 @@
         """Ping or close connections as needed; call several times a second."""
         for address, link in list(self._links.items()):
             link.heartbeat(self._silence, self.IDLE_PING_INTERVAL_S)
-            if link.closed:
+            if not link.usable:
                 self._silent_closed += 1
                 self._links.pop(address, None)
+                self._silent.add(link)
+        for link in list(self._silent):
+            link.heartbeat(self._silence, self.IDLE_PING_INTERVAL_S)
+            if link.closed:
+                self._silent.discard(link)
 
     def close(self) -> None:
         """Close all connections and cancel pending connects."""
-        for link in list(self._links.values()):
+        for link in [*self._links.values(), *self._silent]:
             link.close("this node is stopping")
         self._links.clear()
+        self._silent.clear()
         for task in list(self._connecting.values()):
             task.cancel()
 
@@ -193,7 +201,8 @@
             async with asyncio.timeout(self.CONNECT_TIMEOUT_S):
                 _, link = await loop.create_connection(self._make_link, host, port)
                 await link.wait_ready()
-        except (TimeoutError, OSError) as error:
+        except (TimeoutError, OSError, ValueError) as error:
+            # The last one is raised for a host that is neither address nor name.
             raise LinkLostError(f"could not connect to {host}:{port}") from error
         if len(self._links) >= self._max_links:
             self._links.pop(self._choose_excess()).close(
