Read the change once more: shorter comments and conditions

Read as a newcomer would: a nested condition in link.py, an assignment that stood twice, a comment of two parts. The tests of http1 and peer pass; nothing else has changed.

--- a/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/lingering_close.py
@@ -5,9 +5,8 @@
 from rattanfork_node.kernel_queues import undelivered_bytes
 
 #: Seconds for which a connection stays open after the last sign of its client, if the
-#: client has acknowledged all.
-#: What it has acknowledged may wait unread in its kernel, and many clients drop that at
-#: a reset.
+#: client has acknowledged all.  What it has acknowledged may wait unread in its kernel,
+#: and many clients drop that at a reset.
 _LINGER_S = 5.0
 #: Bytes that are read and discarded; reading pauses then.
 _MAX_DISCARDED_BYTES = 1 << 20
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -352,7 +352,6 @@
     def stop(self) -> None:
         """Close the connection as the process ends, and report what is left on it."""
         self.close(CloseReason.STOPPED)
-        self._close_reason = CloseReason.STOPPED
         self._undelivered = self.undelivered_bytes
         self._report_unfinished()
 
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -239,11 +239,9 @@
 
         Closing the connection may discard them.
         """
-        return (
-            0
-            if self._closed
-            else self.unsent_bytes + undelivered_bytes(self._transport)
-        )
+        if self._closed:
+            return 0
+        return self.unsent_bytes + undelivered_bytes(self._transport)
 
     @property
     def is_writable(self) -> bool:
