Refuse what comes while a stopping node ends its links

What callers saw: after a planned SIGTERM a request was read, passed on to a sound upstream, and its connection closed without a response.

Cause: a stopping node leaves once nothing is in flight, and then waits up to 0.3 s for its peers to read the end of their links. During that wait it still listened, and a request whose time-out was shorter than the rest of the grace period was passed on; the exit cut it. A peer that stands still, or is busy, keeps the wait open.

Why it works: from the last check on, every request and call is refused with 503 before it is passed on, and the refusals are written before the exit.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -526,6 +526,8 @@
         self._relay.drain(DrainPolicy(self._clock, ends_at, shutdown.serves_until))
         removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
+        # What comes from now on could not be seen to its end.
+        self._relay.refuse_all()
         await shutdown.finish_links()
         removal.cancel()
         return status
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -154,6 +154,8 @@
         self._peers.finish_links()
         while self._peers.links and self._clock.now() < ends_at:
             await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
+        # Requests that came meanwhile receive their refusals.
+        await self._settle()
 
     async def _settle(self) -> None:
         """Let the event loop read what waits in sockets, new connections included."""
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -186,6 +186,7 @@
         self._rule_evaluator: RuleEvaluator | None = None
         self._membership = membership
         self._drain_policy: DrainPolicy | None = None
+        self._refuses_all = False
         self._operations: dict[tuple[str, str], str] = {}
         self._background: set[asyncio.Task] = set()
         self._caller_line = names.caller + b": " + settings.service.encode() + b"\r\n"
@@ -396,6 +397,10 @@
         """
         self._drain_policy = policy
 
+    def refuse_all(self) -> None:
+        """Pass on no further request, calls of runs included, as the node exits."""
+        self._refuses_all = True
+
     def give_up(self, exchanges: Iterable[Exchange]) -> None:
         """End requests in flight with what is known of them, as the node stops."""
         self._refusals.give_up(exchanges, self._settings.retry_after)
@@ -442,6 +447,15 @@
         ruled_out: frozenset[str] = _NO_INSTANCES,
         rule: str = "",
     ) -> None:
+        if self._refuses_all:
+            self._refusals.refuse(
+                exchange,
+                Reason.LEAVING,
+                self._settings.retry_after,
+                is_call=parent is not None,
+                route=route.name,
+            )
+            return
         began = self.clock.now() - exchange.account_delay
         if exchange.upload is not None:
             began = exchange.upload.began_at
