Log how long the links of a stopping node take to end

Whether requests can come while links end, and for how long, could not be told from the log: a stopped line gives no reason for the time before it. The new line gives links, those still open, seconds and connections accepted meanwhile.

--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -149,13 +149,21 @@
 
     async def finish_links(self) -> None:
         """Close the links of other nodes, which read what is left and close them."""
-        ends_at = self._clock.now() + _LINKS_S
-        ends_at = min(ends_at, self._began_at + self._time_until(0.0))
+        began_at, accepted = self._clock.now(), self._callers.accepted
+        ends_at = min(began_at + _LINKS_S, self._began_at + self._time_until(0.0))
+        links = len(self._peers.links)
         self._peers.finish_links()
         while self._peers.links and self._clock.now() < ends_at:
             await asyncio.sleep(_RESPONSE_POLL_INTERVAL_S)
         # Requests that came meanwhile receive their refusals.
         await self._settle()
+        log_change(
+            "links_finished",
+            links=links,
+            left=len(self._peers.links),
+            seconds=round(self._clock.now() - began_at, 3),
+            accepted_connections=self._callers.accepted - accepted,
+        )
 
     async def _settle(self) -> None:
         """Let the event loop read what waits in sockets, new connections included."""
