--- a/packages/rattanfork-node/rattanfork_node/peer/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/__init__.py
@@ -8,7 +8,7 @@
 from rattanfork_node.peer.body_messages import BodyCredit, BodyPart, BodyStart
 from rattanfork_node.peer.errors import FrameError, LinkLostError
 from rattanfork_node.peer.handler import PeerHandler
-from rattanfork_node.peer.link import LateReply, PeerLink
+from rattanfork_node.peer.link import PeerLink
 from rattanfork_node.peer.messages import (
     BODY_PARTS_LEVEL,
     MAX_UNPAUSED_BYTES,
@@ -40,6 +40,7 @@
     encode_message,
 )
 from rattanfork_node.peer.pending_handshakes import PendingHandshakes
+from rattanfork_node.peer.pending_replies import LateReply
 from rattanfork_node.peer.pool import PeerPool
 from rattanfork_node.peer.retirement_messages import (
     PersistReply,
--- a/packages/rattanfork-node/rattanfork_node/peer/link.py
+++ b/packages/rattanfork-node/rattanfork_node/peer/link.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -38,6 +37,7 @@
     decode_message,
     encode_message,
 )
+from rattanfork_node.peer.pending_replies import LateReply, PendingReplies
 from rattanfork_node.peer.reply_bodies import OutgoingReplyBody, ReplyBodyReceiver
 from rattanfork_node.peer.retirement_messages import (
     PersistRequest,
@@ -70,23 +70,6 @@
 _WRITE_BUFFER_BYTES = 128 << 10
 
 
-@dataclass(frozen=True, slots=True)
-class LateReply:
-    """Reply to a run that came after its connection was silent.
-
-    Parameters
-    ==========
-
-    reply : RunReply
-        The reply.
-    body : list of bytes or None
-        Its body, if it came in parts.
-    """
-
-    reply: RunReply
-    body: list[bytes] | None
-
-
 class PeerLink(asyncio.Protocol):
     """Protocol of one connection between two nodes, for either side.
 
@@ -150,12 +133,9 @@
         self._last_number = 0
         #: Highest number of a request that was written to the transport.
         self._last_written = 0
-        self._reply_futures: dict[int, asyncio.Future] = {}
+        self._pending = PendingReplies()
         #: When the peer became silent; None before.
         self._silent_since: float | None = None
-        #: Futures of replies that a silent peer may still send, by number.
-        self._late: dict[int, asyncio.Future[LateReply | None]] = {}
-        self._run_callbacks: dict[int, Callable[[RunReply | None], None]] = {}
         self._unsent: list[bytes] = []
         self._ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._ready.add_done_callback(_consume_exception)
@@ -163,7 +143,6 @@
         self._last_received = clock.now()
         self._last_heartbeat = clock.now()
         self._ping_sent_at = 0.0
-        self._late_replies = 0
         self._peer_level = 0
         self._bodies = BodySender(self.send)
         self._reply_bodies = ReplyBodyReceiver(
@@ -208,12 +187,12 @@
     @property
     def has_pending(self) -> bool:
         """Whether a request of this node waits for its reply."""
-        return bool(self._reply_futures or self._run_callbacks)
+        return bool(self._pending)
 
     @property
     def late_replies(self) -> int:
         """Replies dropped because no request was pending for them."""
-        return self._late_replies
+        return self._pending.dropped
 
     @property
     def idle_seconds(self) -> float:
@@ -285,11 +264,11 @@
 
     def ask(self, message: Message) -> asyncio.Future:
         """Send a request; the future gets its reply or LinkLostError."""
-        future = asyncio.get_running_loop().create_future()
         if not self.usable:
+            future = asyncio.get_running_loop().create_future()
             future.set_exception(LinkLostError("the connection is closed"))
             return future
-        self._reply_futures[message.number] = future
+        future = self._pending.add(message.number)
         self.send(message)
         return future
 
@@ -299,7 +278,7 @@
         A callback in place of a future and a task cuts the cost of a run to a
         third of that of :meth:`ask`.
         """
-        self._run_callbacks[message.number] = done
+        self._pending.add_run(message.number, done)
         self.send_batched(message)
 
     def send_body(self, number: int, reader: BodyReader, fingerprint: int) -> None:
@@ -332,20 +311,15 @@
 
     def keep(self, number: int) -> asyncio.Future[LateReply | None]:
         """Return the reply to a run that a silent peer may still send, or None."""
-        future = asyncio.get_running_loop().create_future()
         if self._silent_since is None or self._closed:
+            future = asyncio.get_running_loop().create_future()
             future.set_result(None)
-        else:
-            self._late[number] = future
-        return future
+            return future
+        return self._pending.keep(number)
 
     def forget(self, number: int) -> None:
         """Remove a pending request; its reply is dropped as late."""
-        late = self._late.pop(number, None)
-        if late is not None and not late.done():
-            late.set_result(None)
-        self._reply_futures.pop(number, None)
-        self._run_callbacks.pop(number, None)
+        self._pending.forget(number)
         self._bodies.drop(number)
         if self._reply_bodies.drop(number):
             self.send(Cancel(number))
@@ -464,18 +438,14 @@
             if not self._reply_bodies.on_reply(message):
                 self._deliver(message)
         elif self._is_client and type(message) is BodyStart:
-            if message.number in self._run_callbacks or message.number in self._late:
+            if self._pending.expects_run(message.number):
                 self._reply_bodies.on_start(message)
             else:
                 self.send(Cancel(message.number))
         elif self._is_client and type(message) is BodyPart:
             self._reply_bodies.on_part(message)
         elif isinstance(message, REPLIES):
-            future = self._reply_futures.pop(message.number, None)
-            if future is None or future.done():
-                self._late_replies += 1
-            else:
-                future.set_result(message)
+            self._pending.resolve(message)
         elif type(message) is BodyCredit:
             self._bodies.on_credit(message)
         elif isinstance(message, Ping):
@@ -491,15 +461,7 @@
             self._dispatch_request(message)
 
     def _deliver(self, reply: RunReply) -> None:
-        done = self._run_callbacks.pop(reply.number, None)
-        if done is not None:
-            done(reply)
-            return
-        late = self._late.pop(reply.number, None)
-        if late is None or late.done():
-            self._late_replies += 1
-        else:
-            late.set_result(LateReply(reply, self.take_reply_body()))
+        self._pending.resolve_run(reply, self.take_reply_body)
 
     def _deliver_without_body(self, reply: RunReply) -> None:
         """Report a run whose response found no room: it ran, and has no response."""
@@ -551,7 +513,7 @@
             self._ready.set_result(None)
 
     def _report_unfinished(self, reason: str) -> None:
-        runs = len(self._run_callbacks)
+        runs = self._pending.runs
         unsent = 0 if self._transport is None else self.unsent_bytes
         if runs or unsent:
             self._handler.on_unfinished(self, reason, runs, unsent)
@@ -565,23 +527,10 @@
         error = LinkLostError(reason)
         if not self._ready.done():
             self._ready.set_exception(error)
-        late, self._late = self._late, {}
-        for future in late.values():
-            if not future.done():
-                future.set_result(None)
-        self._fail_requests(reason)
+        self._pending.close(reason)
         if not self._is_client:
             self._handler.on_closed(self)
 
-    def _fail_requests(self, reason: str) -> None:
-        reply_futures, self._reply_futures = self._reply_futures, {}
-        for future in reply_futures.values():
-            if not future.done():
-                future.set_exception(LinkLostError(reason))
-        run_callbacks, self._run_callbacks = self._run_callbacks, {}
-        for done in run_callbacks.values():
-            done(None)
-
     def _suspend(self, reason: str) -> None:
         """Send no more requests and fail the runs; keep the connection for replies.
 
@@ -589,14 +538,13 @@
         """
         self._report_unfinished(reason)
         self._silent_since = self._clock.now()
-        self._fail_requests(reason)
+        self._pending.fail(reason)
         self._end_silence()
 
     def _end_silence(self) -> None:
         """Close a silent connection once no reply is waited for any more."""
-        self._late = {n: f for n, f in self._late.items() if not f.done()}
         silence = self._clock.now() - self._silent_since
-        if not self._late or silence > _MAX_SILENCE_S:
+        if not self._pending.has_kept or silence > _MAX_SILENCE_S:
             self.close("no reply to a ping within the silence timeout")
 
 
