Give up requests in the last sixth of a short grace period

What callers saw: with a short grace period, a node that was stopped answered 502 to requests whose upstream was at work and would have ended in time: with 3.5 s from 2.6 s after SIGTERM on, with 2 s from 1.1 s on.

Cause: the margins before the end of the grace period (0.9 s in all) did not depend on its length, so that requests were given up before its last sixth if it is shorter than 5.4 s.

Evidence: two nodes as processes, runs in progress at SIGTERM that end after 0.7, 0.8 and 0.82 of the grace period.

Why it works: below 6 s all margins are shares of the grace period, so that requests are given up after 0.85 of it; the exit guard acts after 14/15 of it below 3 s. For 6 s and more nothing changes. The last wait before requests are given up no longer overshoots that time by up to 0.05 s.

--- a/packages/rattanfork-node/rattanfork_node/app/exit_guard.py
+++ b/packages/rattanfork-node/rattanfork_node/app/exit_guard.py
@@ -8,6 +8,8 @@
 #: Seconds before the end of the grace period at which the guard acts.  An event loop
 #: that stood still has the time between for the responses that wait.
 _GUARD_MARGIN_S = 0.2
+#: The same as a share of a short grace period.
+_GUARD_MARGIN_SHARE = 1 / 15
 
 
 class ExitGuard:
@@ -43,6 +45,6 @@
         if self._armed:
             return
         self._armed = True
-        # Half of the time at least, if the grace period is as short as the margin.
-        seconds = max(self._grace / 2, self._grace - _GUARD_MARGIN_S)
+        margin = min(_GUARD_MARGIN_S, _GUARD_MARGIN_SHARE * self._grace)
+        seconds = self._grace - margin
         faulthandler.dump_traceback_later(seconds, exit=True, file=sys.stderr)
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -30,6 +30,9 @@
 #: Seconds before that at which requests in flight are given up, so that their clients
 #: still receive a final response.
 _GIVE_UP_S = 0.3
+#: Grace period in seconds below which these margins, and that of the exit, are shares
+#: of it.  Requests are then given up within its last sixth, as in longer ones.
+_MIN_FULL_MARGINS_GRACE_S = 6.0
 #: Seconds between two checks of the requests in flight.
 _POLL_INTERVAL_S = 0.05
 #: The same for requests that were given up, whose gates reply within that time.
@@ -127,7 +130,7 @@
                 await self._settle()
                 if not self._is_busy(now):
                     break
-            await asyncio.sleep(_POLL_INTERVAL_S)
+            await asyncio.sleep(min(_POLL_INTERVAL_S, self._give_up_at - now))
         else:
             await self._settle()
         status = 0
@@ -193,7 +196,8 @@
 
     def _time_until(self, before_exit: float) -> float:
         """Return the seconds from the start to some time before the guard acts."""
-        return max(self._grace / 2, self._grace - EXIT_MARGIN_S - before_exit)
+        scale = min(1.0, self._grace / _MIN_FULL_MARGINS_GRACE_S)
+        return self._grace - scale * (EXIT_MARGIN_S + before_exit)
 
     @property
     def _in_flight(self) -> int:
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -11,13 +11,14 @@
 
 
 class SteppingClock(Clock):
-    """A clock that advances by 0.05 s each time it is read."""
+    """A clock that advances by 0.05 s, or another step, each time it is read."""
 
     def __init__(self) -> None:
         self.seconds = 100.0
+        self.step = 0.05
 
     def now(self) -> float:
-        self.seconds += 0.05
+        self.seconds += self.step
         return self.seconds
 
     @property
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown_bounds.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown_bounds.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import pytest
 import uvloop
 from rattanfork_core.clock import MonotonicClock
 from rattanfork_node.app.shutdown import Shutdown
@@ -94,3 +95,16 @@
         server.stop()
 
     uvloop.run(play())
+
+
+@pytest.mark.parametrize("grace", [1.0, 2.0, 3.5, 5.0, 5.4, 6.0, 12.0, 30.0])
+def test_requests_are_given_up_in_the_last_sixth_of_any_grace_period(grace):
+    """Guards against runs cut early, with time left, as the grace period is short."""
+    node = DrainingNode(busy_seconds=1e9)
+    # The time of each reading of the clock has to fit into a short grace period.
+    node.clock.step = 0.001
+    shutdown = Shutdown(node.clock, grace, node, node, node, node.give_up, node.peers)
+    shutdown.begin()
+    assert asyncio.run(shutdown.finish()) == 1
+    assert grace * 5 / 6 < node.events["given up"]
+    assert node.clock.elapsed < grace - min(0.4, grace / 15)
