Send no attempt from a stopping node that its exit may cut

What callers saw: a run made a call through its own node, 4.9 to 5.14 s after that node's SIGTERM with a grace period of 6 s. The call was passed on to a sound upstream of another node, ran, and got 502, POST as well as GET.

Cause: callers' requests are checked against the time left of a stopping node; calls of runs, retries and attempts that wait for a link were passed on until the process exited, 0.1 to 0.4 s after requests in flight were given up.

Evidence: two nodes as processes, a run in progress at SIGTERM, a call each 0.02 s from 4.9 to 5.3 s after it.

Why it works: from half of the grace period on, an attempt (a call, a request, a retry, or one whose link has just opened) is sent only if its own deadline, or four times the mean latency of the slowest instance and at least 0.2 s, fits into the time until requests are given up. Otherwise it is refused with 503 and Retry-After and never runs. The upstream of one that is sent is told a deadline 0.1 s before the give-up at the latest, so that it refuses or stops by itself, and its own response is delivered.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -50,7 +50,6 @@
 from rattanfork_node.peer import PeerLink, PeerPool, PendingHandshakes
 from rattanfork_node.relay import (
     DecisionLog,
-    DrainPolicy,
     Gate,
     Relay,
     RelayPeerHandler,
@@ -522,8 +521,7 @@
             self._handler,
         )
         self._upstream_monitor.close()
-        ends_at = shutdown.begin()
-        self._relay.drain(DrainPolicy(self._clock, ends_at, shutdown.serves_until))
+        self._relay.drain(shutdown.begin())
         removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
         # What comes from now on could not be seen to its end.
--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -10,7 +10,7 @@
 from rattanfork_node.http1 import HttpServer
 from rattanfork_node.member import GossipTask
 from rattanfork_node.peer import BasePeerHandler
-from rattanfork_node.relay import Gate
+from rattanfork_node.relay import DrainPolicy, Gate
 from rattanfork_node.telemetry import log_change
 
 #: Share of the grace period after SIGTERM during which runs from other nodes are still
@@ -24,6 +24,11 @@
 #: Minimum time in seconds after SIGTERM for which callers are served.  Readiness is
 #: checked every second, and two failed checks take a node out of service.
 _MIN_SERVING_S = 2.6
+#: Share of the grace period for which attempts are sent without a check whether they
+#: end in time: most do, and a run fails for each call that is refused.
+_UNCHECKED_SHARE = 0.5
+#: Seconds before requests are given up by which upstreams end runs by themselves.
+_RUN_RESPONSE_S = 0.1
 #: Seconds before the exit guard ends the process by which nothing is waited for any
 #: more; the rest is for closing.
 _CLOSE_S = 0.1
@@ -101,20 +106,22 @@
         self._peers = peers
         self._unsent = UnsentWatch()
 
-    @property
-    def serves_until(self) -> float:
-        """Earliest time at which callers are no longer served."""
-        return self._began_at + _MIN_SERVING_S
-
-    def begin(self) -> float:
-        """Begin the shutdown; return the time at which requests are given up."""
+    def begin(self) -> DrainPolicy:
+        """Begin the shutdown; return what decides on requests from now on."""
         log_change(
             "draining", runs=self._gate.outstanding, requests=self._callers.in_flight
         )
         self._began_at = self._clock.now()
         self._gate.leave()
         self._callers.leave()
-        return self._give_up_at
+        gives_up_at = self._give_up_at
+        return DrainPolicy(
+            self._clock,
+            gives_up_at,
+            self._began_at + _MIN_SERVING_S,
+            self._began_at + _UNCHECKED_SHARE * self._grace,
+            self._margin_scale * _RUN_RESPONSE_S,
+        )
 
     async def finish(self) -> int:
         """Wait until nothing is in flight; return 0, or 1 if requests were given up."""
@@ -196,8 +203,11 @@
 
     def _time_until(self, before_exit: float) -> float:
         """Return the seconds from the start to some time before the guard acts."""
-        scale = min(1.0, self._grace / _MIN_FULL_MARGINS_GRACE_S)
-        return self._grace - scale * (EXIT_MARGIN_S + before_exit)
+        return self._grace - self._margin_scale * (EXIT_MARGIN_S + before_exit)
+
+    @property
+    def _margin_scale(self) -> float:
+        return min(1.0, self._grace / _MIN_FULL_MARGINS_GRACE_S)
 
     @property
     def _in_flight(self) -> int:
--- a/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
@@ -1,4 +1,6 @@
-"""Route path: admission of callers' requests at a draining node."""
+"""Route path: what a draining node still accepts and passes on."""
+
+from math import inf
 
 from rattanfork_core.clock import Clock
 from rattanfork_core.routes import Route
@@ -7,10 +9,13 @@
 #: Multiple of the slowest instance's mean latency within which all but a few in a
 #: thousand requests end, if their durations are similar.
 _LATENCY_FACTOR = 4.0
+#: Least time in seconds that an attempt is expected to take, however fast its instances
+#: are: links, queues and a busy machine add to it.
+_MIN_EXPECTED_S = 0.2
 
 
 class DrainPolicy:
-    """Decides which callers' requests a draining node still accepts.
+    """Decides which requests a draining node still accepts and passes on.
 
     Explanation
     ===========
@@ -27,21 +32,40 @@
     also accepted if a multiple of the mean latency fits into the time left; with
     this rule none of those requests failed.
 
+    A call of a run is accepted for longer, as the run fails without it.  But an
+    attempt that may be cut is worse than a refusal that proves that nothing ran.  So
+    from ``checks_from`` on, an attempt is sent only if its deadline, or a multiple of
+    the mean latency, fits into the time left.  The upstream is told a deadline by which
+    it stops by itself, with time for its response.
+
     Parameters
     ==========
 
     clock : Clock
         Source of the current time.
     ends_at : float
-        Time at which the node exits, in seconds of the clock.
+        Time at which requests in flight are given up, in seconds of the clock.
     serves_until : float
         Time until which callers may still send, in seconds of the clock.
+    checks_from : float, optional
+        Time from which each attempt is checked, in seconds of the clock.
+    response_time : float, optional
+        Seconds between the end of a run and ``ends_at``, for its response.
     """
 
-    def __init__(self, clock: Clock, ends_at: float, serves_until: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        ends_at: float,
+        serves_until: float,
+        checks_from: float = -inf,
+        response_time: float = 0.0,
+    ) -> None:
         self._clock = clock
         self._ends_at = ends_at
         self._serves_until = serves_until
+        self._checks_from = checks_from
+        self._runs_end_at = ends_at - response_time
 
     def accepts(self, route: Route, picker: InstancePicker) -> bool:
         """Return whether a caller's request for a route is accepted."""
@@ -51,3 +75,17 @@
             return True
         slowest = picker.slowest_latency
         return now <= self._serves_until and 0.0 < _LATENCY_FACTOR * slowest <= left
+
+    def may_send(self, deadline: float, picker: InstancePicker) -> bool:
+        """Return whether an attempt at a request with a deadline may be sent."""
+        now = self._clock.now()
+        if now < self._checks_from or deadline <= self._ends_at:
+            return True
+        expected = max(_MIN_EXPECTED_S, _LATENCY_FACTOR * picker.slowest_latency)
+        return now + expected <= self._ends_at
+
+    def run_deadline(self, deadline: float) -> float:
+        """Return the deadline of the run of a request with a deadline."""
+        if self._clock.now() < self._checks_from:
+            return deadline
+        return min(deadline, self._runs_end_at)
--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -205,6 +205,8 @@
 
     def _may_retry(self) -> bool:
         admitted = self._admitted
+        if not self._relay.may_send(admitted.deadline, admitted.picker):
+            return False
         if (
             self._exchange.upload is not None
             and admitted.route.upload
@@ -305,7 +307,7 @@
             exchange.body,
             exchange.request_id,
             admitted.rank,
-            admitted.deadline,
+            self._relay.run_deadline(admitted.deadline),
             admitted.route.idempotent,
             self._repeated,
             self._may_have_arrived,
@@ -324,8 +326,9 @@
         attempt = self._attempt
         self._link = link
         self._number = link.next_number()
-        left = admitted.deadline - self._relay.clock.now()
-        reports = self._relay.upstream_reports
+        relay = self._relay
+        left = relay.run_deadline(admitted.deadline) - relay.clock.now()
+        reports = relay.upstream_reports
         report = reports.get(member.instance) if link.peer_level else None
         run = Run(
             self._number,
@@ -381,8 +384,10 @@
                 self._relay.mark_dead(member.name)
                 self._on_unsent(attempt, member)
                 return
-            if not link.usable:
-                # It was lost before this task continued; it would drop the run.
+            admitted = self._admitted
+            may_send = self._relay.may_send(admitted.deadline, admitted.picker)
+            if not may_send or not link.usable:
+                # A link that was lost before this task continued would drop the run.
                 self._on_unsent(attempt, member)
                 return
             self._send_run(link, member)
--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -390,17 +390,25 @@
         return blocked | shedding
 
     def drain(self, policy: DrainPolicy) -> None:
-        """Accept only callers' requests that a drain policy accepts.
-
-        Child calls of the node's own upstream are accepted until the node exits, as
-        the runs that make them can't complete without them.
-        """
+        """Accept only requests, and send only attempts, that a drain policy allows."""
         self._drain_policy = policy
 
     def refuse_all(self) -> None:
         """Pass on no further request, calls of runs included, as the node exits."""
         self._refuses_all = True
 
+    def may_send(self, deadline: float, picker: InstancePicker) -> bool:
+        """Return whether an attempt can be expected to end before the node exits."""
+        if self._refuses_all:
+            return False
+        policy = self._drain_policy
+        return policy is None or policy.may_send(deadline, picker)
+
+    def run_deadline(self, deadline: float) -> float:
+        """Return the deadline of the run of a request with a deadline."""
+        policy = self._drain_policy
+        return deadline if policy is None else policy.run_deadline(deadline)
+
     def give_up(self, exchanges: Iterable[Exchange]) -> None:
         """End requests in flight with what is known of them, as the node stops."""
         self._refusals.give_up(exchanges, self._settings.retry_after)
@@ -447,7 +455,11 @@
         ruled_out: frozenset[str] = _NO_INSTANCES,
         rule: str = "",
     ) -> None:
-        if self._refuses_all:
+        began = self.clock.now() - exchange.account_delay
+        if exchange.upload is not None:
+            began = exchange.upload.began_at
+        deadline = deadline_of(exchange, route, parent, began)
+        if not self.may_send(deadline, picker):
             self._refusals.refuse(
                 exchange,
                 Reason.LEAVING,
@@ -456,10 +468,6 @@
                 route=route.name,
             )
             return
-        began = self.clock.now() - exchange.account_delay
-        if exchange.upload is not None:
-            began = exchange.upload.began_at
-        deadline = deadline_of(exchange, route, parent, began)
         admitted = AdmittedRequest(
             route,
             service,
