Refuse runs at a stopping gate that its exit may cut

What callers saw: a request at a node that was told to stop was passed on to a sound upstream, which was at work on it, and the node answered 502 or 504 of its own, or the connection ended: in calm, with nothing but planned stops.

Cause: a stopping node accepts runs of other nodes for some 2 s after SIGTERM, whatever their deadlines, and ends those that are left 5.1 s after it. A run with a time-out of 4 s that comes 1.1 s after SIGTERM or later may be cut. Its entry node, if it is told to stop a moment later as in a rolling restart, has no other answer than its own. The class: something is passed on that the one who passes it on, or its gate, can't see to its end.

Why it works: a peer's run whose deadline lies behind the end of the node is refused as not run, which is sent to another instance at no charge.

--- a/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
@@ -67,6 +67,11 @@
         self._checks_from = checks_from
         self._runs_end_at = ends_at - response_time
 
+    @property
+    def runs_end_at(self) -> float:
+        """Time by which runs end whose responses are still passed on."""
+        return self._runs_end_at
+
     def accepts(self, route: Route, picker: InstancePicker) -> bool:
         """Return whether a caller's request for a route is accepted."""
         now = self._clock.now()
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from functools import partial
+from math import inf
 
 from rattanfork_core.admission import (
     AdmissionController,
@@ -182,6 +183,8 @@
         self._next_key = 0
         self._accepting = False
         self._leaving = False
+        #: Latest deadline of a peer's run that is admitted.
+        self._latest_deadline = inf
         #: Called with each run that the upstream may go on with after it was ended.
         self.on_run_lost: Callable[[Job], None] = _ignore
         #: Whether a response showed that another incarnation has the address.
@@ -305,6 +308,9 @@
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
+        if job.origin and job.deadline > self._latest_deadline:
+            self._refuse(job, Reason.LEAVING)
+            return
         if job.counted_bytes and not self._hold_body(job):
             # The reason is one that nodes of earlier builds know, too.
             self._counters.events["gate.upload-bytes"] += 1
@@ -345,6 +351,14 @@
         """Record that this node is draining."""
         self._leaving = True
 
+    def refuse_runs_beyond(self, ends_at: float) -> None:
+        """Refuse peers' runs with deadlines later than the end of this node.
+
+        Their nodes send them to other instances; the exit would cut those that are
+        slow, and nobody could tell whether they had run.
+        """
+        self._latest_deadline = ends_at
+
     def tick(self) -> None:
         """Update admission control; call every ``AdmissionController.TICK_SECONDS``."""
         self._tracker.record_pending()
