Announce the leaving of a node before it exits, however long its grace is

What callers saw: with a grace period over 9.6 s a node without requests exited 2.6 s after SIGTERM, before it had announced its leaving or refused runs, since both come a share of the grace period after SIGTERM. Runs of other nodes that crossed the end of their links were dropped unread.

Why it works: the announcement comes 2.2 s after SIGTERM at the latest, 0.4 s before the earliest exit. Grace periods up to 8.1 s are served as before.";

--- a/packages/rattanfork-node/rattanfork_node/app/shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/shutdown.py
@@ -24,6 +24,9 @@
 #: Minimum time in seconds after SIGTERM for which callers are served.  Readiness is
 #: checked every second, and two failed checks take a node out of service.
 _MIN_SERVING_S = 2.6
+#: Seconds after SIGTERM by which the leaving is announced, however long the grace
+#: period is: a node without requests exits soon after it.
+_MAX_ACCEPT_RUNS_S = _MIN_SERVING_S - _PROPAGATION_S
 #: Share of the grace period for which attempts are sent without a check whether they
 #: end in time: most do, and a run fails for each call that is refused.
 _UNCHECKED_SHARE = 0.5
@@ -125,7 +128,8 @@
 
     async def finish(self) -> int:
         """Wait until nothing is in flight; return 0, or 1 if requests were given up."""
-        announce_at = self._began_at + _ACCEPT_RUNS_SHARE * self._grace
+        accepts_for = min(_ACCEPT_RUNS_SHARE * self._grace, _MAX_ACCEPT_RUNS_S)
+        announce_at = self._began_at + accepts_for
         announced = False
         while (now := self._clock.now()) < self._give_up_at:
             if now >= announce_at and not announced:
--- a/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
+++ b/packages/rattanfork-node/rattanfork_node/app/tests/test_shutdown.py
@@ -80,9 +80,9 @@
         self.accepting = False
         self.events["detached"] = self.clock.elapsed
 
-    def shut_down(self) -> int:
+    def shut_down(self, grace: float = GRACE) -> int:
         shutdown = Shutdown(
-            self.clock, GRACE, self, self, self, self.give_up, self.peers
+            self.clock, grace, self, self, self, self.give_up, self.peers
         )
         shutdown.begin()
         return asyncio.run(shutdown.finish())
@@ -106,6 +106,15 @@
     assert node.events["detached"] > node.events["left"] + 0.39
 
 
+@pytest.mark.parametrize("grace", [2.0, GRACE, 10.0, 30.0])
+def test_idle_node_announces_its_leaving_and_refuses_runs_before_its_exit(grace):
+    """Guards against runs that are sent to a node which exits unannounced."""
+    node = DrainingNode()
+    assert node.shut_down(grace) == 0
+    assert node.events["left"] > 0.2 * min(grace, GRACE)
+    assert node.events["detached"] > node.events["left"] + 0.3
+
+
 def test_idle_draining_node_serves_until_two_readiness_checks_failed():
     """Guards against connections refused at the port of a node that exited early.
 
