Refuse requests before they wait for a token, as the node exits

What callers saw: a request with a key that came while a stopping node ended its links was read, and its connection closed by the exit without an answer. It had not run, which the caller could not know.

The exit comes after 0.3 s at most, and the peer that keeps the links open may be the issuer.

Why it works: from the last check on nothing waits before it is refused, neither a request that was read whole nor a counted body from its head on.

--- a/packages/rattanfork-node/rattanfork_node/relay/relay.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/relay.py
@@ -193,6 +193,9 @@
 
     def on_request(self, exchange: Exchange) -> None:
         """Handle a request whose head and body were read."""
+        if self._refuses_all:
+            self._refuse_as_leaving(exchange)
+            return
         configuration = self._configuration.current
         if configuration is None or not self._rules.ready:
             is_call = self.gate.parent_of(exchange.request_id) is not None
@@ -210,8 +213,17 @@
 
     def on_head(self, exchange: Exchange) -> bool:
         """Take over a request on a route of uploads from its head."""
+        if self._refuses_all and exchange.upload.is_counted:
+            self._refuse_as_leaving(exchange)
+            return True
         return self._uploads.on_head(exchange)
 
+    def _refuse_as_leaving(self, exchange: Exchange) -> None:
+        """Refuse a request before it waits for its account, as the node exits."""
+        is_call = self.gate.parent_of(exchange.request_id) is not None
+        retry_after = self._settings.retry_after
+        self._refusals.refuse(exchange, Reason.LEAVING, retry_after, is_call=is_call)
+
     def _refuse_account(
         self, exchange: Exchange, route: Route, refusal: Refusal
     ) -> None:
