Close the gate of a stopping node before its links end

What callers saw: after a SIGTERM of a node with a grace period of 10 s, requests at another node that had reached its upstream got 502, at the moment of its exit.

A gate is closed 0.4 s after its node has announced that it leaves, which is 0.27 of the grace period after SIGTERM. A node with nothing in flight ends its links 2.6 s after SIGTERM, before that if the grace period is over 8.2 s. Other nodes then open new links, for up to 0.3 s, and the gate admitted their runs.

Evidence: three nodes as processes, one stopped by SIGSTOP so that its link stays open, posts every 30 ms from 2.7 s after SIGTERM on at the other one: with grace periods of 10 and 12 s 2 of 2 tests failed (in a trial of the same, 6 of 13 posts each got 502); with 6 s 1 of 1 passed.

Why it works: from the last check on, runs are refused as not run, which other nodes send elsewhere. For grace periods up to 8.2 s the gate is closed already.

After: 3 of 3 pass.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -528,6 +528,7 @@
         status = await shutdown.finish()
         # What comes from now on could not be seen to its end.
         self._relay.refuse_all()
+        self._gate.detach()
         await shutdown.finish_links()
         removal.cancel()
         return status
