Parse fragmented responses in turns of a few milliseconds

What callers saw: one upstream that answered in chunks of one byte without end stalled its node. Ordinary requests to another service went unanswered for seconds, and callers of the faulty upstream got 504 seconds after their deadline.

Cause: a connection passed all it had read to the parser, up to 256 KiB at once and 32 reads in an iteration of the event loop. Each chunk costs a callback, whatever its size. All bounds were of bytes, none of processor time, and a deadline is a timer of the same event loop.

Fix: input goes to the parser in slices. Once a response has caused many more callbacks than its bytes allow, the rest waits for the turns of the pacer that all connections share, and nothing more is read from the socket until then. The bytes that wait count against the budget; an aborted connection drops them, and a response that was received whole is delivered even if the connection is lost. The connections to the store and to the health port use the same pacer.

The bound on heads and framing now holds within one read.

--- a/packages/rattanfork-node/rattanfork_node/app/prober.py
+++ b/packages/rattanfork-node/rattanfork_node/app/prober.py
@@ -2,7 +2,7 @@
 
 from rattanfork_core.clock import Clock
 
-from rattanfork_node.http1 import HeaderNames, HttpClient
+from rattanfork_node.http1 import HeaderNames, HttpClient, InputPacer
 
 #: Time-out of a probe in seconds.  A probe waits for a slot like any request, so a busy
 #: upstream may not answer in time; its next announcement then identifies it.
@@ -32,13 +32,22 @@
         Its port.
     names : HeaderNames
         Names of headers, including that of the ID in a probe's response.
+    pacer : InputPacer, optional
+        Grants turns to connections with fragmented input.
     """
 
-    def __init__(self, clock: Clock, host: str, port: int, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        host: str,
+        port: int,
+        names: HeaderNames,
+        pacer: InputPacer | None = None,
+    ) -> None:
         self._id_header = names.upstream.lower()
         self._leaving_header = names.leaving.lower()
         captured = frozenset((self._id_header, self._leaving_header))
-        self._client = HttpClient(clock, host, port, captured)
+        self._client = HttpClient(clock, host, port, captured, pacer)
 
     async def ask(self, path: str) -> str | None:
         """Return the ID of a healthy upstream; None if there is none or it leaves."""
--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -39,7 +39,12 @@
 from rattanfork_node.app.store_tasks import StoreTasks
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
 from rattanfork_node.config.holder import ConfigurationHolder
-from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
+from rattanfork_node.http1 import (
+    HttpServer,
+    InputPacer,
+    RequestLimits,
+    UploadResources,
+)
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.dependency_task import DependencyTask
@@ -107,6 +112,8 @@
         Output for log lines about requests.
     code : str
         Digest of the installed code, for the log.
+    pacer : InputPacer, optional
+        Grants turns to connections with fragmented input; the store's uses it, too.
     """
 
     def __init__(
@@ -117,6 +124,7 @@
         announcement_handler: Callable[["RelayNode"], RequestHandler],
         writer: LineWriter,
         code: str = "",
+        pacer: InputPacer | None = None,
     ) -> None:
         self._settings = settings
         self._code = code
@@ -133,6 +141,7 @@
             self._clock, settings.memory_bytes, settings.max_descriptors
         )
         self._handshakes = PendingHandshakes(self._clock)
+        self._pacer = InputPacer() if pacer is None else pacer
         self._create_components(decode)
         self._create_tasks()
         self._create_servers(announcement_handler)
@@ -237,6 +246,7 @@
             self._quarantine,
             self._budgets.gate_bodies,
             self._budgets.responses,
+            self._pacer,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -314,7 +324,9 @@
             self._store,
             self._counters,
         )
-        self._prober = UpstreamProber(self._clock, *settings.upstream, settings.names)
+        self._prober = UpstreamProber(
+            self._clock, *settings.upstream, settings.names, self._pacer
+        )
 
     def _create_servers(
         self, announcement_handler: Callable[["RelayNode"], RequestHandler]
--- a/packages/rattanfork-node/rattanfork_node/http1/__init__.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/__init__.py
@@ -19,6 +19,7 @@
 from rattanfork_node.http1.fingerprints import fingerprint_of
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_head, render_response
@@ -46,6 +47,7 @@
     "HeldBody",
     "HttpClient",
     "HttpServer",
+    "InputPacer",
     "RequestHandler",
     "RequestLimits",
     "RequestStage",
--- a/packages/rattanfork-node/rattanfork_node/http1/client.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/client.py
@@ -9,6 +9,7 @@
 from rattanfork_core.clock import Clock
 
 from rattanfork_node.http1.awaitable import acquire_connection, send_request
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.http1.pool import UpstreamPool
 from rattanfork_node.http1.render import render_head
 from rattanfork_node.http1.upstream_response import UpstreamResponse
@@ -52,6 +53,9 @@
     captured : frozenset of bytes
         Lower-case names of the headers to include in
         :attr:`UpstreamResponse.headers`.
+    pacer : InputPacer, optional
+        Grants turns to the connections with fragmented input; one of its own by
+        default.
     """
 
     def __init__(
@@ -60,12 +64,15 @@
         host: str,
         port: int,
         captured: frozenset[bytes] = frozenset(),
+        pacer: InputPacer | None = None,
     ) -> None:
         self._clock = clock
         self._pending: dict[int, PendingRequest] = {}
         self._numbers = count()
         self._host_line = f"Host: {host}:{port}\r\n".encode()
-        self._pool = UpstreamPool(clock, host, port, _MAX_CONNECTIONS, b"-", captured)
+        self._pool = UpstreamPool(
+            clock, host, port, _MAX_CONNECTIONS, b"-", captured, pacer=pacer
+        )
 
     @property
     def pending(self) -> tuple[PendingRequest, ...]:
--- a/packages/rattanfork-node/rattanfork_node/http1/input_pacer.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/input_pacer.py
@@ -16,7 +16,7 @@
 _MAX_SHARE = 0.25
 #: Callbacks of the parser for a message beyond one for this many bytes, above which
 #: its input is fragmented.  A head of a hundred fields has a hundred.
-_BYTES_PER_CALLBACK = 32
+_BYTES_PER_CALLBACK = 256
 _MAX_EXCESS_CALLBACKS = 256
 #: Maximum excess that is remembered, so that large pieces soon make up for it.
 _EXCESS_LIMIT = 2 * _MAX_EXCESS_CALLBACKS
--- a/packages/rattanfork-node/rattanfork_node/http1/pool.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/pool.py
@@ -17,6 +17,7 @@
     choose_idle,
 )
 
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.http1.upstream import UpstreamConnection
 
 #: Seconds allowed for connecting; the upstream is on the same instance.
@@ -73,6 +74,9 @@
         Budget for the bodies of the responses that the node is receiving.
     keeps_parts : bool
         Whether large bodies of responses are kept in parts.
+    pacer : InputPacer, optional
+        Grants turns to the connections with fragmented input; one of its own by
+        default.
     """
 
     def __init__(
@@ -86,8 +90,10 @@
         events: Counter[str] | None = None,
         budget: ResponseBudget | None = None,
         keeps_parts: bool = False,
+        pacer: InputPacer | None = None,
     ) -> None:
         self._clock = clock
+        self._pacer = pacer or InputPacer()
         self._keeps_parts = keeps_parts
         self._budget = ResponseBudget() if budget is None else budget
         self._address = (host, port)
@@ -290,6 +296,7 @@
                         self._events,
                         self._budget,
                         self._keeps_parts,
+                        self._pacer,
                     ),
                     *self._address,
                 )
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -4,6 +4,7 @@
 import re
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from itertools import count
 
 import httptools
@@ -15,7 +16,9 @@
 )
 
 from rattanfork_node.http1.headers import NOT_FORWARDED
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.http1.request_body import PART_BYTES, BodyBuffer, BodyReader
+from rattanfork_node.http1.sliced_input import SlicedInput
 from rattanfork_node.http1.upstream_response import (
     UpstreamResponse,
     keep_alive_timeout,
@@ -61,7 +64,8 @@
       see :meth:`may_carry`.
 
     What an upstream sends may have no end.  Heads, framing and dropped responses are
-    bounded for each request, bodies by the budget that all connections share.
+    bounded for each request, bodies by the budget that all connections share.  The
+    processor time for many small pieces is bounded by a pacer.
 
     Without the IDs a caller could receive the response to another caller's request, or
     a second copy of a rejection could be taken for a statement on an attempt that runs.
@@ -87,6 +91,8 @@
         Budget for the bodies of the responses that the node is receiving.
     keeps_parts : bool
         Whether large bodies of responses are kept in parts.
+    pacer : InputPacer, optional
+        Grants turns to the connections with fragmented input.
     """
 
     _numbers = count(1)
@@ -101,9 +107,17 @@
         events: Counter[str] | None = None,
         budget: ResponseBudget | None = None,
         keeps_parts: bool = False,
+        pacer: InputPacer | None = None,
     ) -> None:
         self._clock = clock
         self._keeps_parts = keeps_parts
+        self._input = SlicedInput(
+            pacer or InputPacer(), self._parse, self._finish_parsing
+        )
+        #: Callbacks of the parser for the data being parsed.
+        self._callbacks = 0
+        #: Called with the end of the input once nothing waits to be parsed.
+        self._on_input_end: Callable[[], object] | None = None
         self._events = Counter() if events is None else events
         self._budget = ResponseBudget() if budget is None else budget
         self._id_name = id_name
@@ -210,6 +224,7 @@
         self._request_id = request_id
         self._is_head = is_head
         self._received_bytes = self._body_bytes = 0
+        self._input.begin_message()
         self.uses += 1
         self.dropped = 0
         self.sent_at = self._clock.now()
@@ -226,7 +241,7 @@
         self._on_response = None
         self._request_body = None
         if self._transport is not None:
-            self._transport.abort()
+            self._abort_transport()
         self._close(cause)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -236,6 +251,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the pool and the sender of the pending request."""
+        if self._input.waiting_bytes:
+            self._on_input_end = partial(self.connection_lost, error)
+            return
         self._request_body = None
         self.refused = self._unused and error is not None and not self.closed
         if self._on_response is None:
@@ -263,6 +281,9 @@
 
         Only an orderly close completes it; after a reset it may be truncated.
         """
+        if self._input.waiting_bytes:
+            self._on_input_end = self._end_input
+            return True
         if self._on_response is not None and self._in_body and self._until_close:
             self._complete(reusable=False)
             if self._completed:
@@ -277,26 +298,13 @@
             return
         if self._transport.is_closing():
             return
-        self._received_bytes += len(data)
         self._unused = False
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._transport.abort()
-            return
-        if self._body.size:
-            # The response is not complete.
-            self._is_counted = True
-            self._budget.hold(self, self._body.size)
-        # Released only now, as the parser has seen any bytes after the response.
-        if self._completed:
-            self._release_or_close()
-        elif self._exceeds_overhead():
-            self._events["upstream.exceeded.overhead"] += 1
-            self._transport.abort()
+        self._input.receive(data, self._transport)
+        self._finish_parsing()
 
     def on_message_begin(self) -> None:
         """Start a new response."""
+        self._callbacks += 1
         if self._on_response is None:
             self._events["upstream.dropped.not-awaited"] += 1
             self._unexpected = True
@@ -308,6 +316,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
+        self._callbacks += 1
         if self._in_body:
             self._check_lines(value)
             return
@@ -340,6 +349,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, within the budget of the node."""
+        self._callbacks += 1
         self._body_bytes += len(body)
         self._body.append(body)
 
@@ -356,7 +366,56 @@
         self._events["upstream.exceeded.budget"] += 1
         self.evicted = True
         self._body.take_parts()
+        self._abort_transport()
+
+    def _parse(self, data: bytes | memoryview) -> int:
+        """Parse a part of the input; return the number of callbacks."""
+        self._received_bytes += len(data)
+        self._callbacks = 0
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._abort_transport()
+            return self._callbacks
+        if self._unexpected:
+            # The connection ends, whatever else waits.
+            self._input.clear()
+        elif not self._completed and self._exceeds_overhead():
+            self._events["upstream.exceeded.overhead"] += 1
+            self._abort_transport()
+        return self._callbacks
+
+    def _finish_parsing(self) -> None:
+        """Account for what was parsed and what waits; end a complete response."""
+        waiting = self._input.waiting_bytes
+        if self._body.size or waiting:
+            self._is_counted = True
+            self._budget.hold(self, self._body.size + waiting)
+            waiting = self._input.waiting_bytes
+        else:
+            self._release_budget()
+        if waiting:
+            return
+        on_end, self._on_input_end = self._on_input_end, None
+        if on_end is not None:
+            on_end()
+        # Released only now, as the parser has seen any bytes after the response.
+        elif self._completed and not self._transport.is_closing():
+            self._release_or_close()
+
+    def _end_input(self) -> None:
+        """End the input, unless the connection was aborted in between."""
+        if not self._transport.is_closing():
+            self.eof_received()
+            self._transport.close()
+
+    def _abort_transport(self) -> None:
+        """Abort the transport, and drop what was received but not parsed."""
+        self._input.clear()
         self._transport.abort()
+        on_end, self._on_input_end = self._on_input_end, None
+        if on_end is not None:
+            asyncio.get_running_loop().call_soon(on_end)
 
     def _send_body(self) -> None:
         body = self._request_body
@@ -398,6 +457,7 @@
         if not self.closed:
             self.closed = True
             self.close_cause = cause
+            self._input.clear()
             self._budget.release(self)
             # Kept in memory with the transport until the next garbage collection.
             self._body.take_parts()
@@ -476,7 +536,7 @@
         self._events[f"upstream.dropped.{cause}"] += 1
         self.dropped += 1
         if not reusable:
-            self._transport.abort()
+            self._abort_transport()
             on_response, self._on_response = self._on_response, None
             on_response(None)
 
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -23,6 +23,7 @@
 
 from rattanfork_node.http1 import (
     HeaderNames,
+    InputPacer,
     UpstreamConnection,
     UpstreamPool,
     UpstreamResponse,
@@ -123,6 +124,8 @@
         Bound on the bodies of requests that wait or run here.
     responses : ResponseBudget, optional
         Budget for the bodies of the responses that the node is receiving.
+    pacer : InputPacer, optional
+        Grants turns to connections with fragmented input.
     """
 
     def __init__(
@@ -136,7 +139,9 @@
         quarantine: Quarantine,
         bodies: BodyBound | None = None,
         responses: ResponseBudget | None = None,
+        pacer: InputPacer | None = None,
     ) -> None:
+        self._pacer = pacer or InputPacer()
         self._clock = clock
         self._responses = ResponseBudget() if responses is None else responses
         self._bodies = BodyBound(_MAX_BODY_BYTES) if bodies is None else bodies
@@ -408,6 +413,7 @@
             self._counters.events,
             self._responses,
             keeps_parts=True,
+            pacer=self._pacer,
         )
 
     def _abort_predecessor_runs(self) -> None:
