Parse bodies without framing in larger slices

Slices of 8 KiB cost a callback and a copy each. What certainly belongs to one piece of a body, as it has a declared length or ends with its connection, is parsed in slices of 64 KiB.

--- a/packages/rattanfork-node/rattanfork_node/http1/sliced_input.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/sliced_input.py
@@ -10,6 +10,7 @@
     InputPacer,
     PacedInput,
 )
+from rattanfork_node.http1.request_body import PART_BYTES
 
 
 class SlicedInput(PacedInput):
@@ -30,6 +31,8 @@
         Parses a slice; returns the number of callbacks that the parser made.
     on_parsed : callable
         Called after each turn in which input that waited was parsed.
+    piece_bytes : callable, optional
+        Returns how many of the next bytes certainly belong to one piece of a body.
     """
 
     def __init__(
@@ -37,9 +40,11 @@
         pacer: InputPacer,
         parse: Callable[[bytes | memoryview], int],
         on_parsed: Callable[[], None],
+        piece_bytes: Callable[[], int] = lambda: 0,
     ) -> None:
         self._pacer = pacer
         self._parse = parse
+        self._piece_bytes = piece_bytes
         self._on_parsed = on_parsed
         self._meter = FragmentMeter()
         self._transport: asyncio.Transport | None = None
@@ -90,6 +95,8 @@
             self._pacer.discard(self)
 
     def _parse_slice(self, size: int) -> None:
+        # Larger pieces would be joined to what precedes them in one large copy.
+        size = max(size, min(self._piece_bytes(), PART_BYTES))
         # The parser may drop the rest.
         part, rest = self._rest[:size], self._rest[size:]
         self._rest = rest if rest else None
--- a/packages/rattanfork-node/rattanfork_node/http1/upstream.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+import sys
 from collections import Counter
 from collections.abc import Callable
 from functools import partial
@@ -112,7 +113,10 @@
         self._clock = clock
         self._keeps_parts = keeps_parts
         self._input = SlicedInput(
-            pacer or InputPacer(), self._parse, self._finish_parsing
+            pacer or InputPacer(),
+            self._parse,
+            self._finish_parsing,
+            self._piece_bytes,
         )
         #: Callbacks of the parser for the data being parsed.
         self._callbacks = 0
@@ -328,8 +332,12 @@
             if lower in self._captured:
                 known = self._headers.get(lower)
                 self._headers[lower] = value if known is None else known + b", " + value
-        elif lower == b"content-length" or lower == b"transfer-encoding":
+        elif lower == b"content-length":
             self._until_close = False
+            self._declared_length = int(value) if value.isdigit() else 0
+        elif lower == b"transfer-encoding":
+            self._until_close = False
+            self._is_chunked = True
         elif lower != b"keep-alive":
             self._check_lines(value)
         elif value != self._keep_alive_value:
@@ -385,6 +393,14 @@
             self._abort_transport()
         return self._callbacks
 
+    def _piece_bytes(self) -> int:
+        """Return how many of the next bytes belong to a body without framing."""
+        if not self._in_body or self._is_chunked:
+            return 0
+        if self._until_close:
+            return sys.maxsize
+        return self._declared_length - self._body.size
+
     def _finish_parsing(self) -> None:
         """Account for what was parsed and what waits; end a complete response."""
         waiting = self._input.waiting_bytes
@@ -479,6 +495,8 @@
         self._received_at = 0.0
         self._in_body = False
         self._until_close = True
+        self._declared_length = 0
+        self._is_chunked = False
 
     def _complete(self, reusable: bool) -> None:
         self._in_body = False
