--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -39,13 +39,9 @@
 from rattanfork_node.app.store_tasks import StoreTasks
 from rattanfork_node.app.upstream_monitor import UpstreamMonitor
 from rattanfork_node.config.holder import ConfigurationHolder
-from rattanfork_node.http1 import (
-    HttpServer,
-    InputPacer,
-    RequestLimits,
-    UploadResources,
-)
+from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
 from rattanfork_node.http1.handler import RequestHandler
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.dependency_task import DependencyTask
 from rattanfork_node.member.directory import InstanceDirectory
@@ -141,7 +137,7 @@
             self._clock, settings.memory_bytes, settings.max_descriptors
         )
         self._handshakes = PendingHandshakes(self._clock)
-        self._pacer = InputPacer() if pacer is None else pacer
+        self._input_pacer = InputPacer() if pacer is None else pacer
         self._create_components(decode)
         self._create_tasks()
         self._create_servers(announcement_handler)
@@ -246,7 +242,7 @@
             self._quarantine,
             self._budgets.gate_bodies,
             self._budgets.responses,
-            self._pacer,
+            self._input_pacer,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -325,7 +321,7 @@
             self._counters,
         )
         self._prober = UpstreamProber(
-            self._clock, *settings.upstream, settings.names, self._pacer
+            self._clock, *settings.upstream, settings.names, self._input_pacer
         )
 
     def _create_servers(
