--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -41,6 +41,7 @@
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
 from rattanfork_node.http1.handler import RequestHandler
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.dependency_task import DependencyTask
 from rattanfork_node.member.directory import InstanceDirectory
@@ -106,6 +107,8 @@
         Output for log lines about requests.
     code : str
         Digest of the installed code, for the log.
+    pacer : InputPacer, optional
+        Grants turns to connections with fragmented input; the store's uses it, too.
     """
 
     def __init__(
@@ -116,6 +119,7 @@
         announcement_handler: Callable[["RelayNode"], RequestHandler],
         writer: LineWriter,
         code: str = "",
+        pacer: InputPacer | None = None,
     ) -> None:
         self._settings = settings
         self._code = code
@@ -132,6 +136,7 @@
             self._clock, settings.memory_bytes, settings.max_descriptors
         )
         self._handshakes = PendingHandshakes(self._clock)
+        self._input_pacer = InputPacer() if pacer is None else pacer
         self._create_components(decode)
         self._create_tasks()
         self._create_servers(announcement_handler)
@@ -236,6 +241,7 @@
             self._quarantine,
             self._budgets.gate_bodies,
             self._budgets.responses,
+            self._input_pacer,
         )
         self._handler = RelayPeerHandler(
             self._clock,
@@ -313,7 +319,9 @@
             self._store,
             self._counters,
         )
-        self._prober = UpstreamProber(self._clock, *settings.upstream, settings.names)
+        self._prober = UpstreamProber(
+            self._clock, *settings.upstream, settings.names, self._input_pacer
+        )
 
     def _create_servers(
         self, announcement_handler: Callable[["RelayNode"], RequestHandler]
