Parse fragmented requests in turns

What callers saw: while one client posted a body in chunks of one byte, as fast as its node took them, the node answered no other request for seconds, and calls through other nodes to its worker got 503.

Cause: all that is read is parsed at once, and the bounds on it are of bytes. The event loop reads up to 8 MB of one socket in an iteration, which is over a million such chunks with a callback each. Pipelined requests that are refused at once, and trailers, do the same.

Why it works: RequestInput feeds the parser in slices, and notices callbacks that are many for their bytes, or many requests in one read. The rest of what was read waits for turns of the node's InputPacer, and the connection is not read until they have ended, so that the kernel slows the client down. What waits counts against the budget for requests; it keeps its connection from being idle, and is answered when the node is told to stop.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -41,6 +41,7 @@
 from rattanfork_node.config.holder import ConfigurationHolder
 from rattanfork_node.http1 import HttpServer, RequestLimits, UploadResources
 from rattanfork_node.http1.handler import RequestHandler
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.member import GossipTask
 from rattanfork_node.member.dependency_task import DependencyTask
 from rattanfork_node.member.directory import InstanceDirectory
@@ -133,6 +134,7 @@
             self._clock, settings.memory_bytes, settings.max_descriptors
         )
         self._handshakes = PendingHandshakes(self._clock)
+        self._input_pacer = InputPacer()
         self._create_components(decode)
         self._create_tasks()
         self._create_servers(announcement_handler)
@@ -405,7 +407,13 @@
     def _create_server(self, handler: RequestHandler) -> HttpServer:
         """Return a server for the platform, the upstream or operators."""
         limits = RequestLimits(max_body_bytes=_MAX_OWN_BODY_BYTES)
-        server = HttpServer(self._clock, self._settings.names, limits, handler)
+        server = HttpServer(
+            self._clock,
+            self._settings.names,
+            limits,
+            handler,
+            pacer=self._input_pacer,
+        )
         server.max_connections = lambda: _MAX_OWN_CONNECTIONS
         return server
 
--- a/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/body_drain.py
@@ -34,7 +34,7 @@
         Counts how drains end.
     """
 
-    __slots__ = ("_bound", "_close", "_events", "_is_paused", "_timer", "_transport")
+    __slots__ = ("_bound", "_close", "_events", "_timer", "_transport", "is_paused")
 
     def __init__(
         self,
@@ -47,7 +47,8 @@
         self._transport = transport
         self._close = close
         self._events = events
-        self._is_paused = False
+        #: Whether the bound on what is read was reached.
+        self.is_paused = False
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(DRAIN_SECONDS, self._cut)
 
@@ -66,8 +67,8 @@
             return
         if is_malformed:
             self._cut()
-        elif not self._is_paused:
-            self._is_paused = True
+        elif not self.is_paused:
+            self.is_paused = True
             self._transport.pause_reading()
 
     def finish(self) -> None:
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -17,6 +17,7 @@
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.handler import RequestHandler
 from rattanfork_node.http1.headers import HeaderNames
+from rattanfork_node.http1.input_pacer import InputPacer
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.request_head import HeaderFilter
 from rattanfork_node.http1.server_connection import ServerConnection
@@ -57,6 +58,9 @@
         Budget for the responses that clients have not read yet.
     requests : RequestBudget, optional
         Budget for the requests that clients are sending or wait for.
+    pacer : InputPacer, optional
+        Gives the turns in which fragmented input is parsed; None if all input is
+        parsed as it is received.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         uploads: UploadResources | None = None,
         unsent: ResponseBudget | None = None,
         requests: RequestBudget | None = None,
+        pacer: InputPacer | None = None,
     ) -> None:
         self.clock = clock
         self.names = names
@@ -78,6 +83,7 @@
         self.requests = RequestBudget(_MAX_REQUEST_BYTES)
         if requests is not None:
             self.requests = requests
+        self.pacer = pacer
         self.header_filter = HeaderFilter(names)
         #: Returns the maximum number of connections.
         self.max_connections: Callable[[], float] = lambda: inf
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -17,13 +17,13 @@
     UnansweredRequest,
 )
 from rattanfork_node.http1.exchange import Exchange
-from rattanfork_node.http1.ignored_upgrade import make_parser_without_upgrade
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.lingering_close import LingeringClose
 from rattanfork_node.http1.output import Output
 from rattanfork_node.http1.render import render_response, render_response_head
 from rattanfork_node.http1.request_body import HeldBody
 from rattanfork_node.http1.request_head import RequestHead
+from rattanfork_node.http1.request_input import RequestInput
 from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 from rattanfork_node.kernel_queues import undelivered_bytes, unread_bytes
@@ -61,7 +61,7 @@
     def __init__(self, server: HttpServer) -> None:
         self._server = server
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpRequestParser(self)
+        self._input = RequestInput(self, server.pacer, server.clock)
         self.pending: deque[Exchange] = deque()
         self._closing = False
         self._lost = False
@@ -74,7 +74,10 @@
         #: Whether further requests of this connection are dropped.
         self._drop_requests = False
         self._leaving = False
-        self._receiving = False
+        #: Whether it was told to leave while input waited.
+        self._leaves_once_parsed = False
+        #: Whether a request was received in part.
+        self.is_receiving = False
         self._paused = False
         self._output: Output | None = None
         self._ending: LingeringClose | None = None
@@ -104,6 +107,7 @@
         self._report_unfinished()
         self._server.connections.discard(self)
         self._server.unsent.release(self)
+        self._input.discard()
         self.usage.clear()
         # Connection and transport refer to each other, so that they are freed only by
         # the next garbage collection.
@@ -143,52 +147,59 @@
         self.update_reading()
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; reject what is malformed or too large."""
+        """Parse received bytes, fragmented ones later."""
+        self._input.receive(data)
+
+    def on_input(self, data: bytes | memoryview, is_last: bool) -> None:
+        """Parse a slice of the input; reject what is malformed or too large."""
         if self._closing or self._drop_requests:
-            self._ending.discard(len(data))
-            if self._uploads is not None:
-                self._parser = self._uploads.discard(data, self._parser)
+            self._discard(data)
             return
         self._last_active = self._server.clock.now()
         self._head_bytes += len(data)
         try:
-            self._feed_parser(data)
+            self._input.parse(data)
         except httptools.HttpParserError:
             # The start of the next request is unknown after a parse error.
             self._reject(self._error_status or 400)
         else:
             if self._reading_head:
-                # Bytes are counted from the second read of a head on: an unknown part
-                # of the first read belongs to the previous request.
+                # Bytes are counted from the second slice of a head on: an unknown part
+                # of the first one belongs to the previous request.
                 is_too_large = self._head_bytes > self._limits.max_head_bytes
             else:
-                is_too_large = self._receiving and self._exceeds_overhead()
+                is_too_large = self.is_receiving and self._exceeds_overhead()
             if is_too_large:
                 self._reject(431)
-        if self._uploads is not None:
+        if self._uploads is not None and (is_last or self.is_receiving):
+            # Bytes behind a body show whether it is longer than declared.
             self._uploads.deliver()
-        if self._receiving or self.usage.incomplete:
+        if self.is_receiving or self.usage.incomplete:
             self._count_incomplete()
         self.update_reading()
 
-    def _feed_parser(self, data: bytes) -> None:
-        """Parse received bytes, and ignore offers to upgrade the connection."""
-        while data:
-            try:
-                self._parser.feed_data(data)
-                return
-            except httptools.HttpParserUpgrade as offer:
-                [parsed] = offer.args
-                self._parser, head = make_parser_without_upgrade(
-                    self._parser, self, bytes(self._head.framing)
-                )
-                data = head + data[parsed:]
+    def on_input_waiting(self) -> None:
+        """Read no more until the input that waits was parsed."""
+        self._count_incomplete()
+        self.update_reading()
+
+    def on_input_parsed(self, waited: float) -> None:
+        """Read again; the client had no part in the time that its input waited."""
+        if self._head_since is not None:
+            now = self._server.clock.now()
+            self._head_since = min(now, self._head_since + waited)
+        if self._leaves_once_parsed:
+            self._leaves_once_parsed = False
+            self.leave()
+        self._count_incomplete()
+        self.update_reading()
 
     def on_message_begin(self) -> None:
         """Start a new request."""
+        self._input.requests += 1
         self._reset_request()
         self._reading_head = True
-        self._receiving = True
+        self.is_receiving = True
         self._head_since = self._server.clock.now()
 
     def on_url(self, url: bytes) -> None:
@@ -197,6 +208,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
+        self._input.pieces += 1
         if not self._reading_head:
             return
         self._head.add(name, value)
@@ -217,6 +229,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to its maximum size."""
+        self._input.pieces += 1
         self._body_bytes += len(body)
         if self._uploads is not None and self._uploads.current is not None:
             self._uploads.receive(body)
@@ -230,10 +243,10 @@
 
     def on_message_complete(self) -> None:
         """Pass the completed request to the handler."""
-        if self._parser.should_upgrade():
-            # Its body has not been parsed, see _feed_parser.
+        if self._input.parser.should_upgrade():
+            # Its body has not been parsed, see RequestInput.
             return
-        self._receiving = False
+        self.is_receiving = False
         if self._uploads is not None and self._uploads.current is not None:
             upload = self._uploads.end()
             self._head_bytes = 0
@@ -311,14 +324,17 @@
         self._drop_requests = True
 
     def update_reading(self) -> None:
-        """Pause or resume reading, by what is unanswered, unread or awaited."""
+        """Pause or resume reading, by what is unparsed, unanswered or unread."""
+        if self._lost or (self._closing and not self._is_draining):
+            return
         full = (
-            self._output.is_backed_up
+            self._input.is_waiting
+            or self._output.is_backed_up
             or len(self.pending) >= _MAX_PIPELINED
             or (self._uploads is not None and self._uploads.is_paused)
             or self.usage.is_too_large
         )
-        if full == self._paused or self._closing or self._lost:
+        if full == self._paused or self._transport.is_closing():
             return
         self._paused = full
         if full:
@@ -328,6 +344,10 @@
 
     def leave(self) -> None:
         """Close the connection once all requests received so far are answered."""
+        if self._input.is_waiting:
+            # Whole requests may wait.
+            self._leaves_once_parsed = True
+            return
         self._leaving = True
         if self._uploads is not None and self._uploads.current is not None:
             # The body is still read; later requests are dropped from its end on.
@@ -357,6 +377,7 @@
 
     def close_delivered(self, may_receive: bool = True) -> None:
         """Close the connection once the client has read what was written."""
+        self._input.discard()
         self._ending.begin(self._last_active, may_receive)
 
     def check_time(self, now: float) -> None:
@@ -366,7 +387,8 @@
             if self._ending.check(now) > _SLOW_READER_TIMEOUT_S:
                 self._abort_transport(CloseReason.SLOW_READER)
         elif self._head_since is not None:
-            if now - self._head_since > limits.head_timeout:
+            is_late = now - self._head_since > limits.head_timeout
+            if is_late and not self._input.is_waiting:
                 self._reject(408)
         elif not self._output.is_writable:
             self._count_unsent()
@@ -378,7 +400,7 @@
     @property
     def drop_order(self) -> tuple[bool, bool, float]:
         """Place in the order in which connections without pending requests close."""
-        is_receiving = self._receiving or unread_bytes(self._transport) > 0
+        is_receiving = self.is_receiving or self._has_unparsed_input
         return self.undelivered_bytes > 0, is_receiving, self._last_active
 
     def drop(self) -> None:
@@ -398,10 +420,40 @@
     def refuse_incomplete(self) -> None:
         """Refuse the request that is not received whole, and close after it."""
         self._server.count_refusal()
-        self._body = bytearray()
-        self._head.block = bytearray()
+        self._input.discard()
+        if self._uploads is not None:
+            self._uploads.deliver()
+            self._uploads.refuse_for_room()
+        if self.is_receiving:
+            self._body = bytearray()
+            self._head.block = bytearray()
+        else:
+            # The refused request waited, and its head was not parsed.
+            self._reset_request()
         self._reject(_NOT_RUN_STATUS)
+        self._input.parser = None
         self._count_incomplete()
+        self.update_reading()
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether further input is discarded without being parsed."""
+        if not (self._closing or self._drop_requests):
+            return False
+        is_parsed = self._uploads is not None and self._uploads.current is not None
+        return self._input.parser is None or self._ending.is_ending or not is_parsed
+
+    @property
+    def remaining_body_bytes(self) -> int:
+        """Bytes of the current body that are declared and not received."""
+        if not self.is_receiving or self._reading_head:
+            return 0
+        return max(0, (self._head.declared_length or 0) - self._body_bytes)
+
+    @property
+    def framing(self) -> bytes:
+        """Header lines that declare the body of the current request."""
+        return bytes(self._head.framing)
 
     @property
     def unsent_bytes(self) -> int:
@@ -420,15 +472,31 @@
 
     @property
     def _is_idle(self) -> bool:
-        """Whether no request is pending, in part or in the socket."""
-        return not (
-            self.pending or self._receiving or unread_bytes(self._transport) > 0
-        )
+        """Whether no request is pending, in part or before it was parsed."""
+        return not (self.pending or self.is_receiving or self._has_unparsed_input)
+
+    @property
+    def _has_unparsed_input(self) -> bool:
+        """Whether input waits for a turn, or in the socket."""
+        return self._input.is_waiting or unread_bytes(self._transport) > 0
+
+    @property
+    def _is_draining(self) -> bool:
+        """Whether the rest of a refused body is read before the connection closes."""
+        is_draining = self._uploads is not None and self._uploads.is_draining
+        return is_draining and not self._ending.is_ending
 
     @property
     def _limits(self) -> RequestLimits:
         return self._server.limits
 
+    def _discard(self, data: bytes | memoryview) -> None:
+        """Discard input; find the end of a refused body."""
+        self._ending.discard(len(data))
+        if self._uploads is not None and not self._ending.is_ending:
+            self._input.parser = self._uploads.discard(data, self._input.parser)
+            self._uploads.deliver()
+
     def _reset_request(self) -> None:
         self._head = RequestHead(self._server.header_filter)
         self._body = bytearray()
@@ -456,10 +524,10 @@
         """Count a request that is not received whole; make room if there is none."""
         size = 0
         is_upload = self._uploads is not None and self._uploads.current is not None
-        if self._receiving and not (is_upload or self._drop_requests):
+        if self.is_receiving and not (is_upload or self._drop_requests):
             size = len(self._head.block) + len(self._head.target) + len(self._body)
-        self.usage.set_incomplete(size)
-        if size and self._server.requests.is_exhausted:
+        self.usage.set_incomplete(size + self._input.waiting_bytes)
+        if self.usage.incomplete and self._server.requests.is_exhausted:
             self._server.refuse_incomplete()
 
     def _refusal_block(self) -> bytes:
@@ -474,14 +542,15 @@
         head = self._head
         return Exchange(
             self,
-            self._parser.get_method(),
+            self._input.parser.get_method(),
             head.target,
             head.host,
             bytes(head.block),
             body,
             head.request_id,
             head.client_timeout,
-            self._parser.should_keep_alive() and not self._server.leaving,
+            self._input.parser.should_keep_alive()
+            and (not self._server.leaving or self._leaves_once_parsed),
             tuple(head.keys),
         )
 
@@ -497,7 +566,7 @@
         return self._uploads.begin(
             self._make_exchange(b""),
             head.declared_length,
-            head.expects_continue and self._parser.get_http_version() != "1.0",
+            head.expects_continue and self._input.parser.get_http_version() != "1.0",
             known_size > MAX_UNCOUNTED_BODY_BYTES,
         )
 
@@ -517,7 +586,7 @@
             return
         self._head_since = None
         self._drop_requests = True
-        self._parser = None
+        self._input.parser = None
         if self._uploads is not None and self._uploads.refuse_malformed(
             is_start_of_request=self._error_status != 0
         ):
@@ -534,7 +603,7 @@
     def _abort_transport(self, reason: CloseReason) -> None:
         self._close_reason = reason
         self._undelivered = self.undelivered_bytes
-        self._unread = unread_bytes(self._transport)
+        self._unread = unread_bytes(self._transport) + self._input.waiting_bytes
         self._transport.abort()
 
     def _report_unfinished(self) -> None:
@@ -562,6 +631,5 @@
         """Close the connection, after the rest of a refused body was discarded."""
         if self._uploads is None or not self._uploads.start_drain():
             self.close_delivered()
-        elif self._paused:
-            self._paused = False
-            self._transport.resume_reading()
+        else:
+            self.update_reading()
--- a/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/upload_receiver.py
@@ -66,12 +66,18 @@
     @property
     def is_paused(self) -> bool:
         """Whether reading from the client has to pause."""
+        if self._drain is not None:
+            return self._drain.is_paused
         current = self.current
         if current is None:
             return False
         # The rest of a refused body is read once the response has been written.
-        is_answered = current.exchange.answered and self._drain is None
-        return current.is_paused or is_answered
+        return current.is_paused or current.exchange.answered
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether the rest of a refused body is read and discarded."""
+        return self._drain is not None
 
     def begin(
         self,
@@ -148,6 +154,12 @@
         self.current.refuse(Reason.BODY_INCOMPLETE)
         return True
 
+    def refuse_for_room(self) -> None:
+        """Refuse the current upload, if any, as its input takes too much memory."""
+        if self.current is not None:
+            self.current.exchange.keep_alive = False
+            self.current.refuse(Reason.NO_BODY_ROOM)
+
     def continue_upload(self, upload: Upload) -> None:
         """Let the client send the body of an upload that may be read."""
         pending = self._connection.pending
@@ -176,7 +188,7 @@
         return True
 
     def discard(
-        self, data: bytes, parser: httptools.HttpRequestParser | None
+        self, data: bytes | memoryview, parser: httptools.HttpRequestParser | None
     ) -> httptools.HttpRequestParser | None:
         """Discard received bytes; return the parser, or None if they are malformed.
 
