--- a/packages/rattanfork-node/rattanfork_node/http1/request_input.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/request_input.py
@@ -129,7 +129,9 @@
             except httptools.HttpParserUpgrade as offer:
                 [parsed] = offer.args
                 self.parser, head = make_parser_without_upgrade(
-                    self.parser, self._connection, self._connection.framing
+                    self.parser,
+                    self._connection,
+                    bytes(self._connection.head.framing),
                 )
                 data = head + data[parsed:]
 
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -10,12 +10,8 @@
 from rattanfork_core.connections import ResponseHolder
 from rattanfork_core.uploads import MAX_UNCOUNTED_BODY_BYTES
 
-from rattanfork_node.http1.connection_end import (
-    CloseReason,
-    ConnectionEnd,
-    RequestStage,
-    UnansweredRequest,
-)
+from rattanfork_node.http1.connection_end import CloseReason
+from rattanfork_node.http1.end_report import EndReport
 from rattanfork_node.http1.exchange import Exchange
 from rattanfork_node.http1.limits import RequestLimits
 from rattanfork_node.http1.lingering_close import LingeringClose
@@ -24,6 +20,7 @@
 from rattanfork_node.http1.request_body import HeldBody
 from rattanfork_node.http1.request_head import RequestHead
 from rattanfork_node.http1.request_input import RequestInput
+from rattanfork_node.http1.request_size import RequestSize
 from rattanfork_node.http1.request_usage import RequestUsage
 from rattanfork_node.http1.upload_receiver import UploadReceiver
 from rattanfork_node.kernel_queues import undelivered_bytes, unread_bytes
@@ -39,9 +36,6 @@
 _RETRY_LINE = b"Retry-After: 1\r\n"
 #: Seconds for which a client may leave responses unread.
 _SLOW_READER_TIMEOUT_S = 20.0
-#: Bytes of trailers and of the framing of chunks that a request may have for each byte
-#: of its body, besides twice the maximum size of a head.
-_MAX_FRAMING_FACTOR = 8
 
 
 class ServerConnection(asyncio.Protocol, ResponseHolder):
@@ -65,12 +59,7 @@
         self.pending: deque[Exchange] = deque()
         self._closing = False
         self._lost = False
-        #: Why the connection ends; ``CLIENT`` until this side closes it.
-        self._close_reason = CloseReason.CLIENT
-        #: Bytes that the client had not acknowledged, and that were not read, when
-        #: this side closed the connection.
-        self._undelivered = self._unread = 0
-        self._is_reported = False
+        self._end = EndReport(server)
         #: Whether further requests of this connection are dropped.
         self._drop_requests = False
         self._leaving = False
@@ -104,7 +93,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handlers of unanswered requests that the client disconnected."""
         self._lost = True
-        self._report_unfinished()
+        self._end.send(self.pending)
         self._server.connections.discard(self)
         self._server.unsent.release(self)
         self._input.discard()
@@ -156,20 +145,15 @@
             self._discard(data)
             return
         self._last_active = self._server.clock.now()
-        self._head_bytes += len(data)
+        self._size.received += len(data)
         try:
             self._input.parse(data)
         except httptools.HttpParserError:
             # The start of the next request is unknown after a parse error.
             self._reject(self._error_status or 400)
         else:
-            if self._reading_head:
-                # Bytes are counted from the second slice of a head on: an unknown part
-                # of the first one belongs to the previous request.
-                is_too_large = self._head_bytes > self._limits.max_head_bytes
-            else:
-                is_too_large = self.is_receiving and self._exceeds_overhead()
-            if is_too_large:
+            max_head, in_head = self._limits.max_head_bytes, self._reading_head
+            if self.is_receiving and self._size.is_too_large(max_head, in_head):
                 self._reject(431)
         if self._uploads is not None and (is_last or self.is_receiving):
             # Bytes behind a body show whether it is longer than declared.
@@ -204,20 +188,20 @@
 
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
-        self._head.target += url
+        self.head.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Process a header; trailer fields are ignored."""
         self._input.pieces += 1
         if not self._reading_head:
             return
-        self._head.add(name, value)
+        self.head.add(name, value)
 
     def on_headers_complete(self) -> None:
         """Check size, Host header and target; begin an upload or permit the body."""
         self._reading_head = False
         self._head_since = None
-        head = self._head
+        head = self.head
         if head.size + len(head.target) > self._limits.max_head_bytes:
             self._fail_parsing(431)
         if not head.is_unambiguous:
@@ -230,7 +214,7 @@
     def on_body(self, body: bytes) -> None:
         """Append to the body, up to its maximum size."""
         self._input.pieces += 1
-        self._body_bytes += len(body)
+        self._size.body += len(body)
         if self._uploads is not None and self._uploads.current is not None:
             self._uploads.receive(body)
             return
@@ -249,14 +233,14 @@
         self.is_receiving = False
         if self._uploads is not None and self._uploads.current is not None:
             upload = self._uploads.end()
-            self._head_bytes = 0
+            self._size.received = 0
             self._drop_requests |= self._leaving or not upload.exchange.keep_alive
             return
         if self._closing or self._drop_requests:
             return
         exchange = self._make_exchange(bytes(self._body))
         self._drop_requests = not exchange.keep_alive
-        self._head_bytes = 0
+        self._size.received = 0
         self._body = bytearray()
         self.enqueue(exchange)
         if self.usage.exceeds_fair_share(len(self._server.connections)):
@@ -300,7 +284,7 @@
                 parts.append(render_response(status, block, body, close, is_head))
             if close:
                 self._closing = True
-                self._close_reason = CloseReason.ANSWERED
+                self._end.reason = CloseReason.ANSWERED
                 break
         if parts:
             self.write(b"".join(parts))
@@ -363,7 +347,7 @@
         self._closing = True
         if self._output is None:
             return
-        self._close_reason = reason
+        self._end.reason = reason
         if self._output.is_empty:
             self.close_delivered()
         else:
@@ -372,8 +356,8 @@
     def stop(self) -> None:
         """Close the connection as the process ends, and report what is left on it."""
         self.close(CloseReason.STOPPED)
-        self._undelivered = self.undelivered_bytes
-        self._report_unfinished()
+        self._end.undelivered = self.undelivered_bytes
+        self._end.send(self.pending)
 
     def close_delivered(self, may_receive: bool = True) -> None:
         """Close the connection once the client has read what was written."""
@@ -426,7 +410,7 @@
             self._uploads.refuse_for_room()
         if self.is_receiving:
             self._body = bytearray()
-            self._head.block = bytearray()
+            self.head.block = bytearray()
         else:
             # The refused request waited, and its head was not parsed.
             self._reset_request()
@@ -448,12 +432,7 @@
         """Bytes of the current body that are declared and not received."""
         if not self.is_receiving or self._reading_head:
             return 0
-        return max(0, (self._head.declared_length or 0) - self._body_bytes)
-
-    @property
-    def framing(self) -> bytes:
-        """Header lines that declare the body of the current request."""
-        return bytes(self._head.framing)
+        return max(0, (self.head.declared_length or 0) - self._size.body)
 
     @property
     def unsent_bytes(self) -> int:
@@ -498,12 +477,10 @@
             self._uploads.deliver()
 
     def _reset_request(self) -> None:
-        self._head = RequestHead(self._server.header_filter)
+        #: Head of the current request.
+        self.head = RequestHead(self._server.header_filter)
         self._body = bytearray()
-        #: Bytes of the body, also of one that is passed on as it is received.
-        self._body_bytes = 0
-        #: Bytes received since the end of the previous request.
-        self._head_bytes = 0
+        self._size = RequestSize()
         self._reading_head = False
         self._error_status = 0
 
@@ -525,7 +502,7 @@
         size = 0
         is_upload = self._uploads is not None and self._uploads.current is not None
         if self.is_receiving and not (is_upload or self._drop_requests):
-            size = len(self._head.block) + len(self._head.target) + len(self._body)
+            size = len(self.head.block) + len(self.head.target) + len(self._body)
         self.usage.set_incomplete(size + self._input.waiting_bytes)
         if self.usage.incomplete and self._server.requests.is_exhausted:
             self._server.refuse_incomplete()
@@ -533,13 +510,13 @@
     def _refusal_block(self) -> bytes:
         """Return the headers of a response that a request was not run."""
         block = _RETRY_LINE
-        request_id = self._head.request_id
+        request_id = self.head.request_id
         if request_id:
             block += self._server.names.request_id + b": " + request_id + b"\r\n"
         return block
 
     def _make_exchange(self, body: bytes) -> Exchange:
-        head = self._head
+        head = self.head
         return Exchange(
             self,
             self._input.parser.get_method(),
@@ -559,7 +536,7 @@
         server = self._server
         if server.uploads is None or self._closing or self._drop_requests:
             return False
-        head = self._head
+        head = self.head
         known_size = max(len(self._body), head.declared_length or 0)
         if self._uploads is None:
             self._uploads = UploadReceiver(self, server, self._transport)
@@ -570,12 +547,6 @@
             known_size > MAX_UNCOUNTED_BODY_BYTES,
         )
 
-    def _exceeds_overhead(self) -> bool:
-        """Return whether trailers or framing of a request exceed their bound."""
-        allowed = 2 * self._limits.max_head_bytes
-        allowed += _MAX_FRAMING_FACTOR * self._body_bytes
-        return self._head_bytes - self._body_bytes > allowed
-
     def _fail_parsing(self, status: int) -> None:
         self._error_status = status
         raise ValueError(f"request rejected with status {status}")
@@ -592,7 +563,7 @@
         ):
             return
         exchange = Exchange(
-            self, b"", b"", "", b"", b"", self._head.request_id, None, False
+            self, b"", b"", "", b"", b"", self.head.request_id, None, False
         )
         self.pending.append(exchange)
         block = self._refusal_block()
@@ -601,27 +572,11 @@
         exchange.respond(status, block)
 
     def _abort_transport(self, reason: CloseReason) -> None:
-        self._close_reason = reason
-        self._undelivered = self.undelivered_bytes
-        self._unread = unread_bytes(self._transport) + self._input.waiting_bytes
+        self._end.reason = reason
+        self._end.undelivered = self.undelivered_bytes
+        self._end.unread = unread_bytes(self._transport) + self._input.waiting_bytes
         self._transport.abort()
 
-    def _report_unfinished(self) -> None:
-        """Report requests without a response, and bytes left in the queues, once."""
-        if self._is_reported:
-            return
-        self._is_reported = True
-        unanswered = [
-            UnansweredRequest(exchange.request_id, RequestStage.of(exchange))
-            for exchange in self.pending
-        ]
-        if unanswered or self._undelivered or self._unread:
-            self._server.ends.on_unfinished(
-                ConnectionEnd(
-                    self._close_reason, unanswered, self._undelivered, self._unread
-                )
-            )
-
     def _close_once_sent(self) -> None:
         self._closes_once_sent = not self._output.is_empty
         if not self._closes_once_sent:
