--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -412,7 +412,13 @@
     def _create_server(self, handler: RequestHandler) -> HttpServer:
         """Return a server for the platform, the upstream or operators."""
         limits = RequestLimits(max_body_bytes=_MAX_OWN_BODY_BYTES)
-        server = HttpServer(self._clock, self._settings.names, limits, handler)
+        server = HttpServer(
+            self._clock,
+            self._settings.names,
+            limits,
+            handler,
+            pacer=self._input_pacer,
+        )
         server.max_connections = lambda: _MAX_OWN_CONNECTIONS
         return server
 
