Wait for requests whose input waits, and count the reads that hold it

Cause: such a request was neither in flight nor unread, so that the last check of a stopping node saw nothing; a slice of a read keeps the whole read in memory, and only the slice was counted.

Evidence: both new tests failed before (0 connections known, 27,950 of 120,085 bytes counted) and pass now, with all tests of http1 and app.

Why it works: a node that stops waits for connections with such input like for unread responses, within its grace period, and what a read holds counts until all of it was parsed.";

--- a/packages/rattanfork-node/rattanfork_node/http1/request_input.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/request_input.py
@@ -80,8 +80,8 @@
 
     @property
     def waiting_bytes(self) -> int:
-        """Bytes that wait for a turn."""
-        return len(self._rest)
+        """Bytes that are held while some of them wait for a turn."""
+        return len(self._rest.obj) if self.is_waiting else 0
 
     def receive(self, data: bytes) -> None:
         """Pass on received bytes, up to where they are fragmented."""
--- a/packages/rattanfork-node/rattanfork_node/http1/server.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server.py
@@ -136,8 +136,8 @@
 
     @property
     def unread_connections(self) -> int:
-        """Number of connections whose clients may still read a response."""
-        return sum(c.may_be_read for c in self.connections)
+        """Number of connections with unread responses, or with input that waits."""
+        return sum(c.is_unfinished for c in self.connections)
 
     def admit(self, connection: ServerConnection) -> None:
         """Register a new connection; close others if there are too many.
--- a/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/server_connection.py
@@ -445,9 +445,10 @@
         return self._output.unsent_bytes + undelivered_bytes(self._transport)
 
     @property
-    def may_be_read(self) -> bool:
-        """Whether the client may still read a response."""
-        return self._ending.is_ending or self.undelivered_bytes > 0
+    def is_unfinished(self) -> bool:
+        """Whether the client may still read a response, or its input waits."""
+        is_unread = self._ending.is_ending or self.undelivered_bytes > 0
+        return is_unread or self._input.is_waiting
 
     @property
     def _is_idle(self) -> bool:
--- a/packages/rattanfork-node/rattanfork_node/http1/sliced_input.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/sliced_input.py
@@ -53,8 +53,8 @@
 
     @property
     def waiting_bytes(self) -> int:
-        """Number of bytes that wait."""
-        return 0 if self._rest is None else len(self._rest)
+        """Number of bytes that are held while some of them wait."""
+        return 0 if self._rest is None else len(self._rest.obj)
 
     def receive(self, data: bytes, transport: asyncio.Transport) -> None:
         """Parse received bytes; let them wait, and pause reading, if fragmented."""
--- a/packages/rattanfork-node/rattanfork_node/http1/tests/test_request_input.py
+++ b/packages/rattanfork-node/rattanfork_node/http1/tests/test_request_input.py
@@ -91,6 +91,25 @@
     assert len(client.handled[0].body) == 10_010
 
 
+def test_whole_request_that_waits_is_known_before_it_is_parsed():
+    """Guards against a node that exits with whole requests which wait for a turn."""
+    client = PacedClient()
+    client.send(HEAD + CHUNK * 20_000 + END)
+    assert client.server.unread_connections == 1
+    client.pacer.run()
+    assert client.server.unread_connections == 0
+    assert client.server.in_flight == 1
+
+
+def test_bytes_that_wait_count_with_the_read_that_holds_them():
+    """Guards against memory that is held by the last byte of a large read."""
+    client = PacedClient()
+    data = HEAD + CHUNK * 20_000
+    client.send(data)
+    client.pacer.run(turns=100)
+    assert client.server.requests.held >= len(data)
+
+
 def test_plain_body_does_not_wait():
     """Guards against large bodies that are slow beside fragmented ones."""
     client = PacedClient()
