Send late calls of a stopping node that can be expected to end

What callers saw, found in the review: runs of 0.3 s were refused as calls from 1.2 s before the give-up on, 8 of 8 sent 4.0 to 4.7 s after SIGTERM, and their runs failed, though they would have ended in time.

Cause: the multiple of the mean latency for requests that can't be stopped was used for attempts, too. An attempt's upstream is told a deadline by which it stops by itself, so that its own response is delivered.

Why it works: attempts are refused only if one and a half of the mean latency, or 0.2 s, don't fit. The cases in simulated time move with it: 4.4 s is sent now, 4.6 s is refused (give-up at 5.0 s, latency 0.3 s)."

--- a/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/drain_policy.py
@@ -9,6 +9,9 @@
 #: Multiple of the slowest instance's mean latency within which all but a few in a
 #: thousand requests end, if their durations are similar.
 _LATENCY_FACTOR = 4.0
+#: The same for an attempt of a request that was accepted: its upstream stops by itself
+#: at the end, so that a slow one is not cut, and a refusal fails the run that calls.
+_ATTEMPT_LATENCY_FACTOR = 1.5
 #: Least time in seconds that an attempt is expected to take, however fast its instances
 #: are: links, queues and a busy machine add to it.
 _MIN_EXPECTED_S = 0.2
@@ -86,7 +89,8 @@
         now = self._clock.now()
         if now < self._checks_from or deadline <= self._ends_at:
             return True
-        expected = max(_MIN_EXPECTED_S, _LATENCY_FACTOR * picker.slowest_latency)
+        expected = _ATTEMPT_LATENCY_FACTOR * picker.slowest_latency
+        expected = max(_MIN_EXPECTED_S, expected)
         return now + expected <= self._ends_at
 
     def run_deadline(self, deadline: float) -> float:
