Soak: runs that make calls until their node exits

The soak of stopped nodes had no calls late in the grace period: its runs took 2 s at most, and made one call at their end. A further kind of client (`--late-calls`) requests runs of 4 to 8 s that make a call each 40 ms, half of them POST; the grace period is a parameter (`--grace`), which the check of lost requests gets as well. Its rules are the same.

stopped_nodes.py is split: sites and settings, and the report, have modules of their own.

--- a/packages/rattanfork-soak/rattanfork_soak/calling_worker.py
+++ b/packages/rattanfork-soak/rattanfork_soak/calling_worker.py
@@ -23,16 +23,20 @@
 _CALL_ATTEMPTS = 2
 
 
-def work_path(service: str, kind: str, work_ms: int, size: int, depth: int) -> str:
+def work_path(
+    service: str, kind: str, work_ms: int, size: int, depth: int, calls: int = 0
+) -> str:
     """Return a path: its service, its kind, and what the worker is to do.
 
+    Its work makes ``calls`` at even intervals, whose results it ignores.
+
     Examples
     ========
 
     >>> work_path("s1", "get", 20, 300, 2)
-    '/s1-get/20-300-2'
+    '/s1-get/20-300-2-0'
     """
-    return f"/{service}-{kind}/{work_ms}-{size}-{depth}"
+    return f"/{service}-{kind}/{work_ms}-{size}-{depth}-{calls}"
 
 
 class CallingWorker(SoakWorker):
@@ -90,12 +94,21 @@
     async def _run(
         self, request: web.BaseRequest, run: WorkerRun, request_id: str
     ) -> web.StreamResponse:
-        work_ms, size, depth = map(int, request.path.rpartition("/")[2].split("-"))
+        work = request.path.rpartition("/")[2].split("-")
+        work_ms, size, depth, calls = map(int, work)
         until = self._now() + int(request.headers[DEADLINE]) / 1000
         with suppress(ConnectionError):
             async for _ in request.content.iter_any():
                 pass
-        await asyncio.sleep(work_ms / 1000)
+        pending = []
+        for _ in range(calls):
+            await asyncio.sleep(work_ms / 1000 / calls)
+            call = self._call(request_id, 0, until, attempts=1)
+            pending.append(asyncio.ensure_future(call))
+        if pending:
+            await asyncio.wait(pending)
+        else:
+            await asyncio.sleep(work_ms / 1000)
         has_failed = depth > 0 and not await self._call(request_id, depth - 1, until)
         status = 500 if has_failed else 200
         stamp = f"{self.name}.{status}"
@@ -112,8 +125,14 @@
             run.ended = self._now()
         return response
 
-    async def _call(self, request_id: str, depth: int, until: float) -> bool:
-        for _ in range(_CALL_ATTEMPTS):
+    async def _call(
+        self,
+        request_id: str,
+        depth: int,
+        until: float,
+        attempts: int = _CALL_ATTEMPTS,
+    ) -> bool:
+        for _ in range(attempts):
             left_ms = int((until - self._now()) * 1000)
             self._calls += 1
             # Unique, although a request that runs again makes its calls again.
--- a/packages/rattanfork-soak/rattanfork_soak/exchange_record.py
+++ b/packages/rattanfork-soak/rattanfork_soak/exchange_record.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 
+#: Seconds between SIGTERM and SIGKILL, the default of the nodes' settings.
+GRACE_S = 6.0
+
 
 @dataclass(slots=True)
 class ExchangeRecord:
@@ -89,6 +92,8 @@
 class PlannedWork:
     """When one node was told to stop or to reload, in seconds of the run."""
 
+    #: Seconds between SIGTERM and SIGKILL.
+    grace: float = GRACE_S
     stops: list[float] = field(default_factory=list)
     reloads: list[float] = field(default_factory=list)
     #: Stops of a process that had been suspended right before.
--- a/packages/rattanfork-soak/rattanfork_soak/kept_clients.py
+++ b/packages/rattanfork-soak/rattanfork_soak/kept_clients.py
@@ -20,6 +20,8 @@
 IDLE_TIMEOUT_S = 3.0
 _IDLE_SHARE = 0.8
 _KIB = 1 << 10
+#: Milliseconds between the calls of a long run.
+_CALL_INTERVAL_MS = 40
 
 
 class KeptClient(ABC):
@@ -99,8 +101,13 @@
         body: Sequence[bytes] = (),
         is_chunked: bool = False,
         pause: float = 0.0,
+        long_run: tuple[int, int] | None = None,
     ) -> asyncio.Future:
-        """Send one request; return a future of the end of its exchange."""
+        """Send one request; return a future of the end of its exchange.
+
+        ``long_run`` has the milliseconds of work and the calls that it makes meanwhile;
+        without, both are drawn.
+        """
         random = self.random
         self._count += 1
         record = ExchangeRecord(
@@ -116,7 +123,11 @@
         if random.random() < 0.1:
             work_ms = random.randint(200, 2000)
         depth = random.choice((0, 0, 0, 0, 0, 1, 2))
-        path = work_path(random.choice(self._services), kind, work_ms, size, depth)
+        calls = 0
+        if long_run is not None:
+            (work_ms, calls), depth = long_run, 0
+        service = random.choice(self._services)
+        path = work_path(service, kind, work_ms, size, depth, calls)
         parts = _render(path, kind, record.request_id, body, is_chunked)
         return await connection.send(record, parts, pause)
 
@@ -246,6 +257,17 @@
         await self.think()
 
 
+class LongRunClient(KeptClient):
+    """Requests runs that last long and make calls all the time."""
+
+    async def use(self, connection: RecordingConnection) -> None:
+        """Request one long run."""
+        work_ms = self.random.randint(4000, 8000)
+        work = (work_ms, work_ms // _CALL_INTERVAL_MS)
+        await (await self.send(connection, long_run=work))
+        await self.think()
+
+
 #: Kinds of clients and how many of each every node has.
 CLIENT_KINDS: dict[type[KeptClient], int] = {
     SequentialClient: 3,
--- a/packages/rattanfork-soak/rattanfork_soak/lost_check.py
+++ b/packages/rattanfork-soak/rattanfork_soak/lost_check.py
@@ -4,8 +4,6 @@
 
 from rattanfork_soak.exchange_record import ExchangeRecord, PlannedWork, WorkerRun
 
-#: Seconds between SIGTERM and SIGKILL, the default of the nodes' settings.
-GRACE_S = 6.0
 #: Time after the end of the grace period that belongs to the stop.
 _AFTER_GRACE_S = 1.0
 #: Share of the grace period at whose end a worker may still be at work.
@@ -133,7 +131,7 @@
 
 def _is_stopping(record: ExchangeRecord, work: PlannedWork) -> bool:
     """Return whether a request ended after SIGTERM, up to the end of that stop."""
-    ends = GRACE_S + _AFTER_GRACE_S
+    ends = work.grace + _AFTER_GRACE_S
     return any(at <= record.ended <= at + ends for at in work.stops)
 
 
@@ -145,9 +143,9 @@
     if record.ended - record.began >= record.limit:
         return Verdict.EXPIRED
     for stopped_at in work.stops:
-        last_from = stopped_at + GRACE_S * (1 - _LAST_SHARE)
+        last_from = stopped_at + work.grace * (1 - _LAST_SHARE)
         if (
-            stopped_at <= record.ended <= stopped_at + GRACE_S + _AFTER_GRACE_S
+            stopped_at <= record.ended <= stopped_at + work.grace + _AFTER_GRACE_S
             and record.sent is not None
             and record.sent <= stopped_at + _SENT_WITHIN_S
             and record.ended >= last_from
@@ -163,8 +161,8 @@
 def phase(record: ExchangeRecord, work: PlannedWork) -> str:
     """Return which planned work of its node a request met, for reports."""
     for name, times, seconds in (
-        ("stalled stop", work.stalled_stops, GRACE_S + _AFTER_GRACE_S),
-        ("stop", work.stops, GRACE_S + _AFTER_GRACE_S),
+        ("stalled stop", work.stalled_stops, work.grace + _AFTER_GRACE_S),
+        ("stop", work.stops, work.grace + _AFTER_GRACE_S),
         ("reload", work.reloads, _RELOAD_S),
     ):
         for at in times:
--- a/packages/rattanfork-soak/rattanfork_soak/stopped_nodes.py
+++ b/packages/rattanfork-soak/rattanfork_soak/stopped_nodes.py
@@ -3,9 +3,6 @@
 import asyncio
 import signal
 import sys
-from collections import Counter
-from contextlib import suppress
-from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from time import monotonic
@@ -13,7 +10,6 @@
 from rattanfork_adapter.tests.fakes import FakeStore
 from rattanfork_adapter.tests.fleet import (
     NodeProcess,
-    client_headers,
     encode_configuration,
     route,
     wait_until,
@@ -21,19 +17,20 @@
 from rattanfork_testkit import FreePorts
 
 from rattanfork_soak.calling_worker import CallingWorker, work_path
-from rattanfork_soak.exchange_record import ExchangeRecord, PlannedWork, WorkerRun
+from rattanfork_soak.exchange_record import ExchangeRecord, WorkerRun
 from rattanfork_soak.kept_clients import (
     CLIENT_KINDS,
     IDLE_TIMEOUT_S,
     TIMEOUT_S,
     HalfClosingClient,
+    LongRunClient,
 )
-from rattanfork_soak.lost_check import GRACE_S, Verdict, judge, phase
-from rattanfork_soak.recording_connection import RecordingConnection
+from rattanfork_soak.stop_report import StopReport
+from rattanfork_soak.stop_site import StopSettings, StopSite
 
 _SERVICES = ("s1", "s2", "s3")
 #: Time for which a stopped process may run beyond its grace period in this report.
-_EXIT_LIMIT_S = GRACE_S + 0.5
+_EXIT_SLACK_S = 0.5
 _STALL_POLL_S = 0.05
 #: Time for which all nodes serve before the first planned work, and after the last.
 _CALM_S = 1.0
@@ -41,61 +38,6 @@
 _DRAIN_TIME_S = 2.4
 
 
-@dataclass(frozen=True, slots=True)
-class StopSettings:
-    """Size and kind of a run.
-
-    Parameters
-    ==========
-
-    seconds : float
-        Seconds during which planned work starts.
-    nodes_per_service : int
-        Nodes of each of the three services.
-    slots : int
-        Requests that a worker serves at once.
-    events : tuple of str
-        Names of the planned work that is drawn from; those of :data:`EVENTS`.
-    interval : float
-        Mean seconds between two events.
-    busy_processes : int
-        Processes beside the fleet that take a processor each.
-    half_closing : bool
-        Whether one client of each node closes its sending side.
-    """
-
-    seconds: float = 20.0
-    nodes_per_service: int = 2
-    slots: int = 20
-    events: tuple[str, ...] = ()
-    interval: float = 0.8
-    busy_processes: int = 0
-    half_closing: bool = False
-
-
-class StopSite:
-    """A node and its worker."""
-
-    def __init__(self, node: NodeProcess, worker: CallingWorker) -> None:
-        self.node = node
-        self.worker = worker
-        self.work = PlannedWork()
-        #: Held while the node is stopped and started.
-        self.lock = asyncio.Lock()
-        self.idle_calls: list[RecordingConnection] = []
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Host and port for clients."""
-        return "127.0.0.1", self.node.ports["outbound"]
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to the node, if it runs."""
-        if self.node.process.returncode is None:
-            with suppress(ProcessLookupError):
-                self.node.process.send_signal(number)
-
-
 class StoppedNodes:
     """One run.
 
@@ -127,14 +69,7 @@
         self._over_at = 0.0
         #: One line per event, with its time.
         self.plan: list[str] = []
-        self.verdicts: Counter[Verdict] = Counter()
-        #: The same of clients that close their sending side.
-        self.half_closed: Counter[str] = Counter()
-        self.violations: list[str] = []
-        #: Violations by verdict, kind of client and planned work.
-        self.summary: Counter[str] = Counter()
-        #: Requests that failed at nodes that were not stopped.
-        self.failed: list[str] = []
+        self.report = StopReport()
         self.stops = 0
         #: Longest time for which this process itself was not scheduled.
         self.longest_stall = 0.0
@@ -154,12 +89,9 @@
         finally:
             self._over_at = self.now()
             await self._stop()
-        self._check()
-        return self.violations
-
-    @property
-    def _works_by_node(self) -> dict[str, PlannedWork]:
-        return {site.node.name: site.work for site in self._sites}
+        works = {site.node.name: site.work for site in self._sites}
+        self.report.check(self._records, self._runs, works, self._over_at)
+        return self.report.violations
 
     def now(self) -> float:
         """Return seconds since the start of the run."""
@@ -198,8 +130,16 @@
         random = Random(self._random.getrandbits(64))
         worker = CallingWorker(f"i{number}", random, self.now, service, self._runs)
         worker.address = ("127.0.0.1", self._ports.reserve())
-        node = NodeProcess(f"n{number}", worker, self._store, self._folder, self._ports)
-        site = StopSite(node, worker)
+        grace = self._settings.grace
+        node = NodeProcess(
+            f"n{number}",
+            worker,
+            self._store,
+            self._folder,
+            self._ports,
+            [f"graceS={grace}"],
+        )
+        site = StopSite(node, worker, grace)
         self._sites.append(site)
 
         async def announce(state: str) -> int | None:
@@ -218,6 +158,8 @@
         kinds = dict(CLIENT_KINDS)
         if self._settings.half_closing:
             kinds[HalfClosingClient] = 1
+        if self._settings.late_calls:
+            kinds[LongRunClient] = 1
         for kind, count in kinds.items():
             for number in range(count):
                 client = kind(
@@ -234,28 +176,15 @@
     async def _call(
         self, site: StopSite, service: str, request_id: str, depth: int, left_ms: int
     ) -> bool:
-        """Make a call on a kept connection; return whether it succeeded."""
-        connection = None
-        while site.idle_calls and connection is None:
-            connection = site.idle_calls.pop()
-            connection = connection if connection.is_idle else None
-        if connection is None:
-            connection = RecordingConnection(site.address, self.now)
-            if not await connection.open():
-                return False
+        """Make a call through a site's node; return whether it succeeded."""
         limit = min(left_ms / 1000, TIMEOUT_S)
+        is_post = self._settings.late_calls and len(self._records) % 2 > 0
         record = ExchangeRecord(
-            request_id, site.node.name, "WorkerCall", True, 200, limit
+            request_id, site.node.name, "WorkerCall", not is_post, 200, limit
         )
         self._records.append(record)
-        headers = client_headers(request_id, left_ms)
-        lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-        path = work_path(service, "get", 10, 200, depth)
-        request = f"GET {path} HTTP/1.1\r\n{lines}\r\n".encode()
-        await (await connection.send(record, [request]))
-        if connection.is_idle:
-            site.idle_calls.append(connection)
-        return record.status == 200
+        path = work_path(service, "post" if is_post else "get", 10, 200, depth)
+        return await site.call(path, record, left_ms, self.now)
 
     async def change_configuration(self) -> None:
         """Write the next version of the configuration."""
@@ -308,11 +237,13 @@
     async def _await_exit(self, site: StopSite) -> None:
         process = site.node.process
         try:
-            async with asyncio.timeout(_EXIT_LIMIT_S):
+            async with asyncio.timeout(self._settings.grace + _EXIT_SLACK_S):
                 await process.wait()
         except TimeoutError:
-            self.violations.append(f"{self.now():7.3f} s  {site.node.name} stays")
-            self.summary["stays"] += 1
+            self.report.violations.append(
+                f"{self.now():7.3f} s  {site.node.name} stays"
+            )
+            self.report.summary["stays"] += 1
             process.kill()
             await process.wait()
         at, name = self.now(), site.node.name
@@ -458,8 +389,10 @@
         )
         for result in results:
             if isinstance(result, Exception):
-                self.violations.append(f"a client or an event failed: {result!r}")
-                self.summary["a client or an event failed"] += 1
+                self.report.violations.append(
+                    f"a client or an event failed: {result!r}"
+                )
+                self.report.summary["a client or an event failed"] += 1
         for process in self._busy:
             process.kill()
             await process.wait()
@@ -468,42 +401,10 @@
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
-            for connection in site.idle_calls:
-                await connection.close()
+            await site.close_calls()
             site.worker.crash()
         self._store.stop()
 
-    def _check(self) -> None:
-        for record in self._records:
-            work, runs = (
-                self._works_by_node[record.node],
-                self._runs.get(record.request_id, []),
-            )
-            verdict = judge(record, runs, work)
-            if verdict is None or record.ended is None:
-                continue
-            if record.ended > self._over_at:
-                # The end of the run kills all processes.
-                continue
-            if record.kind == HalfClosingClient.__name__:
-                self.half_closed[str(verdict)] += 1
-                continue
-            self.verdicts[verdict] += 1
-            if verdict is Verdict.FAILED:
-                self.failed.append(f"{record.ended:7.3f} s  {record}, runs: {runs}")
-            if verdict.is_violation:
-                text = f"{record}, {phase(record, work)}, runs: {runs}"
-                self._add_violation(verdict, record, text)
-            if len(runs) > 1 and not record.idempotent:
-                self._add_violation(Verdict.TWICE, record, f"{record}, runs: {runs}")
-
-    def _add_violation(
-        self, verdict: Verdict, record: ExchangeRecord, text: str
-    ) -> None:
-        work = phase(record, self._works_by_node[record.node]).partition(" at ")[0]
-        self.summary[f"{verdict}; {record.kind}; {work}"] += 1
-        self.violations.append(f"{record.ended:7.3f} s  {verdict}: {text}")
-
 
 #: Planned work by name.
 EVENTS = {
--- a/packages/rattanfork-soak/rattanfork_soak/stops.py
+++ b/packages/rattanfork-soak/rattanfork_soak/stops.py
@@ -8,7 +8,9 @@
 import typer
 import uvloop
 
-from rattanfork_soak.stopped_nodes import EVENTS, StoppedNodes, StopSettings
+from rattanfork_soak.exchange_record import GRACE_S
+from rattanfork_soak.stop_site import StopSettings
+from rattanfork_soak.stopped_nodes import EVENTS, StoppedNodes
 
 EXIT_VIOLATIONS = 1
 
@@ -30,6 +32,12 @@
     half_closing: Annotated[
         bool, typer.Option(help="Add clients that close their sending side.")
     ] = False,
+    late_calls: Annotated[
+        bool, typer.Option(help="Add long runs that make calls all the time.")
+    ] = False,
+    grace: Annotated[
+        float, typer.Option(help="Seconds between SIGTERM and SIGKILL.")
+    ] = GRACE_S,
 ) -> None:
     """Stop nodes under load; exit status 1 if an accepted request was lost.
 
@@ -39,7 +47,17 @@
     """
     names = events.split(",") if events else list(EVENTS)
     drawn = tuple(name for name in names if name not in without.split(","))
-    settings = StopSettings(seconds, nodes, slots, drawn, interval, busy, half_closing)
+    settings = StopSettings(
+        seconds,
+        nodes,
+        slots,
+        drawn,
+        interval,
+        busy,
+        half_closing,
+        late_calls,
+        grace,
+    )
     failed = sum(
         uvloop.run(_run_seed(seed, settings)) for seed in range(first, first + seeds)
     )
@@ -50,23 +68,25 @@
     folder = Path(tempfile.mkdtemp(prefix=f"rattanfork-stops-{seed}-"))
     run = StoppedNodes(seed, settings, folder)
     violations = await run.run()
-    counts = ", ".join(f"{v}: {count}" for v, count in sorted(run.verdicts.items()))
+    counts = ", ".join(
+        f"{v}: {count}" for v, count in sorted(run.report.verdicts.items())
+    )
     print(
         f"seed {seed}: {len(violations)} violations, {run.requests} requests, "
         f"{run.stops} stops, longest stall {run.longest_stall:.2f} s ({counts})",
         flush=True,
     )
-    if run.half_closed:
-        print(f"  half-closed: {dict(run.half_closed)}", flush=True)
-    if not (violations or run.failed):
+    if run.report.half_closed:
+        print(f"  half-closed: {dict(run.report.half_closed)}", flush=True)
+    if not (violations or run.report.failed):
         shutil.rmtree(folder)
         return False
-    for kind, count in sorted(run.summary.items()):
+    for kind, count in sorted(run.report.summary.items()):
         print(f"  {count} x {kind}", flush=True)
     (folder / "plan.txt").write_text("\n".join(run.plan) + "\n")
     (folder / "violations.txt").write_text("\n".join(violations) + "\n")
     print(f"  plan, violations and logs: {folder}", flush=True)
-    (folder / "failed.txt").write_text("\n".join(run.failed) + "\n")
+    (folder / "failed.txt").write_text("\n".join(run.report.failed) + "\n")
     return bool(violations)
 
 
