Wait for the reply to a run that its gate has handed over

Cause: a gate that answers the fence with "handed over" runs the request, and will reply on the link that was silent. The entry node dropped that reply, while it waited for the reply of a gate that did not even answer the fence. The class: what is known to come isn't waited for.

Why it works: the reply is waited for as long as the silent link lives, 5 s at most, and within the request's deadline. A link that is closed, a gate that has not run the request, and one that does not know it are answered at once, as before."

--- a/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/forwarding.py
@@ -519,10 +519,11 @@
                 relay.pool, relay.counters, member, link, number
             )
             late = None
-            if verdict is None:
-                # The gate stands still or is cut off; its reply may still come.
+            if verdict in (None, FenceVerdict.HANDED_OVER):
+                # The gate runs it, stands still or is cut off: the reply may come.
                 late = None if reply is None else await reply
-                verdict = FenceVerdict.UNKNOWN
+                if verdict is None:
+                    verdict = FenceVerdict.UNKNOWN
             elif link is not None:
                 link.forget(number)
             if late is None:
