Ask at each run whether another instance can take it from a stopping gate

What callers could see: 502 for runs at a stopping gate that was told to stop before it knew the other instances of its service, as it asked for them only then.

Why it works: the gate asks for other instances whenever a run arrives that may outlast the node.

--- a/packages/rattanfork-node/rattanfork_node/app/relay_node.py
+++ b/packages/rattanfork-node/rattanfork_node/app/relay_node.py
@@ -537,8 +537,10 @@
         self._upstream_monitor.close()
         policy = shutdown.begin()
         self._relay.drain(policy)
-        if self._directory.instance_count(self._settings.relay.service) > 1:
-            self._gate.refuse_runs_beyond(policy.runs_end_at)
+        service = self._settings.relay.service
+        self._gate.refuse_runs_beyond(
+            policy.runs_end_at, lambda: self._directory.instance_count(service) > 1
+        )
         removal = asyncio.ensure_future(self._store.leave())
         status = await shutdown.finish()
         # What comes from now on could not be seen to its end.
--- a/packages/rattanfork-node/rattanfork_node/relay/gate.py
+++ b/packages/rattanfork-node/rattanfork_node/relay/gate.py
@@ -190,6 +190,7 @@
         self._leaving = False
         #: Latest deadline of a peer's run that is admitted.
         self._latest_deadline = inf
+        self._has_other_instances: Callable[[], bool] = lambda: False
         #: Called with each run that the upstream may go on with after it was ended.
         self.on_run_lost: Callable[[Job], None] = _ignore
         #: Whether a response showed that another incarnation has the address.
@@ -313,7 +314,7 @@
             known = self._upstream is not None
             self._refuse(job, Reason.LEAVING if known else Reason.NO_INSTANCE)
             return
-        if job.origin and job.deadline > self._latest_deadline:
+        if job.origin and self._may_outlast_node(job):
             self._refuse(job, Reason.LEAVING)
             return
         if job.counted_bytes and not self._hold_body(job):
@@ -356,13 +357,16 @@
         """Record that this node is draining."""
         self._leaving = True
 
-    def refuse_runs_beyond(self, ends_at: float) -> None:
+    def refuse_runs_beyond(
+        self, ends_at: float, has_other_instances: Callable[[], bool]
+    ) -> None:
         """Refuse peers' runs with deadlines later than the end of this node.
 
-        Their nodes send them to other instances; the exit would cut those that are
-        slow, and nobody could tell whether they had run.
+        Their nodes send them to other instances, while there are any; the exit would
+        cut those that are slow, and nobody could tell whether they had run.
         """
         self._latest_deadline = ends_at
+        self._has_other_instances = has_other_instances
 
     def tick(self) -> None:
         """Update admission control; call every ``AdmissionController.TICK_SECONDS``."""
@@ -381,6 +385,10 @@
         if self._pool is not None:
             self._pool.close()
 
+    def _may_outlast_node(self, job: Job) -> bool:
+        """Return whether the exit may cut a run that another instance can take."""
+        return job.deadline > self._latest_deadline and self._has_other_instances()
+
     def _admit_arrival(self, job: Job) -> bool:
         """Charge the retry budget for a request; return whether it is admitted.
 
